Set down the workspace, the core types and the chart interpreter

Cause: an empty repository; the shape of the code has to stand before several people add to it.

Change: the design page; CMake workspace with one static library per package; Qt formatting and naming enforced by clang-format and clang-tidy; core (identifiers, Verdict, Error, Result, Clock, Digest, rendezvous hashing); charts (JSON state charts, checked and bound to enumerations of the code).

--- /dev/null
+++ b/packages/core/src/SystemRandomSource.cpp
@@ -0,0 +1,18 @@
+#include "boragerack/core/SystemRandomSource.h"
+
+#include <cstdlib>
+
+#include <openssl/rand.h>
+
+namespace boragerack::core {
+
+std::uint64_t SystemRandomSource::next()
+{
+    std::uint64_t value = 0;
+    // Identities must be unique across the fleet; without a working generator none is safe to use.
+    if (RAND_bytes(reinterpret_cast<unsigned char *>(&value), sizeof(value)) != 1)
+        std::abort();
+    return value;
+}
+
+} // namespace boragerack::core
