--- /dev/null
+++ b/packages/standins/include/boragerack/standins/EngineStandin.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/json/value.hpp>
+
+#include "boragerack/runtime/HttpHandler.h"
+#include "boragerack/runtime/HttpMessage.h"
+
+namespace boragerack::standins {
+
+struct EngineOptions
+{
+    std::int64_t memoryMiB = 65536;
+    bool checksFencing = true;
+    std::chrono::milliseconds loadTime = std::chrono::milliseconds(200);
+    std::chrono::milliseconds adapterLoadTime = std::chrono::milliseconds(8);
+    std::chrono::milliseconds tokenTime = std::chrono::milliseconds(2);
+    std::chrono::milliseconds reportLag = std::chrono::milliseconds(0);
+
+    friend bool operator==(const EngineOptions &, const EngineOptions &) = default;
+};
+
+/// Stand-in for a model engine (docs/design.md, section 12). POST /control/faults {"silent",
+/// "crashOnPrompt","leaving"} brings failures about; GET /control/requests lists what it received.
+class EngineStandin final : public runtime::HttpHandler
+{
+public:
+    explicit EngineStandin(const EngineOptions &options);
+
+    void handle(const runtime::HttpRequest &request, runtime::HttpResponder &responder) override;
+
+    /// Highest sum of memory that loaded and loading models held at any time.
+    std::int64_t peakMemoryMiB() const { return peakMemoryMiB_; }
+
+private:
+    struct Loaded
+    {
+        std::string model;
+        std::string version;
+        std::string adapter;
+        std::string state;
+        std::int64_t memoryMiB = 0;
+        std::string order;
+    };
+
+    void complete(const runtime::HttpRequest &request, runtime::HttpResponder &responder);
+    void streamTokens(const runtime::HttpRequest &request, const boost::json::value &body,
+                      runtime::HttpResponder &responder);
+    runtime::HttpResponse load(const boost::json::value &body);
+    runtime::HttpResponse unload(const boost::json::value &body);
+    runtime::HttpResponse report() const;
+    runtime::HttpResponse listRequests() const;
+    void setFaults(const boost::json::value &body);
+    bool hasStaleFence(const boost::json::value &body);
+    bool isReady(const std::string &name) const;
+    std::int64_t usedMemoryMiB() const;
+
+    EngineOptions options_;
+    std::map<std::string, Loaded> loaded_;
+    std::set<std::string> orders_;
+    std::vector<boost::json::value> requests_;
+    std::int64_t highestFence_ = 0;
+    std::int64_t peakMemoryMiB_ = 0;
+    std::int64_t running_ = 0;
+    bool isSilent_ = false;
+    bool isLeaving_ = false;
+    std::string crashPrompt_;
+};
+
+} // namespace boragerack::standins
--- /dev/null
+++ b/packages/standins/include/boragerack/standins/JsonHttp.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <boost/json/value.hpp>
+
+#include "boragerack/runtime/HttpMessage.h"
+
+namespace boragerack::standins {
+
+runtime::HttpResponse makeJsonResponse(unsigned status, const boost::json::value &body);
+
+/// Parsed request body; null when it is not JSON.
+boost::json::value parseBody(const runtime::HttpRequest &request);
+
+/// Number or flag of an object, or the fallback when it is missing.
+std::int64_t integerOr(const boost::json::value &object, std::string_view name,
+                       std::int64_t fallback);
+bool flagOr(const boost::json::value &object, std::string_view name, bool fallback);
+std::string textOr(const boost::json::value &object, std::string_view name,
+                   std::string_view fallback);
+
+} // namespace boragerack::standins
