Add the platform store over HTTP

Cause: what must last is kept in the platform's object API, behind one interface so that another platform can take its place.

Change: PlatformStore with read, list, conditional write and remove, watch and instance list; HttpPlatformStore as its adapter. An Error with the verdict MayHaveRun marks a write of unknown outcome; a 503 marks one that took no effect. No call is repeated inside the adapter.

Ruled out: retries inside the adapter, since only the decision that asked for a write can recognise its own earlier write.

Result: 4 tests against the stand-in pass, with a lost answer and an outage among them.

--- /dev/null
+++ b/packages/platform/include/boragerack/platform/PlatformStore.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/platform/PlatformTypes.h"
+
+namespace boragerack::platform {
+
+/// The platform's object API. Calls suspend the calling fiber and end within the store's time
+/// limit. No call is repeated here; the caller decides what an unknown outcome means.
+class PlatformStore
+{
+public:
+    PlatformStore() = default;
+    PlatformStore(const PlatformStore &) = delete;
+    PlatformStore &operator=(const PlatformStore &) = delete;
+    virtual ~PlatformStore() = default;
+
+    /// Nothing when the object does not exist.
+    virtual core::Result<std::optional<PlatformObject>> read(const std::string &key) = 0;
+    virtual core::Result<ObjectList> list(const std::string &prefix) = 0;
+
+    /// Writes if the object has the version, or if it does not exist when the version is empty.
+    virtual WriteResult write(const std::string &key, const std::string &value,
+                              std::optional<std::uint64_t> ifVersion) = 0;
+    virtual WriteResult remove(const std::string &key, std::uint64_t ifVersion) = 0;
+
+    /// Waits for changes after the revision, at most for the given time.
+    virtual core::Result<ChangeList> watch(const std::string &prefix, std::uint64_t afterRevision,
+                                           std::chrono::milliseconds wait) = 0;
+    virtual core::Result<std::vector<InstanceRecord>> listInstances() = 0;
+};
+
+} // namespace boragerack::platform
--- /dev/null
+++ b/packages/platform/src/HttpPlatformStore.cpp
@@ -0,0 +1,157 @@
+#include "boragerack/platform/HttpPlatformStore.h"
+
+#include <utility>
+
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/pchars.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+
+#include "PlatformJson.h"
+#include "boragerack/runtime/HttpClient.h"
+
+namespace boragerack::platform {
+
+namespace urls = boost::urls;
+
+namespace {
+
+enum Status : unsigned { Ok = 200, NotFound = 404, Gone = 410, PreconditionFailed = 412 };
+
+std::string objectTarget(const std::string &key)
+{
+    return "/objects/" + urls::encode(key, urls::unreserved_chars + '/');
+}
+
+std::string encodeParameter(const std::string &value)
+{
+    return urls::encode(value, urls::unreserved_chars + '/');
+}
+
+core::Error makeStatusError(unsigned status)
+{
+    // The platform answers 503 before it looks at the request.
+    constexpr unsigned kServiceUnavailable = 503;
+    return {core::ErrorCode::PlatformUnavailable,
+            status == kServiceUnavailable ? core::Verdict::NotRun : core::Verdict::MayHaveRun,
+            "platform answered status " + std::to_string(status), std::chrono::seconds(1)};
+}
+
+} // namespace
+
+HttpPlatformStore::HttpPlatformStore(runtime::HttpClient &client, std::string address,
+                                     std::chrono::milliseconds callTimeout)
+    : client_(client)
+    , address_(std::move(address))
+    , callTimeout_(callTimeout)
+{
+}
+
+core::Result<runtime::HttpResponse> HttpPlatformStore::call(runtime::HttpRequest request,
+                                                            std::chrono::milliseconds extraTime)
+{
+    const auto deadline = std::chrono::steady_clock::now() + callTimeout_ + extraTime;
+    auto result = client_.call(address_, std::move(request), deadline);
+    if (!core::isOk(result)) {
+        core::Error error = core::errorOf(result);
+        error.code = core::ErrorCode::PlatformUnavailable;
+        error.retryAfter = std::chrono::seconds(1);
+        // A connection that broke after the answer had begun leaves the outcome unknown as well.
+        if (error.verdict == core::Verdict::Ran)
+            error.verdict = core::Verdict::MayHaveRun;
+        return error;
+    }
+    return result;
+}
+
+core::Result<std::optional<PlatformObject>> HttpPlatformStore::read(const std::string &key)
+{
+    const auto response = call({"GET", objectTarget(key), {}, ""});
+    if (!core::isOk(response))
+        return core::errorOf(response);
+    const auto &answer = core::valueOf(response);
+    if (answer.status == Status::NotFound)
+        return std::optional<PlatformObject>();
+    if (answer.status != Status::Ok)
+        return makeStatusError(answer.status);
+    return parseObject(answer.body);
+}
+
+core::Result<ObjectList> HttpPlatformStore::list(const std::string &prefix)
+{
+    const auto response = call({"GET", "/objects?prefix=" + encodeParameter(prefix), {}, ""});
+    if (!core::isOk(response))
+        return core::errorOf(response);
+    const auto &answer = core::valueOf(response);
+    if (answer.status != Status::Ok)
+        return makeStatusError(answer.status);
+    return parseObjectList(answer.body);
+}
+
+WriteResult HttpPlatformStore::write(const std::string &key, const std::string &value,
+                                     std::optional<std::uint64_t> ifVersion)
+{
+    runtime::HttpRequest request {
+        "PUT", objectTarget(key), {{"Content-Type", "application/json"}}, value};
+    if (ifVersion)
+        request.headers.push_back({"If-Match", std::to_string(*ifVersion)});
+    else
+        request.headers.push_back({"If-None-Match", "*"});
+    return change(std::move(request));
+}
+
+WriteResult HttpPlatformStore::remove(const std::string &key, std::uint64_t ifVersion)
+{
+    return change({"DELETE", objectTarget(key), {{"If-Match", std::to_string(ifVersion)}}, ""});
+}
+
+WriteResult HttpPlatformStore::change(runtime::HttpRequest request)
+{
+    const auto response = call(std::move(request));
+    if (!core::isOk(response))
+        return core::errorOf(response);
+    const auto &answer = core::valueOf(response);
+    if (answer.status == Status::Ok) {
+        const auto version = parseWrittenVersion(answer.body);
+        if (!core::isOk(version))
+            return core::errorOf(version);
+        return WriteApplied {core::valueOf(version)};
+    }
+    if (answer.status == Status::NotFound)
+        return WriteConflict();
+    if (answer.status != Status::PreconditionFailed)
+        return makeStatusError(answer.status);
+    const auto current = parseObject(answer.body);
+    if (!core::isOk(current))
+        return core::errorOf(current);
+    return WriteConflict {core::valueOf(current)};
+}
+
+core::Result<ChangeList> HttpPlatformStore::watch(const std::string &prefix,
+                                                  std::uint64_t afterRevision,
+                                                  std::chrono::milliseconds wait)
+{
+    const std::string target = "/watch?prefix=" + encodeParameter(prefix)
+        + "&after=" + std::to_string(afterRevision) + "&waitMs=" + std::to_string(wait.count());
+    const auto response = call({"GET", target, {}, ""}, wait);
+    if (!core::isOk(response))
+        return core::errorOf(response);
+    const auto &answer = core::valueOf(response);
+    if (answer.status == Status::Gone)
+        return ChangeList {.isExpired = true};
+    if (answer.status != Status::Ok)
+        return makeStatusError(answer.status);
+    return parseChangeList(answer.body);
+}
+
+core::Result<std::vector<InstanceRecord>> HttpPlatformStore::listInstances()
+{
+    const auto response = call({"GET", "/instances", {}, ""});
+    if (!core::isOk(response))
+        return core::errorOf(response);
+    const auto &answer = core::valueOf(response);
+    if (answer.status != Status::Ok)
+        return makeStatusError(answer.status);
+    return parseInstances(answer.body);
+}
+
+} // namespace boragerack::platform
--- /dev/null
+++ b/packages/platform/src/PlatformJson.cpp
@@ -0,0 +1,128 @@
+#include "PlatformJson.h"
+
+#include <utility>
+
+#include <boost/json.hpp>
+
+namespace boragerack::platform {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string textAt(const json::value &object, std::string_view name)
+{
+    return json::value_to<std::string>(object.at(name));
+}
+
+/// Value of an optional text member; empty if it is missing.
+std::string optionalText(const json::object &object, std::string_view name)
+{
+    const json::value *member = object.if_contains(name);
+    return member && member->is_string() ? std::string(member->get_string()) : std::string();
+}
+
+std::uint64_t numberAt(const json::value &object, std::string_view name)
+{
+    return object.at(name).to_number<std::uint64_t>();
+}
+
+PlatformObject readObject(const json::value &value)
+{
+    return {textAt(value, "key"), numberAt(value, "version"), json::serialize(value.at("value"))};
+}
+
+ObjectChange readChange(const json::value &value)
+{
+    ObjectChange change {textAt(value, "key"), numberAt(value, "version"), std::nullopt};
+    if (!value.as_object().contains("deleted"))
+        change.value = json::serialize(value.at("value"));
+    return change;
+}
+
+InstanceRecord readInstance(const json::value &value)
+{
+    const json::object &object = value.as_object();
+    InstanceRecord record;
+    record.instance.value = textAt(value, "instance");
+    record.address = textAt(value, "address");
+    record.dataCentre.value = optionalText(object, "dataCentre");
+    record.region.value = optionalText(object, "region");
+    record.service.value = optionalText(object, "service");
+    const std::string kind = optionalText(object, "kind");
+    record.kind = kind == "service" ? InstanceKind::Service
+        : kind == "entry"           ? InstanceKind::Entry
+                                    : InstanceKind::Engine;
+    if (optionalText(object, "state") == "leaving")
+        record.state = InstanceState::Leaving;
+    if (const json::value *memory = object.if_contains("memoryMiB"))
+        record.memoryMiB = memory->to_number<std::uint64_t>();
+    if (const json::value *checks = object.if_contains("checksFencing"))
+        record.checksFencing = checks->as_bool();
+    return record;
+}
+
+/// Runs the reader on the parsed text. Boost.JSON reports a missing member or a wrong type by an
+/// exception.
+template<class T, class Reader>
+core::Result<T> parseWith(const std::string &text, Reader reader)
+{
+    try {
+        return reader(json::parse(text));
+    } catch (const std::exception &exception) {
+        return core::Error {core::ErrorCode::ProtocolViolation, core::Verdict::MayHaveRun,
+                            std::string("platform answer is not understood: ") + exception.what(),
+                            std::chrono::milliseconds(0)};
+    }
+}
+
+} // namespace
+
+core::Result<std::optional<PlatformObject>> parseObject(const std::string &text)
+{
+    using Found = std::optional<PlatformObject>;
+    return parseWith<Found>(text, [](const json::value &value) {
+        return value.as_object().empty() ? Found() : Found(readObject(value));
+    });
+}
+
+core::Result<ObjectList> parseObjectList(const std::string &text)
+{
+    return parseWith<ObjectList>(text, [](const json::value &value) {
+        ObjectList list;
+        list.revision = numberAt(value, "revision");
+        for (const json::value &item : value.at("items").as_array())
+            list.objects.push_back(readObject(item));
+        return list;
+    });
+}
+
+core::Result<ChangeList> parseChangeList(const std::string &text)
+{
+    return parseWith<ChangeList>(text, [](const json::value &value) {
+        ChangeList list;
+        list.revision = numberAt(value, "revision");
+        for (const json::value &event : value.at("events").as_array())
+            list.changes.push_back(readChange(event));
+        return list;
+    });
+}
+
+core::Result<std::vector<InstanceRecord>> parseInstances(const std::string &text)
+{
+    using Records = std::vector<InstanceRecord>;
+    return parseWith<Records>(text, [](const json::value &value) {
+        Records records;
+        for (const json::value &instance : value.at("instances").as_array())
+            records.push_back(readInstance(instance));
+        return records;
+    });
+}
+
+core::Result<std::uint64_t> parseWrittenVersion(const std::string &text)
+{
+    return parseWith<std::uint64_t>(
+        text, [](const json::value &value) { return numberAt(value, "version"); });
+}
+
+} // namespace boragerack::platform
--- /dev/null
+++ b/packages/platform/tests/HttpPlatformStoreTest.cpp
@@ -0,0 +1,90 @@
+#include <boost/test/unit_test.hpp>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "boragerack/platform/HttpPlatformStore.h"
+#include "boragerack/runtime/FiberRuntime.h"
+#include "boragerack/runtime/HttpClient.h"
+#include "boragerack/runtime/HttpServer.h"
+#include "boragerack/standins/PlatformStandin.h"
+
+namespace core = boragerack::core;
+namespace platform = boragerack::platform;
+namespace runtime = boragerack::runtime;
+namespace standins = boragerack::standins;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct PlatformFixture
+{
+    runtime::FiberRuntime fiberRuntime;
+    standins::PlatformStandin standin;
+    runtime::HttpServer server {fiberRuntime.ioContext(), standin, {}};
+    runtime::HttpClient client {fiberRuntime.ioContext(), {}};
+    std::string address = core::takeValue(server.listen("127.0.0.1:0"));
+    platform::HttpPlatformStore store {client, address, 500ms};
+
+    void control(const std::string &path, const std::string &body)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + 5s;
+        BOOST_REQUIRE(core::isOk(client.call(address, {"POST", path, {}, body}, deadline)));
+    }
+};
+
+} // namespace
+
+// Guards against two writers that both believe their conditional update took effect.
+BOOST_FIXTURE_TEST_CASE(conflictingWriteReturnsTheCurrentObject, PlatformFixture)
+{
+    const auto first = store.write("a/b c", "{\"n\":1}", std::nullopt);
+    BOOST_REQUIRE(std::holds_alternative<platform::WriteApplied>(first));
+    const auto second = store.write("a/b c", "{\"n\":2}", std::nullopt);
+    BOOST_REQUIRE(std::holds_alternative<platform::WriteConflict>(second));
+    BOOST_TEST(std::get<platform::WriteConflict>(second).current->value == "{\"n\":1}");
+    const std::uint64_t version = std::get<platform::WriteApplied>(first).version;
+    BOOST_TEST(
+        std::holds_alternative<platform::WriteApplied>(store.write("a/b c", "{\"n\":3}", version)));
+    BOOST_TEST(core::valueOf(store.read("a/b c"))->value == "{\"n\":3}");
+}
+
+// Guards against treating a lost answer as a write that took no effect.
+BOOST_FIXTURE_TEST_CASE(lostAnswerLeavesTheOutcomeUnknown, PlatformFixture)
+{
+    control("/control/faults", "{\"loseAnswers\":1}");
+    const auto lost = store.write("key", "1", std::nullopt);
+    BOOST_REQUIRE(std::holds_alternative<core::Error>(lost));
+    BOOST_TEST((std::get<core::Error>(lost).verdict == core::Verdict::MayHaveRun));
+    BOOST_TEST(core::valueOf(store.read("key"))->value == "1");
+
+    control("/control/faults", "{\"outage\":true}");
+    const auto refused = store.write("other", "1", std::nullopt);
+    BOOST_TEST((std::get<core::Error>(refused).verdict == core::Verdict::NotRun));
+}
+
+// Guards against a watch that misses a change or returns other prefixes.
+BOOST_FIXTURE_TEST_CASE(watchSeesChangesUnderItsPrefix, PlatformFixture)
+{
+    const auto start = core::valueOf(store.list("lists/"));
+    boost::fibers::fiber writer([this] {
+        store.write("other", "0", std::nullopt);
+        store.write("lists/plans/main", "1", std::nullopt);
+    });
+    const auto changes = core::takeValue(store.watch("lists/", start.revision, 2s));
+    writer.join();
+    BOOST_REQUIRE(changes.changes.size() == 1U);
+    BOOST_TEST(changes.changes.front().key == "lists/plans/main");
+    BOOST_TEST(changes.changes.front().value.value() == "1");
+}
+
+// Guards against an instance list whose leaving or fencing marks are lost on the way.
+BOOST_FIXTURE_TEST_CASE(instanceListKeepsStateAndFencing, PlatformFixture)
+{
+    control("/control/instances",
+            R"({"instance":"gpu-1","address":"127.0.0.1:9000","kind":"engine","state":"leaving",
+                "memoryMiB":1000,"checksFencing":true})");
+    const auto instances = core::takeValue(store.listInstances());
+    BOOST_REQUIRE(instances.size() == 1U);
+    BOOST_TEST((instances.front().state == platform::InstanceState::Leaving));
+    BOOST_TEST(instances.front().checksFencing);
+}
--- a/packages/standins/src/EngineStandin.cpp
+++ b/packages/standins/src/EngineStandin.cpp
@@ -29,7 +29,7 @@
 
 std::string promptOf(const json::value &body)
 {
-    if (const std::string prompt = textOr(body, "prompt", ""); !prompt.empty())
+    if (std::string prompt = textOr(body, "prompt", ""); !prompt.empty())
         return prompt;
     const json::value *messages =
         body.is_object() ? body.get_object().if_contains("messages") : nullptr;
