Add parsing of the two lists and node settings, and the catalogue

Cause: the end-to-end path needs the accepted lists as values and the settings of a node.

Change: strict parse functions in config whose errors name the file, the field path, the value found and what was expected; cross checks between parts; decisions::Catalogue as the immutable lookup; JSON of the accepted head and of the status object.

Ruled out: prefix matching of every listed route, because an `open` path would then open all paths below it; a route covers what is below it only when its path ends in "/*".

Limits: Boost.JSON keeps the last of two members of the same name, so a repeated member is not reported.

--- /dev/null
+++ b/packages/config/include/boragerack/config/ConfigurationJson.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/ConfigurationHead.h"
+#include "boragerack/decisions/ConfigurationStatus.h"
+
+namespace boragerack::config {
+
+/// JSON of `config/accepted`.
+std::string serialiseHead(const decisions::ConfigurationHead &head);
+core::Result<decisions::ConfigurationHead> parseHead(std::string_view text);
+
+/// JSON of `status/config`.
+std::string serialiseStatus(const decisions::ConfigurationStatus &status);
+core::Result<decisions::ConfigurationStatus> parseStatus(std::string_view text);
+
+} // namespace boragerack::config
--- /dev/null
+++ b/packages/config/include/boragerack/config/EntitlementsPart.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <string_view>
+#include <vector>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/Plan.h"
+#include "boragerack/decisions/Service.h"
+
+namespace boragerack::config {
+
+/// One part of the entitlements list.
+struct EntitlementsPart
+{
+    std::vector<decisions::Plan> plans;
+    std::vector<decisions::Service> services;
+
+    friend auto operator<=>(const EntitlementsPart &, const EntitlementsPart &) = default;
+};
+
+/// Reads a part. `file` names it in errors.
+core::Result<EntitlementsPart> parseEntitlementsPart(std::string_view file, std::string_view text);
+
+} // namespace boragerack::config
--- /dev/null
+++ b/packages/config/include/boragerack/config/ListCheck.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <variant>
+
+#include "boragerack/decisions/Catalogue.h"
+
+namespace boragerack::config {
+
+/// The part at fault and the message for the operator.
+struct ListFault
+{
+    std::string part;
+    std::string message;
+
+    friend auto operator<=>(const ListFault &, const ListFault &) = default;
+};
+
+/// Parses all parts and checks them against each other. A part is named by its key without
+/// "lists/": "plans/<part>" or "entitlements/<part>".
+std::variant<decisions::Catalogue, ListFault>
+checkLists(const std::map<std::string, std::string> &textByPart);
+
+} // namespace boragerack::config
--- /dev/null
+++ b/packages/config/src/ConfigurationJson.cpp
@@ -0,0 +1,115 @@
+#include "boragerack/config/ConfigurationJson.h"
+
+#include <charconv>
+#include <limits>
+#include <system_error>
+#include <utility>
+
+#include "ObjectReader.h"
+
+namespace boragerack::config {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t kMaxNumber = std::numeric_limits<std::int64_t>::max();
+
+std::uint64_t readNumber(ObjectReader &reader, std::string_view name)
+{
+    return static_cast<std::uint64_t>(reader.readInteger(name, 0, kMaxNumber));
+}
+
+/// Incarnations use all 64 bits, which a JSON number does not carry through every reader.
+std::uint64_t readLongNumber(ObjectReader &reader, std::string_view name, ParseFault &fault)
+{
+    const std::string text = reader.readText(name);
+    std::uint64_t number = 0;
+    const auto [end, code] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (code != std::errc() || end != text.data() + text.size())
+        fault.report(reader.pathOf(name), "\"" + text + "\"", "decimal digits in a string");
+    return number;
+}
+
+decisions::HeadPart readPart(const json::value &value, const std::string &path, ParseFault &fault)
+{
+    ObjectReader reader(value, path, fault);
+    decisions::HeadPart part {reader.readText("name"), {}};
+    const std::string hex = reader.readText("digest");
+    if (const auto digest = core::parseDigest(hex))
+        part.digest = *digest;
+    else
+        fault.report(reader.pathOf("digest"), "\"" + hex + "\"", "64 hexadecimal digits");
+    reader.finish();
+    return part;
+}
+
+} // namespace
+
+std::string serialiseHead(const decisions::ConfigurationHead &head)
+{
+    json::array parts;
+    for (const decisions::HeadPart &part : head.parts)
+        parts.push_back({{"name", part.name}, {"digest", core::toHex(part.digest)}});
+    return json::serialize(json::value {
+        {"version", head.version},
+        {"listRevision", head.listRevision},
+        {"writer", head.writer.value},
+        {"writerIncarnation", std::to_string(head.writerIncarnation)},
+        {"sequence", head.sequence},
+        {"parts", std::move(parts)},
+    });
+}
+
+core::Result<decisions::ConfigurationHead> parseHead(std::string_view text)
+{
+    ParseFault fault {"config/accepted", {}};
+    decisions::ConfigurationHead head;
+    readDocument(text, fault, [&](ObjectReader &reader) {
+        head.version = readNumber(reader, "version");
+        head.listRevision = readNumber(reader, "listRevision");
+        head.writer.value = reader.readName("writer");
+        head.writerIncarnation = readLongNumber(reader, "writerIncarnation", fault);
+        head.sequence = readNumber(reader, "sequence");
+        reader.readArray("parts", [&](const json::value &value, const std::string &path) {
+            head.parts.push_back(readPart(value, path, fault));
+        });
+    });
+    if (fault.message)
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest, *fault.message);
+    return head;
+}
+
+std::string serialiseStatus(const decisions::ConfigurationStatus &status)
+{
+    json::array rejected;
+    for (const decisions::RejectedPart &part : status.rejected)
+        rejected.push_back(
+            {{"name", part.name}, {"version", part.version}, {"reason", part.reason}});
+    return json::serialize(json::value {
+        {"acceptedVersion", status.acceptedVersion},
+        {"listRevision", status.listRevision},
+        {"rejected", std::move(rejected)},
+    });
+}
+
+core::Result<decisions::ConfigurationStatus> parseStatus(std::string_view text)
+{
+    ParseFault fault {"status/config", {}};
+    decisions::ConfigurationStatus status;
+    readDocument(text, fault, [&](ObjectReader &reader) {
+        status.acceptedVersion = readNumber(reader, "acceptedVersion");
+        status.listRevision = readNumber(reader, "listRevision");
+        reader.readArray("rejected", [&](const json::value &value, const std::string &path) {
+            ObjectReader part(value, path, fault);
+            status.rejected.push_back(
+                {part.readText("name"), readNumber(part, "version"), part.readText("reason")});
+            part.finish();
+        });
+    });
+    if (fault.message)
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest, *fault.message);
+    return status;
+}
+
+} // namespace boragerack::config
--- /dev/null
+++ b/packages/config/src/NodeSettings.cpp
@@ -0,0 +1,116 @@
+#include "boragerack/config/NodeSettings.h"
+
+#include <charconv>
+#include <system_error>
+
+#include "ObjectReader.h"
+
+namespace boragerack::config {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::string_view kExpectedAddress =
+    "an IP address and a port such as 127.0.0.1:0 or [::1]:0";
+constexpr std::int64_t kMaxBytes = 1LL << 30;
+constexpr std::int64_t kMaxCount = 1'000'000;
+constexpr std::int64_t kMaxMs = 3'600'000;
+
+SocketAddress readAddressText(const std::string &text, const std::string &path, ParseFault &fault)
+{
+    if (const auto address = parseSocketAddress(text))
+        return *address;
+    fault.report(path, "\"" + text + "\"", std::string(kExpectedAddress));
+    return {};
+}
+
+SocketAddress readAddress(ObjectReader &reader, std::string_view name, ParseFault &fault)
+{
+    const std::string text = reader.readText(name);
+    return readAddressText(text, reader.pathOf(name), fault);
+}
+
+std::chrono::milliseconds readMs(ObjectReader &reader, std::string_view name,
+                                 std::chrono::milliseconds fallback)
+{
+    return std::chrono::milliseconds(reader.readInteger(name, 1, kMaxMs, fallback.count()));
+}
+
+void readSettings(ObjectReader &reader, NodeSettings &settings, ParseFault &fault)
+{
+    settings.instance.value = reader.readName("instance");
+    settings.dataCentre.value = reader.readName("dataCentre");
+    settings.region.value = reader.readName("region");
+    settings.callerListen = readAddress(reader, "callerListen", fault);
+    settings.peerListen = readAddress(reader, "peerListen", fault);
+    settings.platform = readAddress(reader, "platform", fault);
+    reader.readArray("peers", [&](const json::value &value, const std::string &path) {
+        if (const json::string *text = value.if_string())
+            settings.peers.push_back(readAddressText(std::string(*text), path, fault));
+        else
+            fault.report(path, describe(value), std::string(kExpectedAddress));
+    });
+    settings.fleetSecretFile = reader.readText("fleetSecretFile");
+    settings.chartsDirectory = reader.readText("chartsDirectory");
+    settings.statusDirectory = reader.readNullableText("statusDirectory");
+
+    const NodeSettings defaults;
+    settings.maxHeaderBytes =
+        reader.readInteger("maxHeaderBytes", 1024, kMaxBytes, defaults.maxHeaderBytes);
+    settings.maxBodyBytes =
+        reader.readInteger("maxBodyBytes", 1024, kMaxBytes, defaults.maxBodyBytes);
+    settings.maxCallerConnections =
+        reader.readInteger("maxCallerConnections", 1, kMaxCount, defaults.maxCallerConnections);
+    settings.maxQueuedRequests =
+        reader.readInteger("maxQueuedRequests", 1, kMaxCount, defaults.maxQueuedRequests);
+    settings.requestTimeout = readMs(reader, "requestTimeoutMs", defaults.requestTimeout);
+    settings.addressLifetime = readMs(reader, "addressLifetimeMs", defaults.addressLifetime);
+    settings.drain = readMs(reader, "drainMs", defaults.drain);
+    settings.platformTimeout = readMs(reader, "platformTimeoutMs", defaults.platformTimeout);
+    settings.platformWatchWait = readMs(reader, "platformWatchWaitMs", defaults.platformWatchWait);
+    settings.targetReportInterval =
+        readMs(reader, "targetReportIntervalMs", defaults.targetReportInterval);
+}
+
+bool isAddressText(std::string_view host)
+{
+    constexpr std::string_view kDigits = "0123456789.";
+    constexpr std::string_view kHexDigits = "0123456789abcdefABCDEF:.";
+    if (host.starts_with('[') && host.ends_with(']') && host.size() > 2) {
+        host = host.substr(1, host.size() - 2);
+        return host.find(':') != std::string_view::npos
+            && host.find_first_not_of(kHexDigits) == std::string_view::npos;
+    }
+    return !host.empty() && host.find_first_not_of(kDigits) == std::string_view::npos;
+}
+
+} // namespace
+
+std::optional<SocketAddress> parseSocketAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos || !isAddressText(text.substr(0, colon)))
+        return std::nullopt;
+    const std::string_view digits = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto [end, code] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (code != std::errc() || end != digits.data() + digits.size())
+        return std::nullopt;
+    std::string host(text.substr(0, colon));
+    if (host.starts_with('['))
+        host = host.substr(1, host.size() - 2);
+    return SocketAddress {host, port};
+}
+
+core::Result<NodeSettings> parseNodeSettings(std::string_view file, std::string_view text)
+{
+    ParseFault fault {std::string(file), {}};
+    NodeSettings settings;
+    readDocument(text, fault, [&](ObjectReader &reader) { readSettings(reader, settings, fault); });
+    if (fault.message)
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest, *fault.message);
+    return settings;
+}
+
+} // namespace boragerack::config
--- /dev/null
+++ b/packages/config/src/ObjectReader.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include <boost/json.hpp>
+
+namespace boragerack::config {
+
+/// Collects the first fault of one file.
+struct ParseFault
+{
+    std::string file;
+    std::optional<std::string> message;
+
+    /// Records a fault unless an earlier one is known.
+    void report(const std::string &path, const std::string &found, const std::string &expected);
+};
+
+/// Short JSON of a value for an error message.
+std::string describe(const boost::json::value &value);
+
+/// Reads the members of one JSON object. Each read reports a missing or wrong member and then
+/// returns a default, so that callers need no check after every field. Members that were never
+/// asked for are reported by `finish`.
+class ObjectReader
+{
+public:
+    using ElementReader = std::function<void(const boost::json::value &, const std::string &path)>;
+
+    ObjectReader(const boost::json::value &value, std::string path, ParseFault &fault);
+
+    std::string readText(std::string_view name);
+    /// A name of at most 128 letters, digits, dots, underscores and hyphens.
+    std::string readName(std::string_view name);
+    std::int64_t readInteger(std::string_view name, std::int64_t lowest, std::int64_t highest,
+                             std::optional<std::int64_t> fallback = std::nullopt);
+    bool readFlag(std::string_view name, bool fallback);
+    std::optional<std::string> readNullableText(std::string_view name);
+    void readArray(std::string_view name, const ElementReader &read);
+    /// An array that may be missing.
+    void readOptionalArray(std::string_view name, const ElementReader &read);
+    void finish();
+
+    std::string pathOf(std::string_view name) const;
+
+private:
+    const boost::json::value *find(std::string_view name, std::string_view expected);
+
+    const boost::json::object *object_ = nullptr;
+    std::string path_;
+    ParseFault &fault_;
+    std::set<std::string, std::less<>> known_;
+};
+
+/// Checks that the text is a name as `readName` expects it.
+bool isName(std::string_view text);
+
+/// Parses the text and reads the top object.
+void readDocument(std::string_view text, ParseFault &fault,
+                  const std::function<void(ObjectReader &)> &read);
+
+} // namespace boragerack::config
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/ConfigurationHead.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "boragerack/core/Digest.h"
+#include "boragerack/core/Identifier.h"
+
+namespace boragerack::decisions {
+
+/// One part of the accepted lists: its name ("plans/main") and the digest of its text.
+struct HeadPart
+{
+    std::string name;
+    core::Digest digest;
+
+    friend auto operator<=>(const HeadPart &, const HeadPart &) = default;
+};
+
+/// The object `config/accepted`. Parts are sorted by name.
+struct ConfigurationHead
+{
+    std::uint64_t version = 0;
+    /// Platform revision of the lists that this version reflects. A relay whose view of the lists
+    /// is older must not replace the head, or an accepted edit would be taken back.
+    std::uint64_t listRevision = 0;
+    /// Identity of the write, by which a writer that lost the answer recognises its own update.
+    core::InstanceId writer;
+    std::uint64_t writerIncarnation = 0;
+    std::uint64_t sequence = 0;
+    std::vector<HeadPart> parts;
+
+    friend auto operator<=>(const ConfigurationHead &, const ConfigurationHead &) = default;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/Service.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "boragerack/core/Identifier.h"
+
+namespace boragerack::decisions {
+
+/// Properties of a route of a plain service. A path that ends in "/*" stands for everything below.
+struct ServiceRoute
+{
+    std::string method;
+    std::string path;
+    bool atMostOnce = true;
+    bool requireIdempotencyKey = false;
+    bool open = false;
+
+    friend auto operator<=>(const ServiceRoute &, const ServiceRoute &) = default;
+};
+
+struct Service
+{
+    core::ServiceId service;
+    std::vector<ServiceRoute> routes;
+
+    friend auto operator<=>(const Service &, const Service &) = default;
+};
+
+} // namespace boragerack::decisions
