--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/EngineReport.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+#include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/Stamp.h"
+
+namespace boragerack::decisions {
+
+enum class WeightsState { Loading, Ready, Unloading };
+
+/// Weights in the memory of an engine and the load order that brought them there.
+struct LoadedWeights
+{
+    Artifact artifact;
+    WeightsState state = WeightsState::Loading;
+    std::uint64_t memoryMiB = 0;
+    Stamp order;
+
+    friend auto operator<=>(const LoadedWeights &, const LoadedWeights &) = default;
+};
+
+/// Where a checkpoint is cached, warmest first.
+enum class CheckpointPlace { Memory, Disk, Remote };
+
+struct CachedCheckpoint
+{
+    Artifact artifact;
+    CheckpointPlace place = CheckpointPlace::Remote;
+
+    friend auto operator<=>(const CachedCheckpoint &, const CachedCheckpoint &) = default;
+};
+
+/// State of an engine at one moment of its own past; a report may lag.
+struct EngineReport
+{
+    std::uint64_t memoryMiB = 0;
+    std::uint64_t usedMiB = 0;
+    bool isLeaving = false;
+    std::vector<LoadedWeights> loaded;
+    /// Load and unload orders that the engine has received, refused ones included.
+    std::vector<Stamp> orders;
+    std::vector<CachedCheckpoint> cached;
+
+    friend auto operator<=>(const EngineReport &, const EngineReport &) = default;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/OrderChart.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "boragerack/charts/ChartBinding.h"
+
+namespace boragerack::decisions {
+
+/// States of charts/order.json: what is known about the delivery of a load order.
+enum class OrderState {
+    Recorded, ///< The intent is written; the orderer may send the order at any time.
+    Sent, ///< The order may arrive at any time.
+    Confirmed, ///< The engine has received the order; it cannot arrive again.
+    Lapsed, ///< The orderer's instance is gone for good; the order may have arrived before.
+    Superseded, ///< The engine has seen a higher fencing number; the order may have arrived before.
+    Closed, ///< The order cannot arrive and its weights are not in memory.
+};
+
+enum class OrderEvent {
+    Send,
+    Abandon,
+    EngineSaw,
+    EngineRefused,
+    OrdererGone,
+    FenceRaised,
+    WeightsAbsent,
+};
+
+enum class OrderEffect { SendLoad, RequestUnload, PermitRelease };
+
+inline constexpr charts::EnumNames<OrderState, 6> kOrderStates = {
+    {"recorded", "sent", "confirmed", "lapsed", "superseded", "closed"}};
+inline constexpr charts::EnumNames<OrderEvent, 7> kOrderEvents = {{"send", "abandon", "engineSaw",
+                                                                   "engineRefused", "ordererGone",
+                                                                   "fenceRaised", "weightsAbsent"}};
+inline constexpr charts::EnumNames<OrderEffect, 3> kOrderEffects = {
+    {"sendLoad", "requestUnload", "permitRelease"}};
+
+using OrderBinding = charts::ChartBinding<OrderState, OrderEvent, OrderEffect>;
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/PlacementRecords.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+#include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/Stamp.h"
+
+namespace boragerack::decisions {
+
+/// A decided replica. The order tells apart two decisions for the same target.
+struct ReplicaEntry
+{
+    core::TargetId target;
+    Stamp order;
+
+    friend auto operator<=>(const ReplicaEntry &, const ReplicaEntry &) = default;
+};
+
+/// Value of the platform object `models/<model>`.
+struct ModelRecord
+{
+    Artifact artifact;
+    std::vector<ReplicaEntry> replicas;
+    /// Identity of the write that produced this value.
+    Stamp writer;
+
+    friend auto operator<=>(const ModelRecord &, const ModelRecord &) = default;
+};
+
+/// What the platform says about a reservation. Nodes route to replicas in phase Ready only.
+enum class IntentPhase { Recorded, Ready, Draining, Unloading };
+
+/// Memory reserved for one load order.
+struct Intent
+{
+    Stamp order;
+    Artifact artifact;
+    std::uint64_t memoryMiB = 0;
+    IntentPhase phase = IntentPhase::Recorded;
+
+    friend auto operator<=>(const Intent &, const Intent &) = default;
+};
+
+/// Value of the platform object `targets/<target>`.
+struct TargetRecord
+{
+    core::TargetId target;
+    std::uint64_t memoryMiB = 0;
+    std::vector<Intent> intents;
+    /// Identity of the write that produced this value.
+    Stamp writer;
+
+    friend auto operator<=>(const TargetRecord &, const TargetRecord &) = default;
+};
+
+/// Sum of the memory of all intents.
+std::uint64_t reservedMiB(const TargetRecord &record);
+
+/// A platform object together with its version; version 0 means that it does not exist.
+template<class T>
+struct Versioned
+{
+    std::uint64_t version = 0;
+    T record;
+
+    friend auto operator<=>(const Versioned &, const Versioned &) = default;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/PlacementRecords.cpp
@@ -0,0 +1,13 @@
+#include "boragerack/decisions/PlacementRecords.h"
+
+namespace boragerack::decisions {
+
+std::uint64_t reservedMiB(const TargetRecord &record)
+{
+    std::uint64_t sum = 0;
+    for (const Intent &intent : record.intents)
+        sum += intent.memoryMiB;
+    return sum;
+}
+
+} // namespace boragerack::decisions
