--- /dev/null
+++ b/packages/decisions/src/LoadPlannerPlacing.cpp
@@ -0,0 +1,313 @@
+// Planning of loads and unloads.
+#include "boragerack/decisions/LoadPlanner.h"
+
+#include <algorithm>
+
+namespace boragerack::decisions {
+
+namespace {
+
+// Room is made for no more than this many waiting loads, so that a slow weight store does not
+// empty the targets long before the loads can start.
+constexpr std::size_t kMaxClaims = 8;
+
+} // namespace
+
+std::uint64_t LoadPlanner::memoryOf(const Artifact &artifact) const
+{
+    const auto found = catalogue_.find(artifact);
+    return found == catalogue_.end() ? 0 : found->second;
+}
+
+CheckpointPlace LoadPlanner::placeOf(const Artifact &artifact, const core::TargetId &target) const
+{
+    if (const auto places = cached_.find(target); places != cached_.end()) {
+        if (const auto place = places->second.find(artifact); place != places->second.end())
+            return place->second;
+    }
+    return CheckpointPlace::Remote;
+}
+
+core::Duration LoadPlanner::reloadCost(const ReplicaKey &key) const
+{
+    const auto &[target, artifact] = key;
+    return costs_.estimate(placeOf(artifact, target), memoryOf(artifact));
+}
+
+bool LoadPlanner::isUsable(const core::TargetId &target) const
+{
+    const auto avoided = avoidedUntil_.find(target);
+    return avoided == avoidedUntil_.end() || avoided->second <= now_;
+}
+
+bool LoadPlanner::isIdle(const ReplicaKey &key) const
+{
+    const auto use = uses_.find(key);
+    return use != uses_.end() && use->second.inFlight.empty() && !demands_.contains(key.second);
+}
+
+bool LoadPlanner::isBeingLoaded(const Artifact &artifact) const
+{
+    const auto replicas = ledger_.replicasOf(artifact);
+    return std::any_of(replicas.begin(), replicas.end(), [this](const auto &entry) {
+        const PlacementLedger::Replica &replica = entry.second;
+        switch (replica.state) {
+        case ReplicaState::Deciding:
+        case ReplicaState::Reserving:
+            return true;
+        case ReplicaState::Loading:
+            return replica.orderState == OrderState::Confirmed
+                || now_ - replica.since < settings_.stuckAfter;
+        default:
+            return false;
+        }
+    });
+}
+
+void LoadPlanner::planLoads()
+{
+    isPlanDue_ = false;
+    if (!ledger_.isActive() || !isPlatformReachable_)
+        return;
+    std::vector<std::pair<core::TimePoint, Artifact>> waiting;
+    for (const auto &[artifact, demand] : demands_)
+        waiting.emplace_back(demand.since, artifact);
+    std::sort(waiting.begin(), waiting.end());
+    for (const auto &[since, artifact] : waiting) {
+        if (demands_.contains(artifact))
+            planLoad(artifact);
+    }
+}
+
+void LoadPlanner::planLoad(const Artifact &artifact)
+{
+    if (serveReady(artifact))
+        return;
+    for (const auto &[target, replica] : ledger_.replicasOf(artifact)) {
+        if (replica.state == ReplicaState::Draining) {
+            evictions_.erase({target, artifact});
+            forward(CancelDrain {artifact, target});
+            return;
+        }
+    }
+    if (isBeingLoaded(artifact))
+        return;
+    if (artifact.isAdapter())
+        placeAdapter(artifact);
+    else
+        placeModel(artifact);
+}
+
+void LoadPlanner::placeAdapter(const Artifact &artifact)
+{
+    if (!budget_.hasAdapterRoom())
+        return;
+    const std::uint64_t memoryMiB = memoryOf(artifact);
+    const auto bases = ledger_.replicasOf(artifact.base());
+    bool isBaseReady = false;
+    for (const auto &[target, base] : bases) {
+        if (base.state != ReplicaState::Ready)
+            continue;
+        isBaseReady = true;
+        const auto entry = ledger_.findTarget(target);
+        if (!entry->isListed || entry->isLeaving || !isUsable(target)
+            || ledger_.findReplica(artifact, target))
+            continue;
+        if (entry->reservedMiB + memoryMiB <= entry->memoryMiB) {
+            uses_[{target, artifact.base()}].lastUsed = now_;
+            place(artifact, target, CheckpointPlace::Remote);
+            return;
+        }
+        // Other idle adapters make room; the model itself must stay.
+        std::uint64_t room = entry->memoryMiB - std::min(entry->memoryMiB, entry->reservedMiB);
+        for (const IdleReplica &idle : findIdle(target)) {
+            if (room >= memoryMiB)
+                break;
+            if (idle.artifact == artifact.base())
+                continue;
+            evictions_.insert({target, idle.artifact});
+            room += idle.memoryMiB;
+        }
+        continueEvictions();
+        return;
+    }
+    if (isBaseReady)
+        return;
+    // The adapter follows when its model is ready.
+    const Demand &demand = demands_.at(artifact);
+    core::TimePoint neededUntil = now_;
+    for (const Waiter &waiter : demand.waiters)
+        neededUntil = std::max(neededUntil, waiter.deadline);
+    Demand &base = demands_.try_emplace(artifact.base(), Demand {demand.since, {}}).first->second;
+    base.neededUntil = std::max(base.neededUntil, neededUntil);
+    planLoad(artifact.base());
+}
+
+void LoadPlanner::placeModel(const Artifact &artifact)
+{
+    const std::uint64_t memoryMiB = memoryOf(artifact);
+    Demand &demand = demands_.at(artifact);
+    if (memoryMiB == 0 || (demand.claim && isMakingRoom(*demand.claim)))
+        return;
+    demand.claim.reset();
+    const std::optional<PlacementChoice> choice =
+        policy_->choose(memoryMiB, makeOffers(artifact, memoryMiB), now_);
+    if (!choice)
+        return;
+    if (!choice->evicted.empty()) {
+        const auto claims = std::count_if(demands_.begin(), demands_.end(), [](const auto &entry) {
+            return entry.second.claim.has_value();
+        });
+        if (static_cast<std::size_t>(claims) >= kMaxClaims)
+            return;
+        demand.claim = choice->target;
+        for (const Artifact &evicted : choice->evicted)
+            evictions_.insert({choice->target, evicted});
+        continueEvictions();
+        return;
+    }
+    const CheckpointPlace source = placeOf(artifact, choice->target);
+    // Only a remote checkpoint is read from the weight store.
+    if (source == CheckpointPlace::Remote && !budget_.hasModelRoom(now_)) {
+        demand.claim = choice->target;
+        return;
+    }
+    place(artifact, choice->target, source);
+}
+
+bool LoadPlanner::isMakingRoom(const core::TargetId &target) const
+{
+    const auto replicas = ledger_.replicasOn(target);
+    return std::any_of(replicas.begin(), replicas.end(), [&](const auto &entry) {
+        const ReplicaState state = entry.second.state;
+        return evictions_.contains({target, entry.first}) || state == ReplicaState::Draining
+            || state == ReplicaState::Unloading || state == ReplicaState::Releasing;
+    });
+}
+
+void LoadPlanner::place(const Artifact &artifact, const core::TargetId &target,
+                        CheckpointPlace source)
+{
+    const bool isCounted = source == CheckpointPlace::Remote;
+    if (isCounted && artifact.isAdapter())
+        budget_.startAdapterLoad();
+    else if (isCounted)
+        budget_.startModelLoad(now_);
+    loads_.insert_or_assign({target, artifact}, Load {now_, source, isCounted});
+    forward(PlaceReplica {artifact, target, memoryOf(artifact)});
+}
+
+std::vector<TargetOffer> LoadPlanner::makeOffers(const Artifact &artifact,
+                                                 std::uint64_t memoryMiB) const
+{
+    std::map<core::TargetId, std::uint64_t> claimed;
+    for (const auto &[other, demand] : demands_) {
+        if (demand.claim && other != artifact)
+            claimed[*demand.claim] += memoryOf(other);
+    }
+    std::vector<TargetOffer> offers;
+    bool hasRoom = false;
+    for (const core::TargetId &target : targets_) {
+        const auto entry = ledger_.findTarget(target);
+        if (!entry || !entry->isListed || entry->isLeaving || !entry->isKnown
+            || entry->memoryMiB < memoryMiB || !isUsable(target)
+            || ledger_.findReplica(artifact, target))
+            continue;
+        const auto claim = claimed.find(target);
+        const std::uint64_t used =
+            entry->reservedMiB + (claim == claimed.end() ? 0 : claim->second);
+        const CheckpointPlace source = placeOf(artifact, target);
+        offers.push_back({target,
+                          entry->memoryMiB,
+                          entry->memoryMiB - std::min(entry->memoryMiB, used),
+                          source,
+                          costs_.estimate(source, memoryMiB),
+                          {}});
+        hasRoom = hasRoom || offers.back().freeMiB >= memoryMiB;
+    }
+    for (TargetOffer &offer : offers) {
+        if (offer.freeMiB < memoryMiB && (!hasRoom || offer.place != CheckpointPlace::Remote))
+            offer.idle = findIdle(offer.target);
+    }
+    return offers;
+}
+
+std::vector<IdleReplica> LoadPlanner::findIdle(const core::TargetId &target) const
+{
+    std::vector<IdleReplica> idle;
+    const auto first = uses_.lower_bound({target, Artifact {}});
+    for (auto use = first; use != uses_.end() && use->first.first == target; ++use) {
+        const Artifact &artifact = use->first.second;
+        if (!isIdle(use->first) || evictions_.contains(use->first))
+            continue;
+        IdleReplica replica {artifact, memoryOf(artifact), use->second.lastUsed,
+                             reloadCost(use->first)};
+        if (!artifact.isAdapter()) {
+            // A model leaves together with its adapters, which follow it in the map.
+            bool areIdle = true;
+            for (auto next = std::next(use); next != uses_.end() && next->first.first == target
+                 && next->first.second.base() == artifact;
+                 ++next) {
+                areIdle = areIdle && isIdle(next->first);
+                replica.memoryMiB += memoryOf(next->first.second);
+                replica.lastUsed = std::max(replica.lastUsed, next->second.lastUsed);
+            }
+            if (!areIdle)
+                continue;
+        }
+        idle.push_back(replica);
+    }
+    return idle;
+}
+
+void LoadPlanner::continueEvictions()
+{
+    const std::set<ReplicaKey> evictions = evictions_;
+    for (const ReplicaKey &key : evictions) {
+        const auto &[target, artifact] = key;
+        const auto replica = ledger_.findReplica(artifact, target);
+        if (!replica || !isIdle(key)) {
+            evictions_.erase(key);
+            continue;
+        }
+        if (replica->state != ReplicaState::Ready)
+            continue;
+        if (!artifact.isAdapter() && ledger_.hasAdapters(artifact, target)) {
+            for (const auto &[other, state] : ledger_.replicasOn(target)) {
+                if (other.isAdapter() && other.base() == artifact
+                    && state.state == ReplicaState::Ready && isIdle({target, other}))
+                    forward(DrainReplica {other, target});
+            }
+            continue;
+        }
+        forward(DrainReplica {artifact, target});
+    }
+}
+
+void LoadPlanner::unloadIdle()
+{
+    if (!ledger_.isActive() || !isPlatformReachable_)
+        return;
+    std::vector<ReplicaKey> expired;
+    for (const auto &[key, use] : uses_) {
+        const auto &[target, artifact] = key;
+        if (!isIdle(key) || evictions_.contains(key)
+            || (!artifact.isAdapter() && ledger_.hasAdapters(artifact, target)))
+            continue;
+        const auto entry = ledger_.findTarget(target);
+        const double used = entry && entry->memoryMiB > 0
+            ? static_cast<double>(entry->reservedMiB) / static_cast<double>(entry->memoryMiB)
+            : 0;
+        if (!catalogue_.contains(artifact)
+            || now_ - use.lastUsed
+                >= policy_->holdTime({reloadCost(key), used, artifact.isAdapter()}))
+            expired.push_back(key);
+    }
+    for (const auto &[target, artifact] : expired) {
+        const auto replica = ledger_.findReplica(artifact, target);
+        if (replica && replica->state == ReplicaState::Ready)
+            forward(DrainReplica {artifact, target});
+    }
+}
+
+} // namespace boragerack::decisions
--- a/packages/decisions/src/PlacementLedger.cpp
+++ b/packages/decisions/src/PlacementLedger.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "boragerack/decisions/OrderEvidence.h"
+
 namespace boragerack::decisions {
 
 namespace {
@@ -178,25 +180,10 @@
 void PlacementLedger::checkReport(const TrackKey &key, const EngineReport &report)
 {
     Track &track = tracks_.at(key);
-    const auto listed = [&report](const Stamp &order) {
-        return std::find(report.orders.begin(), report.orders.end(), order) != report.orders.end();
-    };
-    const auto held =
-        std::find_if(report.loaded.begin(), report.loaded.end(),
-                     [&](const LoadedWeights &weights) { return weights.order == track.order; });
-    const bool isHeld = held != report.loaded.end();
-    const bool isArtifactHeld = isHeld
-        || std::any_of(report.loaded.begin(), report.loaded.end(),
-                       [&key](const LoadedWeights &weights) {
-                           return weights.artifact == key.second;
-                       });
-    const bool isSeen = isHeld || listed(track.order);
-    const bool isUnloadSeen = track.unload && listed(*track.unload);
-    const bool isReady = isHeld && held->state == WeightsState::Ready;
-
-    if (isSeen) {
+    const OrderEvidence evidence = readEvidence(report, key.second, track.order, track.unload,
+                                                targets_.at(key.first).checksFencing);
+    if (evidence.isSeen) {
         track.missingSince.reset();
-        fire(key, OrderEvent::EngineSaw);
     } else if (track.life.orderState() == OrderState::Confirmed) {
         if (!track.missingSince)
             track.missingSince = now_;
@@ -204,13 +191,10 @@
                  && track.life.state() != ReplicaState::Unloading)
             fire(key, ReplicaEvent::Supersede);
     }
-    if (isUnloadSeen && targets_.at(key.first).checksFencing)
-        fire(key, OrderEvent::FenceRaised);
-    if (isReady)
+    for (const OrderEvent event : evidence.orderEvents())
+        fire(key, event);
+    if (evidence.isReady)
         fire(key, ReplicaEvent::WeightsReady);
-    // A report that lists one of these orders was made after the engine had received it.
-    if (!isArtifactHeld && (isSeen || isUnloadSeen))
-        fire(key, OrderEvent::WeightsAbsent);
 }
 
 void PlacementLedger::sendUnload(const TrackKey &key)
--- a/packages/decisions/src/PlacementLedgerRecords.cpp
+++ b/packages/decisions/src/PlacementLedgerRecords.cpp
@@ -420,12 +420,14 @@
                    entry.isListed,  entry.isLeaving, entry.object.version != 0};
 }
 
-std::vector<core::TargetId> PlacementLedger::targets() const
+bool PlacementLedger::hasAdapters(const Artifact &base, const core::TargetId &target) const
 {
-    std::vector<core::TargetId> names;
-    for (const auto &[target, entry] : targets_)
-        names.push_back(target);
-    return names;
+    const auto entry = targets_.find(target);
+    if (entry == targets_.end())
+        return false;
+    // Adapters follow their model in the order of artifacts.
+    const auto next = entry->second.tracks.upper_bound(base.base());
+    return next != entry->second.tracks.end() && next->base() == base.base();
 }
 
 } // namespace boragerack::decisions
