--- /dev/null
+++ b/packages/decisions/src/ClaimProtocol.cpp
@@ -0,0 +1,226 @@
+#include "boragerack/decisions/ClaimProtocol.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// The doubling of the pause ends here; an outage of minutes needs no longer ones.
+constexpr std::uint32_t kMaxPauseDoublings = 6;
+
+constexpr std::chrono::milliseconds kRetryAfter(1000);
+
+} // namespace
+
+ClaimProtocol::ClaimProtocol(std::shared_ptr<const ClaimBinding> chart, ClaimPlan plan)
+    : plan_(std::move(plan))
+    , chart_(std::move(chart))
+{
+}
+
+std::vector<ClaimProtocol::Action> ClaimProtocol::handle(const Event &event, core::TimePoint now)
+{
+    now_ = now;
+    Actions actions;
+    std::visit([&](const auto &concrete) { on(concrete, actions); }, event);
+    return actions;
+}
+
+std::optional<core::TimePoint> ClaimProtocol::wakeAt() const
+{
+    if (isClaiming() && wakeAt_)
+        return std::min(*wakeAt_, plan_.deadline);
+    return wakeAt_;
+}
+
+void ClaimProtocol::on(const claim::Begin &, Actions &actions)
+{
+    if (now_ >= plan_.deadline)
+        giveUp(core::ErrorCode::DeadlineExceeded, actions);
+    else
+        fire(ClaimTrigger::Begin, actions);
+}
+
+void ClaimProtocol::on(const claim::Written &event, Actions &actions)
+{
+    if (!isWaitedFor(event.call))
+        return;
+    openCall_ = 0;
+    wakeAt_.reset();
+    failedCalls_ = 0;
+    if (found_)
+        found_->version = event.version;
+    else
+        found_ = StoredClaim {event.version, makeRecord(ClaimPhase::Open)};
+    fire(ClaimTrigger::Written, actions);
+}
+
+void ClaimProtocol::on(const claim::Found &event, Actions &actions)
+{
+    if (!isWaitedFor(event.call))
+        return;
+    openCall_ = 0;
+    wakeAt_.reset();
+    failedCalls_ = 0;
+    found_ = event.stored;
+    fire(classify(event.stored), actions);
+}
+
+void ClaimProtocol::on(const claim::CallFailed &event, Actions &actions)
+{
+    if (isWaitedFor(event.call))
+        failCall(event.mayHaveTakenEffect, actions);
+}
+
+void ClaimProtocol::on(const claim::TimerFired &, Actions &actions)
+{
+    if (isClaiming() && now_ >= plan_.deadline)
+        giveUp(core::ErrorCode::DeadlineExceeded, actions);
+    else if (!wakeAt_ || now_ < *wakeAt_)
+        return;
+    else if (openCall_ != 0)
+        failCall(true, actions);
+    else {
+        wakeAt_.reset();
+        fire(ClaimTrigger::PauseEnded, actions);
+    }
+}
+
+void ClaimProtocol::on(const claim::Cancel &event, Actions &actions)
+{
+    if (isClaiming())
+        giveUp(event.code, actions);
+}
+
+void ClaimProtocol::on(const claim::Finished &event, Actions &actions)
+{
+    if (outcome_)
+        return;
+    outcome_ = event.outcome;
+    fire(event.outcome.verdict == core::Verdict::NotRun ? ClaimTrigger::FinishedNotRun
+                                                        : ClaimTrigger::Finished,
+         actions);
+}
+
+bool ClaimProtocol::isWaitedFor(std::uint64_t call) const
+{
+    return call != 0 && call == openCall_;
+}
+
+ClaimTrigger ClaimProtocol::classify(const std::optional<StoredClaim> &stored) const
+{
+    if (!stored)
+        return ClaimTrigger::Absent;
+    const ClaimRecord &record = stored->record;
+    if (record.phase == ClaimPhase::Released)
+        return ClaimTrigger::FoundReleased;
+    if (record.writer == plan_.writer && record.phase == ClaimPhase::Open)
+        return ClaimTrigger::FoundOwn;
+    if (record.request != plan_.request)
+        return ClaimTrigger::FoundMismatch;
+    return record.phase == ClaimPhase::Finished ? ClaimTrigger::FoundOutcome
+                                                : ClaimTrigger::FoundOpen;
+}
+
+void ClaimProtocol::failCall(bool mayHaveTakenEffect, Actions &actions)
+{
+    mayExist_ = mayExist_ || (mayHaveTakenEffect && openCallWrites_);
+    openCall_ = 0;
+    wakeAt_.reset();
+    ++failedCalls_;
+    const std::uint32_t limit = isClaiming() ? plan_.maxFailedCalls : plan_.maxFailedRecordCalls;
+    if (failedCalls_ < limit)
+        fire(ClaimTrigger::CallFailed, actions);
+    else
+        giveUp(core::ErrorCode::PlatformUnavailable, actions);
+}
+
+void ClaimProtocol::giveUp(core::ErrorCode code, Actions &actions)
+{
+    refusal_ = code;
+    // A write without an answer may take effect later, so it counts like one that has.
+    mayExist_ = mayExist_ || (openCall_ != 0 && openCallWrites_);
+    openCall_ = 0;
+    wakeAt_.reset();
+    failedCalls_ = 0;
+    fire(isClaiming() && !mayExist_ ? ClaimTrigger::Refuse : ClaimTrigger::Abandon, actions);
+}
+
+void ClaimProtocol::fire(ClaimTrigger trigger, Actions &actions)
+{
+    for (const ClaimStep step : chart_.fire(trigger))
+        perform(step, actions);
+}
+
+void ClaimProtocol::perform(ClaimStep step, Actions &actions)
+{
+    switch (step) {
+    case ClaimStep::CreateClaim:
+        found_.reset();
+        actions.emplace_back(
+            claim::CreateClaim {startCall(true), plan_.key, makeRecord(ClaimPhase::Open)});
+        break;
+    case ClaimStep::CreateReleased:
+        // An object that exists keeps a delayed create of the claim from taking effect.
+        actions.emplace_back(
+            claim::CreateClaim {startCall(true), plan_.key, makeRecord(ClaimPhase::Released)});
+        break;
+    case ClaimStep::ReplaceClaim:
+        actions.emplace_back(claim::UpdateClaim {startCall(true), plan_.key, found_->version,
+                                                 makeRecord(ClaimPhase::Open)});
+        break;
+    case ClaimStep::RecordOutcome:
+        actions.emplace_back(claim::UpdateClaim {startCall(true), plan_.key, found_->version,
+                                                 makeRecord(ClaimPhase::Finished)});
+        break;
+    case ClaimStep::ReleaseClaim:
+        actions.emplace_back(claim::UpdateClaim {startCall(true), plan_.key, found_->version,
+                                                 makeRecord(ClaimPhase::Released)});
+        break;
+    case ClaimStep::ReadClaim:
+        actions.emplace_back(claim::ReadClaim {startCall(false), plan_.key});
+        break;
+    case ClaimStep::Pause: {
+        const std::uint32_t doublings = std::min(failedCalls_ - 1, kMaxPauseDoublings);
+        wakeAt_ = now_ + plan_.pause * (1U << doublings);
+        break;
+    }
+    case ClaimStep::GrantClaim:
+        actions.emplace_back(claim::Grant {});
+        break;
+    case ClaimStep::ReportOutcome:
+        actions.emplace_back(claim::Repeat {*found_->record.outcome});
+        break;
+    case ClaimStep::ReportMayHaveRun:
+        actions.emplace_back(claim::Refuse {core::Error {
+            core::ErrorCode::DuplicateRequest, core::Verdict::MayHaveRun,
+            "the request has been accepted before; its outcome is not known", kRetryAfter}});
+        break;
+    case ClaimStep::ReportMismatch:
+        actions.emplace_back(claim::Refuse {core::makeNotRunError(
+            core::ErrorCode::Conflict, "the idempotency key belongs to a different request")});
+        break;
+    case ClaimStep::ReportRefusal:
+        actions.emplace_back(claim::Refuse {core::makeNotRunError(
+            refusal_, "the request identity could not be claimed", kRetryAfter)});
+        break;
+    }
+}
+
+ClaimRecord ClaimProtocol::makeRecord(ClaimPhase phase) const
+{
+    return ClaimRecord {plan_.writer, plan_.request, phase,
+                        phase == ClaimPhase::Finished ? outcome_ : std::nullopt};
+}
+
+std::uint64_t ClaimProtocol::startCall(bool isWrite)
+{
+    openCall_ = ++lastCall_;
+    openCallWrites_ = isWrite;
+    wakeAt_ = now_ + plan_.callTimeout;
+    return openCall_;
+}
+
+} // namespace boragerack::decisions
