Test RequestAttempt: late and crossed answers, resume, deadline

Cause: RequestAttempt had no test.

Change: 9 cases; the resume property breaks streams at random tokens and lets targets start again up to 3 tokens too early.

--- /dev/null
+++ b/packages/decisions/tests/RequestAttemptTest.cpp
@@ -0,0 +1,276 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+
+#include <rapidcheck.h>
+
+#include "RequestCharts.h"
+#include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/decisions/RequestAttempt.h"
+
+namespace boragerack::decisions::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Actions = std::vector<attempt::Action>;
+
+constexpr core::TimePoint kStart {};
+
+AttemptPlan makePlan(SendPolicy policy, bool canResume = false)
+{
+    AttemptPlan plan;
+    plan.request = "r";
+    plan.policy = policy;
+    plan.canResume = canResume;
+    plan.echoesAttempt = true;
+    plan.deadline = kStart + 30s;
+    return plan;
+}
+
+template<class T>
+const T *findAction(const Actions &actions)
+{
+    for (const auto &action : actions) {
+        if (const T *found = std::get_if<T>(&action))
+            return found;
+    }
+    return nullptr;
+}
+
+AttemptId id(std::uint32_t number)
+{
+    return {"r", number};
+}
+
+/// Brings the next attempt to the state Sending.
+void send(RequestAttempt &request, const std::string &target, core::TimePoint now = kStart)
+{
+    request.handle(attempt::Dispatch {{target}}, now);
+    const auto actions = request.handle(attempt::Connected {request.current()}, now);
+    BOOST_TEST(findAction<attempt::SendRequest>(actions));
+}
+
+void start(RequestAttempt &request, core::TimePoint now = kStart)
+{
+    request.handle(attempt::AnswerStarted {request.current(), request.current()}, now);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RequestAttemptTest)
+
+// Guards against a second run of an order whose connection broke after the send.
+BOOST_AUTO_TEST_CASE(sentAtMostOnceRequestIsNotRetried)
+{
+    RequestAttempt request(makeAttemptBinding(), makePlan(SendPolicy::AtMostOnce));
+    request.handle(attempt::Dispatch {{"a"}}, kStart);
+    BOOST_TEST((request.verdict() == core::Verdict::NotRun));
+    const auto retry = request.handle(attempt::ConnectionLost {id(1)}, kStart);
+    BOOST_TEST(
+        (findAction<attempt::ChooseTarget>(retry)->avoid == std::vector<core::TargetId> {{"a"}}));
+    send(request, "b");
+    const auto end = request.handle(attempt::ConnectionLost {id(2)}, kStart);
+    const auto *finish = findAction<attempt::Finish>(end);
+    BOOST_TEST_REQUIRE(finish);
+    BOOST_TEST((finish->verdict == core::Verdict::MayHaveRun));
+    BOOST_TEST((finish->error->verdict == core::Verdict::MayHaveRun));
+}
+
+// Guards against retries that forget an earlier send: the verdict must stay MayHaveRun when a later
+// target cannot even be connected.
+BOOST_AUTO_TEST_CASE(verdictNeverFalls)
+{
+    RequestAttempt request(makeAttemptBinding(), makePlan(SendPolicy::Repeatable));
+    send(request, "a");
+    request.handle(attempt::ConnectionLost {id(1)}, kStart);
+    const auto end = request.handle(attempt::Refuse {core::ErrorCode::NoReadyReplica, 2s}, kStart);
+    const auto *finish = findAction<attempt::Finish>(end);
+    BOOST_TEST_REQUIRE(finish);
+    BOOST_TEST((finish->verdict == core::Verdict::MayHaveRun));
+    BOOST_TEST((finish->error->retryAfter == 2s));
+}
+
+// Guards against an answer of an earlier attempt, or of another request on a connection that is
+// out of step, reaching the caller.
+BOOST_AUTO_TEST_CASE(lateAndCrossedAnswersAreDiscarded)
+{
+    RequestAttempt request(makeAttemptBinding(), makePlan(SendPolicy::Repeatable));
+    send(request, "a");
+    request.handle(attempt::ConnectionLost {id(1)}, kStart);
+    for (const bool isSent : {false, true}) {
+        if (isSent)
+            send(request, "b");
+        for (const attempt::Event &late : {attempt::Event(attempt::AnswerStarted {id(1), id(1)}),
+                                           attempt::Event(attempt::AnswerPart {id(1), 0, 5}),
+                                           attempt::Event(attempt::AnswerCompleted {id(1), 5})}) {
+            BOOST_TEST((request.handle(late, kStart) == Actions {attempt::DiscardAnswer {id(1)}}));
+        }
+    }
+    const auto crossed =
+        request.handle(attempt::AnswerStarted {id(2), AttemptId {"other", 2}}, kStart);
+    BOOST_TEST((crossed.front() == attempt::Action(attempt::DiscardAnswer {{"other", 2}})));
+    BOOST_TEST(findAction<attempt::CloseConnection>(crossed));
+    BOOST_TEST(!findAction<attempt::ForwardHead>(crossed));
+    send(request, "c");
+    const auto silent = request.handle(attempt::AnswerStarted {id(3), std::nullopt}, kStart);
+    BOOST_TEST(!findAction<attempt::ForwardHead>(silent));
+    BOOST_TEST(
+        (findAction<attempt::Finish>(silent)->error->code == core::ErrorCode::ProtocolViolation));
+}
+
+// Guards against a stream that ends early, skips a token, or is completed with a part missing
+// being passed on as a whole answer.
+BOOST_AUTO_TEST_CASE(gapOrShortAnswerIsNotSuccess)
+{
+    for (const attempt::Event &broken : {attempt::Event(attempt::AnswerPart {id(1), 3, 1}),
+                                         attempt::Event(attempt::AnswerCompleted {id(1), 3})}) {
+        RequestAttempt request(makeAttemptBinding(), makePlan(SendPolicy::Repeatable));
+        send(request, "a");
+        start(request);
+        request.handle(attempt::AnswerPart {id(1), 0, 2}, kStart);
+        const auto *finish = findAction<attempt::Finish>(request.handle(broken, kStart));
+        BOOST_TEST_REQUIRE(finish);
+        BOOST_TEST((finish->verdict == core::Verdict::MayHaveRun));
+    }
+}
+
+// Guards against gaps and repetitions after a resume: whatever the points where streams break and
+// however far back a target starts again, the caller gets each token once and in order.
+BOOST_AUTO_TEST_CASE(resumedStreamHasNoGapAndNoRepetition)
+{
+    const bool passed = rc::check([](std::uint64_t seed) {
+        core::SeededRandomSource random(seed);
+        AttemptPlan plan = makePlan(SendPolicy::Repeatable, true);
+        plan.maxAttempts = 5;
+        RequestAttempt request(makeAttemptBinding(), plan);
+        const std::uint64_t length = random.next() % 40;
+        std::vector<std::uint64_t> received;
+        std::uint32_t heads = 0;
+        std::uint64_t sentOffset = 0;
+        const auto perform = [&](const Actions &actions, std::uint64_t partOffset) {
+            for (const auto &action : actions) {
+                if (std::holds_alternative<attempt::ForwardHead>(action))
+                    ++heads;
+                else if (const auto *sending = std::get_if<attempt::SendRequest>(&action))
+                    sentOffset = sending->resumeOffset;
+                else if (const auto *part = std::get_if<attempt::ForwardPart>(&action)) {
+                    for (std::uint64_t i = 0; i < part->count; ++i)
+                        received.push_back(partOffset + part->skip + i);
+                }
+            }
+        };
+        while (!request.isFinished()) {
+            perform(request.handle(attempt::Dispatch {{"t"}}, kStart), 0);
+            perform(request.handle(attempt::Connected {request.current()}, kStart), 0);
+            RC_ASSERT(sentOffset == received.size());
+            perform(request.handle(attempt::AnswerStarted {request.current(), request.current()},
+                                   kStart),
+                    0);
+            std::uint64_t offset =
+                sentOffset - std::min<std::uint64_t>(sentOffset, random.next() % 4);
+            while (offset < length && (random.next() % 8 != 0 || request.current().number == 5)) {
+                const std::uint64_t count = std::min(length - offset, 1 + random.next() % 3);
+                perform(
+                    request.handle(attempt::AnswerPart {request.current(), offset, count}, kStart),
+                    offset);
+                offset += count;
+            }
+            if (offset == length)
+                perform(
+                    request.handle(attempt::AnswerCompleted {request.current(), length}, kStart),
+                    0);
+            else
+                perform(request.handle(attempt::ConnectionLost {request.current()}, kStart), 0);
+        }
+        RC_ASSERT(request.state() == AttemptState::Succeeded);
+        RC_ASSERT(received.size() == length);
+        RC_ASSERT(heads == 1U);
+        for (std::uint64_t i = 0; i < length; ++i)
+            RC_ASSERT(received[i] == i);
+    });
+    BOOST_TEST(passed);
+}
+
+// Guards against a caller that gets a second head in the middle of its resumed stream, and against
+// an at-most-once stream being generated twice.
+BOOST_AUTO_TEST_CASE(resumeSendsTheHeadOnce)
+{
+    RequestAttempt request(makeAttemptBinding(), makePlan(SendPolicy::Repeatable, true));
+    send(request, "a");
+    start(request);
+    request.handle(attempt::AnswerPart {id(1), 0, 7}, kStart);
+    const auto lost = request.handle(attempt::ConnectionLost {id(1)}, kStart + 60s);
+    BOOST_TEST(findAction<attempt::ChooseTarget>(lost));
+    BOOST_TEST((request.waitUntil() == kStart + 70s));
+    send(request, "b", kStart + 60s);
+    BOOST_TEST(request.handle(attempt::AnswerStarted {id(2), id(2)}, kStart + 61s).empty());
+
+    RequestAttempt once(makeAttemptBinding(), makePlan(SendPolicy::AtMostOnce, true));
+    send(once, "a");
+    start(once);
+    const auto end = once.handle(attempt::ConnectionLost {id(1)}, kStart);
+    BOOST_TEST((findAction<attempt::Finish>(end)->verdict == core::Verdict::MayHaveRun));
+}
+
+// Guards against a request that is sent, or left without an answer, after its deadline.
+BOOST_AUTO_TEST_CASE(deadlineAndCancellationEndEveryWait)
+{
+    const core::TimePoint late = kStart + 30s - kRefusalMargin;
+    for (const bool isCancelled : {false, true}) {
+        const attempt::Event end = isCancelled
+            ? attempt::Event(attempt::Cancel {core::ErrorCode::Isolated})
+            : attempt::Event(attempt::TimerFired {});
+        const auto code =
+            isCancelled ? core::ErrorCode::Isolated : core::ErrorCode::DeadlineExceeded;
+        for (int reached = 0; reached < 3; ++reached) {
+            RequestAttempt request(makeAttemptBinding(), makePlan(SendPolicy::Repeatable));
+            if (reached >= 1)
+                request.handle(attempt::Dispatch {{"a"}}, kStart);
+            if (reached >= 2)
+                request.handle(attempt::Connected {id(1)}, kStart);
+            BOOST_TEST((request.waitUntil() == late));
+            BOOST_TEST(request.handle(attempt::TimerFired {}, late - 1ms).empty());
+            const auto actions = request.handle(end, late);
+            const auto *finish = findAction<attempt::Finish>(actions);
+            BOOST_TEST_REQUIRE(finish);
+            BOOST_TEST((finish->error->code == code));
+            BOOST_TEST((finish->verdict
+                        == (reached == 2 ? core::Verdict::MayHaveRun : core::Verdict::NotRun)));
+            BOOST_TEST((findAction<attempt::CancelOnTarget>(actions) != nullptr) == (reached == 2));
+        }
+    }
+    RequestAttempt request(makeAttemptBinding(), makePlan(SendPolicy::Repeatable));
+    request.handle(attempt::Dispatch {{"a"}}, kStart);
+    const auto actions = request.handle(attempt::Connected {id(1)}, late);
+    BOOST_TEST(!findAction<attempt::SendRequest>(actions));
+    BOOST_TEST((findAction<attempt::Finish>(actions)->verdict == core::Verdict::NotRun));
+}
+
+// Guards against one request crashing a third target.
+BOOST_AUTO_TEST_CASE(twoTargetDeathsEndTheRequest)
+{
+    AttemptPlan plan = makePlan(SendPolicy::Repeatable);
+    plan.maxAttempts = 10;
+    RequestAttempt request(makeAttemptBinding(), plan);
+    send(request, "a");
+    BOOST_TEST(findAction<attempt::ChooseTarget>(
+        request.handle(attempt::ConnectionLost {id(1), true}, kStart)));
+    send(request, "b");
+    BOOST_TEST(
+        findAction<attempt::Finish>(request.handle(attempt::ConnectionLost {id(2), true}, kStart)));
+}
+
+// Guards against an answer being matched to the wrong attempt through a malformed header.
+BOOST_AUTO_TEST_CASE(attemptIdSurvivesItsHeaderForm)
+{
+    BOOST_TEST((parseAttemptId(formatAttemptId({"node-1.7", 12})) == AttemptId {"node-1.7", 12}));
+    for (const char *text :
+         {"", ".", "r", "r.", ".1", "r.0", "r.x", "r.1x", "r.-1", "r.99999999999"})
+        BOOST_TEST(!parseAttemptId(text).has_value(), text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::decisions::testing
