--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/NodeChart.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "boragerack/charts/ChartBinding.h"
+
+namespace boragerack::decisions {
+
+/// States, events and actions of charts/node.json.
+enum class NodeState { Starting, Serving, Isolated, Withdrawn, Finishing, Stopped };
+
+enum class NodeTrigger {
+    ConfigurationLoaded,
+    StopRequested,
+    FreshnessLost,
+    FreshnessRegained,
+    AddressLifetimeEnded,
+    RequestsFinished,
+};
+
+enum class NodeStep {
+    PublishAddress,
+    WithdrawAddress,
+    StartAddressTimer,
+    EndStreams,
+    RefuseQueued,
+    RefuseNewRequests,
+    ReleaseShares,
+    RemoveNodeRecord,
+};
+
+using NodeBinding = charts::ChartBinding<NodeState, NodeTrigger, NodeStep>;
+
+core::Result<NodeBinding> bindNodeChart(const charts::StateChart &chart);
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/ConnectionMonitor.cpp
@@ -0,0 +1,177 @@
+#include "boragerack/decisions/ConnectionMonitor.h"
+
+#include <utility>
+
+namespace boragerack::decisions {
+
+ConnectionMonitor::ConnectionMonitor(std::shared_ptr<const ConnectionBinding> chart,
+                                     ConnectionLimits limits, core::TimePoint now)
+    : limits_(limits)
+    , chart_(std::move(chart))
+    , now_(now)
+    , progressAt_(now)
+    , limitStart_(now)
+{
+}
+
+std::vector<ConnectionMonitor::Action> ConnectionMonitor::handle(const Event &event,
+                                                                 core::TimePoint now)
+{
+    now_ = now;
+    Actions actions;
+    std::visit([&](const auto &concrete) { on(concrete, actions); }, event);
+    return actions;
+}
+
+bool ConnectionMonitor::canAssign() const
+{
+    return state() == ConnectionState::Opening || chart_.accepts(ConnectionTrigger::Assigned);
+}
+
+std::optional<core::TimePoint> ConnectionMonitor::wakeAt() const
+{
+    switch (state()) {
+    case ConnectionState::Opening:
+        return limitStart_ + limits_.connect;
+    case ConnectionState::Idle:
+        return limitStart_ + limits_.idle;
+    case ConnectionState::Busy:
+        return limitStart_ + limits_.silence;
+    case ConnectionState::Probing:
+    case ConnectionState::Checking:
+        return limitStart_ + limits_.probe;
+    case ConnectionState::Closed:
+        break;
+    }
+    return std::nullopt;
+}
+
+void ConnectionMonitor::on(const connection::Opened &, Actions &actions)
+{
+    if (!chart_.accepts(ConnectionTrigger::Opened))
+        return;
+    progressAt_ = now_;
+    fire(ConnectionTrigger::Opened, actions);
+    if (!requests_.empty())
+        fire(ConnectionTrigger::Assigned, actions);
+}
+
+void ConnectionMonitor::on(const connection::Refused &, Actions &actions)
+{
+    fire(ConnectionTrigger::Refused, actions);
+}
+
+void ConnectionMonitor::on(const connection::Assigned &event, Actions &actions)
+{
+    if (!canAssign()) {
+        actions.emplace_back(connection::FailRequest {event.attempt, false});
+        return;
+    }
+    // The silence of an idle connection says nothing; the time counts from the request.
+    if (requests_.empty())
+        progressAt_ = now_;
+    requests_.insert(event.attempt);
+    if (state() == ConnectionState::Idle)
+        fire(ConnectionTrigger::Assigned, actions);
+}
+
+void ConnectionMonitor::on(const connection::Progress &, Actions &actions)
+{
+    progressAt_ = now_;
+    fire(ConnectionTrigger::Progress, actions);
+}
+
+void ConnectionMonitor::on(const connection::RequestFinished &event, Actions &actions)
+{
+    // A death is reported for the requests that were open when the connection broke, even if their
+    // callers have gone meanwhile.
+    if (state() == ConnectionState::Checking)
+        return;
+    if (requests_.erase(event.attempt) > 0 && requests_.empty())
+        fire(ConnectionTrigger::RequestsFinished, actions);
+}
+
+void ConnectionMonitor::on(const connection::Lost &, Actions &actions)
+{
+    fire(ConnectionTrigger::Lost, actions);
+}
+
+void ConnectionMonitor::on(const connection::ProbeAnswered &event, Actions &actions)
+{
+    if (event.isWorking && now_ - progressAt_ < limits_.silenceWhileWorking
+        && chart_.accepts(ConnectionTrigger::TargetWorking))
+        fire(ConnectionTrigger::TargetWorking, actions);
+    else
+        fire(ConnectionTrigger::ProbeAnswered, actions);
+}
+
+void ConnectionMonitor::on(const connection::ProbeRefused &, Actions &actions)
+{
+    if (!chart_.accepts(ConnectionTrigger::ProbeRefused))
+        return;
+    targetDied_ = true;
+    fire(ConnectionTrigger::ProbeRefused, actions);
+}
+
+void ConnectionMonitor::on(const connection::TimerFired &, Actions &actions)
+{
+    if (const auto limit = wakeAt(); !limit || now_ < *limit)
+        return;
+    // Each state accepts at most one of these.
+    for (const ConnectionTrigger trigger :
+         {ConnectionTrigger::Silent, ConnectionTrigger::ProbeSilent,
+          ConnectionTrigger::IdleExpired}) {
+        if (chart_.accepts(trigger)) {
+            fire(trigger, actions);
+            return;
+        }
+    }
+}
+
+void ConnectionMonitor::on(const connection::Close &, Actions &actions)
+{
+    fire(ConnectionTrigger::Close, actions);
+    requests_.clear();
+}
+
+void ConnectionMonitor::fire(ConnectionTrigger trigger, Actions &actions)
+{
+    if (!chart_.accepts(trigger))
+        return;
+    const bool wasProbing = state() == ConnectionState::Probing;
+    for (const ConnectionStep step : chart_.fire(trigger))
+        perform(step, actions);
+    // A probe that runs already keeps its time when the old connection breaks.
+    if (!(wasProbing && state() == ConnectionState::Checking))
+        limitStart_ = now_;
+}
+
+void ConnectionMonitor::perform(ConnectionStep step, Actions &actions)
+{
+    switch (step) {
+    case ConnectionStep::CloseConnection:
+        actions.emplace_back(connection::CloseConnection {});
+        break;
+    case ConnectionStep::FailRequests:
+        for (const AttemptId &request : std::exchange(requests_, {}))
+            actions.emplace_back(connection::FailRequest {request, targetDied_});
+        break;
+    case ConnectionStep::ReportSilentTarget:
+        actions.emplace_back(connection::ReportSilentTarget {});
+        break;
+    case ConnectionStep::ReportTargetDeath:
+        actions.emplace_back(connection::ReportTargetDeath {{requests_.begin(), requests_.end()}});
+        break;
+    case ConnectionStep::OpenProbe:
+        actions.emplace_back(connection::OpenProbe {});
+        break;
+    case ConnectionStep::CancelProbe:
+        actions.emplace_back(connection::CancelProbe {});
+        break;
+    case ConnectionStep::AdoptProbe:
+        actions.emplace_back(connection::AdoptProbe {});
+        break;
+    }
+}
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/NodeChart.cpp
@@ -0,0 +1,25 @@
+#include "boragerack/decisions/NodeChart.h"
+
+namespace boragerack::decisions {
+
+namespace {
+
+constexpr charts::EnumNames<NodeState, 6> kStates {
+    {"starting", "serving", "isolated", "withdrawn", "finishing", "stopped"}};
+
+constexpr charts::EnumNames<NodeTrigger, 6> kTriggers {
+    {"configurationLoaded", "stopRequested", "freshnessLost", "freshnessRegained",
+     "addressLifetimeEnded", "requestsFinished"}};
+
+constexpr charts::EnumNames<NodeStep, 8> kSteps {
+    {"publishAddress", "withdrawAddress", "startAddressTimer", "endStreams", "refuseQueued",
+     "refuseNewRequests", "releaseShares", "removeNodeRecord"}};
+
+} // namespace
+
+core::Result<NodeBinding> bindNodeChart(const charts::StateChart &chart)
+{
+    return NodeBinding::make(chart, kStates, kTriggers, kSteps);
+}
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/ReplicaSelector.cpp
@@ -0,0 +1,82 @@
+#include "boragerack/decisions/ReplicaSelector.h"
+
+#include <algorithm>
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// Time the target would need for its work and one more request, in ordinary requests. The report
+/// already counts a part of this node's own requests, so the larger count is used, not the sum.
+double workOf(const Replica &replica)
+{
+    const std::uint32_t requests = std::max(replica.outstanding, replica.reported);
+    return (requests + 1.0) / std::max(replica.speed, 0.01);
+}
+
+/// Lower is better.
+int rankOf(const Replica &replica, std::span<const core::TargetId> avoid)
+{
+    const bool isDoubtful = replica.isSuspected || replica.isSilent;
+    const bool hasFailed = std::ranges::find(avoid, replica.target) != avoid.end();
+    return (isDoubtful ? 2 : 0) + (hasFailed ? 1 : 0);
+}
+
+} // namespace
+
+std::optional<core::TargetId> ReplicaSelector::choose(std::span<const Replica> replicas,
+                                                      std::span<const core::TargetId> avoid) const
+{
+    std::vector<const Replica *> candidates;
+    int best = 0;
+    for (const Replica &replica : replicas) {
+        if (replica.isLeaving)
+            continue;
+        const int rank = rankOf(replica, avoid);
+        if (candidates.empty() || rank < best) {
+            candidates.clear();
+            best = rank;
+        }
+        if (rank == best)
+            candidates.push_back(&replica);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    return pick(candidates).target;
+}
+
+PowerOfTwoSelector::PowerOfTwoSelector(core::RandomSource &random)
+    : random_(random)
+{
+}
+
+const Replica &PowerOfTwoSelector::pick(std::span<const Replica *const> candidates) const
+{
+    if (candidates.size() == 1)
+        return *candidates.front();
+    const std::size_t first = random_.next() % candidates.size();
+    // The second choice is one of the others.
+    std::size_t second = random_.next() % (candidates.size() - 1);
+    if (second >= first)
+        ++second;
+    return workOf(*candidates[second]) < workOf(*candidates[first]) ? *candidates[second]
+                                                                    : *candidates[first];
+}
+
+RandomSelector::RandomSelector(core::RandomSource &random)
+    : random_(random)
+{
+}
+
+const Replica &RandomSelector::pick(std::span<const Replica *const> candidates) const
+{
+    return *candidates[random_.next() % candidates.size()];
+}
+
+const Replica &LeastWorkSelector::pick(std::span<const Replica *const> candidates) const
+{
+    return **std::ranges::min_element(candidates, {},
+                                      [](const Replica *replica) { return workOf(*replica); });
+}
+
+} // namespace boragerack::decisions
