Add the peer messages as value types and in protobuf form

Ruled out: protobuf types in public headers; they are mutable, have no comparison, and would bring the encoding into every user of a message.

--- /dev/null
+++ b/packages/peer/include/boragerack/peer/Envelope.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+
+#include "boragerack/core/Identifier.h"
+#include "boragerack/peer/Messages.h"
+
+namespace boragerack::peer {
+
+/// One authenticated message between two processes.
+struct Envelope
+{
+    core::InstanceId sender;
+    core::InstanceId receiver;
+    /// Incarnation of the sender's process; grows with each start on the same instance.
+    std::uint64_t incarnation = 0;
+    /// Grows with each message of an incarnation; an answer carries the counter of its request.
+    std::uint64_t counter = 0;
+    MessageBody body;
+
+    friend bool operator==(const Envelope &, const Envelope &) = default;
+};
+
+} // namespace boragerack::peer
--- /dev/null
+++ b/packages/peer/src/EnvelopeCodec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/peer/Envelope.h"
+
+namespace boragerack::peer {
+
+/// The envelope in protobuf form, without an authentication tag.
+std::string encodeEnvelope(const Envelope &envelope);
+
+/// Reads the protobuf form; an unknown body or a malformed field is a protocol violation.
+core::Result<Envelope> decodeEnvelope(std::string_view bytes);
+
+} // namespace boragerack::peer
