--- a/packages/runtime/include/boragerack/runtime/HttpClient.h
+++ b/packages/runtime/include/boragerack/runtime/HttpClient.h
@@ -39,9 +39,9 @@
     HttpClient &operator=(const HttpClient &) = delete;
     ~HttpClient();
 
-    /// Starts a request to "<ip>:<port>".
-    std::unique_ptr<HttpExchange> start(const std::string &address, HttpRequest request,
-                                        ConnectionUse use = ConnectionUse::KeptOrNew);
+    /// Opens a connection to "<ip>:<port>" for one request.
+    std::unique_ptr<HttpExchange> open(const std::string &address,
+                                       ConnectionUse use = ConnectionUse::KeptOrNew);
 
     /// Sends a request and waits for the whole response.
     core::Result<HttpResponse> call(const std::string &address, HttpRequest request,
--- a/packages/runtime/include/boragerack/runtime/HttpExchange.h
+++ b/packages/runtime/include/boragerack/runtime/HttpExchange.h
@@ -34,7 +34,14 @@
     friend auto operator<=>(const HttpCompleted &, const HttpCompleted &) = default;
 };
 
-using HttpEvent = std::variant<HttpResponseHead, HttpBodyPart, HttpCompleted, core::Error>;
+/// The connection is open; nothing has been sent yet.
+struct HttpConnected
+{
+    friend auto operator<=>(const HttpConnected &, const HttpConnected &) = default;
+};
+
+using HttpEvent =
+    std::variant<HttpConnected, HttpResponseHead, HttpBodyPart, HttpCompleted, core::Error>;
 
 /// One request on its way and its response. A fiber of its own owns the socket and sends events;
 /// this object is the receiving end.
@@ -49,6 +56,9 @@
     /// Cancels the exchange if it has not ended.
     ~HttpExchange();
 
+    /// Sends the request as soon as the connection is open. Once an exchange.
+    void send(HttpRequest request);
+
     /// Next event, or nothing when the time comes first. After HttpCompleted or an Error there are
     /// no further events.
     std::optional<HttpEvent> receiveUntil(core::TimePoint deadline);
--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -44,23 +44,33 @@
 } // namespace
 
 HttpExchange::State::State(std::shared_ptr<HttpClient::Pool> pool, const HttpClientOptions &options,
-                           std::string address, HttpRequest request, ConnectionUse use)
+                           std::string address, ConnectionUse use)
     : pool_(std::move(pool))
     , options_(options)
     , address_(std::move(address))
-    , request_(std::move(request))
     , use_(use)
+    , requests_(2)
     , events_(kEventCapacity)
 {
 }
 
 void HttpExchange::State::run()
 {
-    if (connect() && writeRequest())
-        readResponse();
+    if (connect() && events_.send(HttpConnected())) {
+        if (auto request = requests_.receive()) {
+            request_ = std::move(*request);
+            if (writeRequest())
+                readResponse();
+        }
+    }
     events_.close();
 }
 
+void HttpExchange::State::send(HttpRequest request)
+{
+    static_cast<void>(requests_.trySend(std::move(request)));
+}
+
 std::optional<HttpEvent> HttpExchange::State::receiveUntil(core::TimePoint deadline)
 {
     return events_.receiveUntil(deadline);
@@ -70,6 +80,7 @@
 {
     isCancelled_ = true;
     events_.close();
+    requests_.close();
     if (stream_)
         stream_->cancel();
 }
--- a/packages/runtime/src/ExchangeState.h
+++ b/packages/runtime/src/ExchangeState.h
@@ -17,11 +17,12 @@
 {
 public:
     State(std::shared_ptr<HttpClient::Pool> pool, const HttpClientOptions &options,
-          std::string address, HttpRequest request, ConnectionUse use);
+          std::string address, ConnectionUse use);
 
     /// Body of the fiber that owns the socket.
     void run();
 
+    void send(HttpRequest request);
     std::optional<HttpEvent> receiveUntil(core::TimePoint deadline);
     void cancel();
     core::Verdict verdict() const { return verdict_; }
@@ -35,8 +36,9 @@
     std::shared_ptr<HttpClient::Pool> pool_;
     HttpClientOptions options_;
     std::string address_;
-    HttpRequest request_;
     ConnectionUse use_;
+    HttpRequest request_;
+    Mailbox<HttpRequest> requests_;
     std::unique_ptr<boost::beast::tcp_stream> stream_;
     boost::beast::flat_buffer buffer_;
     Mailbox<HttpEvent> events_;
--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -18,11 +18,9 @@
 
 HttpClient::~HttpClient() = default;
 
-std::unique_ptr<HttpExchange> HttpClient::start(const std::string &address, HttpRequest request,
-                                                ConnectionUse use)
+std::unique_ptr<HttpExchange> HttpClient::open(const std::string &address, ConnectionUse use)
 {
-    auto state =
-        std::make_shared<HttpExchange::State>(pool_, options_, address, std::move(request), use);
+    auto state = std::make_shared<HttpExchange::State>(pool_, options_, address, use);
     boost::fibers::fiber([state] { state->run(); }).detach();
     return std::make_unique<HttpExchange>(std::move(state));
 }
@@ -30,7 +28,8 @@
 core::Result<HttpResponse> HttpClient::call(const std::string &address, HttpRequest request,
                                             core::TimePoint deadline, ConnectionUse use)
 {
-    const auto exchange = start(address, std::move(request), use);
+    const auto exchange = open(address, use);
+    exchange->send(std::move(request));
     HttpResponse response;
     while (const auto event = exchange->receiveUntil(deadline)) {
         if (const auto *head = std::get_if<HttpResponseHead>(&*event)) {
@@ -40,7 +39,7 @@
             response.body += part->data;
         } else if (const auto *error = std::get_if<core::Error>(&*event)) {
             return *error;
-        } else {
+        } else if (std::holds_alternative<HttpCompleted>(*event)) {
             return response;
         }
     }
--- a/packages/runtime/src/HttpExchange.cpp
+++ b/packages/runtime/src/HttpExchange.cpp
@@ -16,6 +16,11 @@
     state_->cancel();
 }
 
+void HttpExchange::send(HttpRequest request)
+{
+    state_->send(std::move(request));
+}
+
 std::optional<HttpEvent> HttpExchange::receiveUntil(core::TimePoint deadline)
 {
     return state_->receiveUntil(deadline);
