--- /dev/null
+++ b/packages/node/src/AttemptRunner.cpp
@@ -0,0 +1,334 @@
+#include "AttemptRunner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/fiber/operations.hpp>
+
+namespace boragerack::node {
+
+namespace attempt = decisions::attempt;
+namespace connection = decisions::connection;
+
+namespace {
+
+/// Upper bound of the time until a withdrawn key or a stop is noticed.
+constexpr std::chrono::milliseconds kCancelCheckInterval(500);
+
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kServiceUnavailable = 503;
+
+} // namespace
+
+AttemptRunner::AttemptRunner(const ChartSet &charts, runtime::HttpClient &client,
+                             RoutingTask &routing, const core::Clock &clock, AttemptJob job,
+                             AnswerSink &sink, CancelReason cancelReason)
+    : charts_(charts)
+    , client_(client)
+    , routing_(routing)
+    , clock_(clock)
+    , job_(std::move(job))
+    , sink_(sink)
+    , cancelReason_(std::move(cancelReason))
+    , attempt_(charts.attempt, job_.plan)
+{
+}
+
+AttemptResult AttemptRunner::run()
+{
+    perform(attempt::ChooseTarget());
+    while (!attempt_.isFinished()) {
+        waitForEvent();
+        checkTimers();
+    }
+    releaseRoute();
+    return result_;
+}
+
+void AttemptRunner::fire(const decisions::RequestAttempt::Event &event)
+{
+    for (const auto &action : attempt_.handle(event, clock_.now()))
+        std::visit([this](const auto &body) { perform(body); }, action);
+}
+
+void AttemptRunner::fireConnection(const decisions::ConnectionMonitor::Event &event)
+{
+    if (!monitor_)
+        return;
+    for (const auto &action : monitor_->handle(event, clock_.now()))
+        std::visit([this](const auto &body) { performConnection(body); }, action);
+}
+
+void AttemptRunner::waitForEvent()
+{
+    core::TimePoint wakeAt = clock_.now() + kCancelCheckInterval;
+    if (const auto limit = attempt_.waitUntil())
+        wakeAt = std::min(wakeAt, *limit);
+    if (monitor_ && monitor_->wakeAt())
+        wakeAt = std::min(wakeAt, *monitor_->wakeAt());
+    if (!exchange_) {
+        boost::this_fiber::sleep_until(wakeAt);
+        return;
+    }
+    if (const auto event = exchange_->receiveUntil(wakeAt))
+        std::visit([this](const auto &body) { onExchange(body); }, *event);
+}
+
+void AttemptRunner::checkTimers()
+{
+    const core::TimePoint now = clock_.now();
+    if (monitor_ && monitor_->wakeAt() && *monitor_->wakeAt() <= now)
+        fireConnection(connection::TimerFired());
+    if (const auto limit = attempt_.waitUntil(); limit && *limit <= now)
+        fire(attempt::TimerFired());
+    if (attempt_.isFinished())
+        return;
+    if (const auto reason = cancelReason_())
+        fire(attempt::Cancel {*reason});
+}
+
+void AttemptRunner::perform(const attempt::ChooseTarget &action)
+{
+    releaseRoute();
+    const core::TimePoint deadline = attempt_.waitUntil().value_or(job_.plan.deadline);
+    ChooseRoute choose {job_.destination, action.avoid, deadline, {}};
+    if (!routing_.trySend(choose)) {
+        fire(attempt::Refuse {core::ErrorCode::QueueFull, std::chrono::seconds(1)});
+        return;
+    }
+    std::optional<core::Result<Route>> answer;
+    while (!answer && clock_.now() < deadline) {
+        answer = choose.reply.waitUntil(std::min(deadline, clock_.now() + kCancelCheckInterval));
+        if (const auto reason = answer ? std::nullopt : cancelReason_()) {
+            fire(attempt::Cancel {*reason});
+            return;
+        }
+    }
+    if (!answer) {
+        fire(attempt::TimerFired());
+    } else if (core::isOk(*answer)) {
+        route_ = core::valueOf(*answer);
+        fire(attempt::Dispatch {route_->target});
+    } else {
+        const core::Error &error = core::errorOf(*answer);
+        fire(attempt::Refuse {error.code, error.retryAfter});
+    }
+}
+
+void AttemptRunner::perform(const attempt::OpenConnection &action)
+{
+    connectionAttempt_ = action.attempt;
+    received_ = 0;
+    if (job_.isEventStream)
+        framing_ = std::make_unique<EventStreamFraming>();
+    else
+        framing_ = std::make_unique<WholeBodyFraming>();
+    monitor_.emplace(charts_.connection, job_.limits, clock_.now());
+    // The server may close a kept connection at the moment it is used, which would leave the
+    // outcome of a request unknown that must not be sent again.
+    const bool isAtMostOnce = job_.plan.policy == decisions::SendPolicy::AtMostOnce;
+    exchange_ = client_.open(route_->address,
+                             isAtMostOnce ? runtime::ConnectionUse::New
+                                          : runtime::ConnectionUse::KeptOrNew);
+    fireConnection(connection::Assigned {action.attempt});
+}
+
+void AttemptRunner::perform(const attempt::SendRequest &action)
+{
+    runtime::HttpRequest request = job_.request;
+    request.headers.push_back({"X-Attempt", decisions::formatAttemptId(action.attempt)});
+    if (action.resumeOffset > 0)
+        request.headers.push_back({"X-Resume-Offset", std::to_string(action.resumeOffset)});
+    received_ = action.resumeOffset;
+    exchange_->send(std::move(request));
+}
+
+void AttemptRunner::perform(const attempt::ForwardHead &)
+{
+    result_.hasStarted = true;
+    if (!sink_.writeHead(head_))
+        fire(attempt::Cancel());
+}
+
+void AttemptRunner::perform(const attempt::ForwardPart &action)
+{
+    // Pieces are single tokens or the whole body, so a part is forwarded whole or not at all.
+    if (action.count == 0)
+        return;
+    result_.units += action.count;
+    if (!sink_.writePart(piece_))
+        fire(attempt::Cancel());
+}
+
+void AttemptRunner::perform(const attempt::CancelOnTarget &action)
+{
+    if (route_ && std::holds_alternative<decisions::Artifact>(job_.destination))
+        static_cast<void>(routing_.trySend(CancelAttempt {route_->address, action.attempt}));
+}
+
+void AttemptRunner::perform(const attempt::CloseConnection &)
+{
+    exchange_.reset();
+    monitor_.reset();
+}
+
+void AttemptRunner::perform(const attempt::ReleaseConnection &)
+{
+    exchange_.reset();
+    monitor_.reset();
+}
+
+void AttemptRunner::perform(const attempt::DiscardAnswer &)
+{
+    // The connection carried an answer that is not ours; what follows on it is not ours either.
+    fireConnection(connection::Lost());
+}
+
+void AttemptRunner::perform(const attempt::Finish &action)
+{
+    result_.verdict = action.verdict;
+    result_.error = action.error;
+    result_.attempts = action.attempts;
+}
+
+void AttemptRunner::performConnection(const connection::OpenProbe &)
+{
+    const core::TimePoint deadline = clock_.now() + job_.limits.probe;
+    const auto probe = client_.open(route_->address, runtime::ConnectionUse::New);
+    const auto connected = probe->receiveUntil(deadline);
+    if (!connected) {
+        fireConnection(connection::TimerFired());
+    } else if (std::holds_alternative<core::Error>(*connected)) {
+        fireConnection(connection::ProbeRefused());
+    } else if (std::holds_alternative<core::ServiceId>(job_.destination)) {
+        // A plain service has no report: a probe that asked for one would run as a request.
+        fireConnection(connection::ProbeAnswered {true});
+    } else {
+        probe->send({"GET", "/control/report", {}, ""});
+        const bool hasAnswered = probe->receiveUntil(deadline).has_value();
+        if (hasAnswered)
+            fireConnection(connection::ProbeAnswered {received_ == 0});
+        else
+            fireConnection(connection::TimerFired());
+    }
+}
+
+void AttemptRunner::performConnection(const connection::CancelProbe &) { }
+
+void AttemptRunner::performConnection(const connection::AdoptProbe &)
+{
+    client_.dropIdleConnections(route_->address);
+}
+
+void AttemptRunner::performConnection(const connection::CloseConnection &)
+{
+    if (exchange_)
+        exchange_->cancel();
+}
+
+void AttemptRunner::performConnection(const connection::FailRequest &action)
+{
+    fire(attempt::ConnectionLost {action.attempt, action.targetDied});
+}
+
+void AttemptRunner::performConnection(const connection::ReportSilentTarget &)
+{
+    static_cast<void>(routing_.trySend(TargetUnreachable {route_->target}));
+}
+
+void AttemptRunner::performConnection(const connection::ReportTargetDeath &action)
+{
+    result_.deaths.insert(result_.deaths.end(), action.attempts.begin(), action.attempts.end());
+    static_cast<void>(routing_.trySend(TargetUnreachable {route_->target}));
+}
+
+void AttemptRunner::onExchange(const runtime::HttpConnected &)
+{
+    fireConnection(connection::Opened());
+    fire(attempt::Connected {connectionAttempt_});
+}
+
+bool AttemptRunner::isDeclined(unsigned status) const
+{
+    if (status == kTooManyRequests || status == kServiceUnavailable)
+        return true;
+    // A model engine answers 404 when the replica has been unloaded in the meantime.
+    return status == kNotFound && std::holds_alternative<decisions::Artifact>(job_.destination);
+}
+
+void AttemptRunner::onExchange(const runtime::HttpResponseHead &event)
+{
+    fireConnection(connection::Progress());
+    head_ = event;
+    if (isDeclined(event.status)) {
+        if (const auto *artifact = std::get_if<decisions::Artifact>(&job_.destination);
+            artifact && event.status == kNotFound)
+            static_cast<void>(routing_.trySend(ReplicaMissing {*artifact, route_->target}));
+        fire(attempt::TargetRefused {connectionAttempt_});
+        return;
+    }
+    if (!framing_->isStream())
+        return;
+    const auto echoed = decisions::parseAttemptId(runtime::findHeader(event.headers, "X-Attempt"));
+    fire(attempt::AnswerStarted {connectionAttempt_, echoed});
+}
+
+void AttemptRunner::onExchange(const runtime::HttpBodyPart &event)
+{
+    fireConnection(connection::Progress());
+    addPieces(framing_->add(event.data));
+}
+
+void AttemptRunner::addPieces(std::vector<AnswerPiece> pieces)
+{
+    for (AnswerPiece &piece : pieces) {
+        if (!exchange_)
+            return;
+        piece_ = std::move(piece.text);
+        if (piece.units == 0) {
+            // The closing event counts for no token and follows all of them.
+            if (!sink_.writePart(piece_))
+                fire(attempt::Cancel());
+            continue;
+        }
+        const std::uint64_t offset = received_;
+        received_ += piece.units;
+        fire(attempt::AnswerPart {connectionAttempt_, offset, piece.units});
+    }
+}
+
+void AttemptRunner::onExchange(const runtime::HttpCompleted &)
+{
+    if (!framing_->isComplete()) {
+        fireConnection(connection::Lost());
+        return;
+    }
+    if (!framing_->isStream()) {
+        received_ = 0;
+        fire(attempt::AnswerStarted {connectionAttempt_, std::nullopt});
+        addPieces(framing_->finish());
+    }
+    if (!exchange_)
+        return;
+    fireConnection(connection::RequestFinished {connectionAttempt_});
+    fire(attempt::AnswerCompleted {connectionAttempt_, received_});
+}
+
+void AttemptRunner::onExchange(const core::Error &event)
+{
+    if (event.verdict == core::Verdict::NotRun)
+        fireConnection(connection::Refused());
+    else
+        fireConnection(connection::Lost());
+}
+
+void AttemptRunner::releaseRoute()
+{
+    if (!route_)
+        return;
+    static_cast<void>(routing_.trySend(RouteReleased {job_.destination, route_->target}));
+    route_.reset();
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/AttemptRunner.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "AnswerFraming.h"
+#include "AnswerSink.h"
+#include "ChartSet.h"
+#include "RoutingTask.h"
+#include "boragerack/decisions/ConnectionMonitor.h"
+#include "boragerack/decisions/RequestAttempt.h"
+#include "boragerack/runtime/HttpClient.h"
+#include "boragerack/runtime/HttpExchange.h"
+
+namespace boragerack::node {
+
+/// What one request needs to run.
+struct AttemptJob
+{
+    decisions::AttemptPlan plan;
+    Destination destination;
+    runtime::HttpRequest request;
+    decisions::ConnectionLimits limits;
+    bool isEventStream = false;
+};
+
+/// How the attempts of a request ended.
+struct AttemptResult
+{
+    core::Verdict verdict = core::Verdict::NotRun;
+    std::optional<core::Error> error;
+    std::uint32_t attempts = 0;
+    /// Attempts that were on a target when it died.
+    std::vector<decisions::AttemptId> deaths;
+    /// Units of the answer that reached the sink.
+    std::uint64_t units = 0;
+    bool hasStarted = false;
+};
+
+/// Carries out the attempts of one request on the fiber of its caller.
+class AttemptRunner
+{
+public:
+    /// Gives the reason to stop, for instance a withdrawn key; asked at least twice a second.
+    using CancelReason = std::function<std::optional<core::ErrorCode>()>;
+
+    AttemptRunner(const ChartSet &charts, runtime::HttpClient &client, RoutingTask &routing,
+                  const core::Clock &clock, AttemptJob job, AnswerSink &sink,
+                  CancelReason cancelReason);
+
+    AttemptResult run();
+
+private:
+    using AttemptActions = std::vector<decisions::RequestAttempt::Action>;
+    using ConnectionActions = std::vector<decisions::ConnectionMonitor::Action>;
+
+    void fire(const decisions::RequestAttempt::Event &event);
+    void fireConnection(const decisions::ConnectionMonitor::Event &event);
+    void waitForEvent();
+    void checkTimers();
+
+    void perform(const decisions::attempt::ChooseTarget &action);
+    void perform(const decisions::attempt::OpenConnection &action);
+    void perform(const decisions::attempt::SendRequest &action);
+    void perform(const decisions::attempt::ForwardHead &action);
+    void perform(const decisions::attempt::ForwardPart &action);
+    void perform(const decisions::attempt::CancelOnTarget &action);
+    void perform(const decisions::attempt::CloseConnection &action);
+    void perform(const decisions::attempt::ReleaseConnection &action);
+    void perform(const decisions::attempt::DiscardAnswer &action);
+    void perform(const decisions::attempt::Finish &action);
+
+    void performConnection(const decisions::connection::OpenProbe &action);
+    void performConnection(const decisions::connection::CancelProbe &action);
+    void performConnection(const decisions::connection::AdoptProbe &action);
+    void performConnection(const decisions::connection::CloseConnection &action);
+    void performConnection(const decisions::connection::FailRequest &action);
+    void performConnection(const decisions::connection::ReportSilentTarget &action);
+    void performConnection(const decisions::connection::ReportTargetDeath &action);
+
+    void onExchange(const runtime::HttpConnected &event);
+    void onExchange(const runtime::HttpResponseHead &event);
+    void onExchange(const runtime::HttpBodyPart &event);
+    void onExchange(const runtime::HttpCompleted &event);
+    void onExchange(const core::Error &event);
+    void addPieces(std::vector<AnswerPiece> pieces);
+    bool isDeclined(unsigned status) const;
+    void releaseRoute();
+
+    const ChartSet &charts_;
+    runtime::HttpClient &client_;
+    RoutingTask &routing_;
+    const core::Clock &clock_;
+    AttemptJob job_;
+    AnswerSink &sink_;
+    CancelReason cancelReason_;
+    decisions::RequestAttempt attempt_;
+    std::optional<decisions::ConnectionMonitor> monitor_;
+    std::unique_ptr<runtime::HttpExchange> exchange_;
+    std::unique_ptr<AnswerFraming> framing_;
+    std::optional<Route> route_;
+    decisions::AttemptId connectionAttempt_;
+    runtime::HttpResponseHead head_;
+    std::uint64_t received_ = 0;
+    std::string piece_;
+    AttemptResult result_;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/CallerHandler.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <chrono>
+
+#include "Members.h"
+#include "ModelHandler.h"
+#include "ServiceHandler.h"
+#include "boragerack/runtime/HttpHandler.h"
+
+namespace boragerack::node {
+
+/// The HTTP interface of a node for callers: dispatches requests by path.
+class CallerHandler final : public runtime::HttpHandler
+{
+public:
+    CallerHandler(const RequestServices &services, const runtime::Published<Members> &members,
+                  std::chrono::milliseconds defaultTimeout,
+                  std::chrono::milliseconds addressLifetime);
+
+    void handle(const runtime::HttpRequest &request, runtime::HttpResponder &responder) override;
+
+private:
+    void handleAdmitted(const runtime::HttpRequest &request, runtime::HttpResponder &responder);
+    bool handleStatus(const runtime::HttpRequest &request, runtime::HttpResponder &responder);
+    runtime::HttpResponse listAddresses() const;
+    runtime::HttpResponse listModels(const CallerContext &context) const;
+
+    const RequestServices &services_;
+    const runtime::Published<Members> &members_;
+    std::chrono::milliseconds defaultTimeout_;
+    std::chrono::milliseconds addressLifetime_;
+    ModelHandler modelHandler_;
+    ServiceHandler serviceHandler_;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/CallerSink.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "AnswerSink.h"
+#include "AttemptRunner.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/runtime/HttpResponder.h"
+
+namespace boragerack::node {
+
+/// Passes an answer to the caller: a stream part by part, any other answer in one response.
+class CallerSink final : public AnswerSink
+{
+public:
+    CallerSink(runtime::HttpResponder &responder, bool isStream, const core::Clock &clock);
+
+    bool writeHead(const runtime::HttpResponseHead &head) override;
+    bool writePart(std::string_view part) override;
+
+    /// Ends the answer. A failed stream ends with an error event and a closed connection, so that
+    /// it cannot be taken for a whole answer.
+    void finish(const AttemptResult &result);
+
+    const std::optional<core::TimePoint> &firstPartAt() const { return firstPartAt_; }
+    /// Complete response of an answer that is not a stream.
+    const runtime::HttpResponse &response() const { return response_; }
+
+private:
+    runtime::HttpResponder &responder_;
+    bool isStream_;
+    const core::Clock &clock_;
+    runtime::HttpResponse response_;
+    std::optional<core::TimePoint> firstPartAt_;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/ChartSet.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <filesystem>
+#include <memory>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/AttemptChart.h"
+#include "boragerack/decisions/ClaimChart.h"
+#include "boragerack/decisions/ConnectionChart.h"
+#include "boragerack/decisions/NodeChart.h"
+#include "boragerack/decisions/ReplicaLifecycle.h"
+
+namespace boragerack::node {
+
+/// All charts that a node interprets, bound to the enumerations of the code.
+struct ChartSet
+{
+    std::shared_ptr<const decisions::AttemptBinding> attempt;
+    std::shared_ptr<const decisions::ClaimBinding> claim;
+    std::shared_ptr<const decisions::ConnectionBinding> connection;
+    std::shared_ptr<const decisions::NodeBinding> node;
+    decisions::PlacementCharts placement;
+};
+
+/// Fails with the name of the first chart that is missing or does not fit the code.
+core::Result<ChartSet> loadCharts(const std::filesystem::path &directory);
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/EngineJson.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/EngineReport.h"
+#include "boragerack/decisions/PlacementMessages.h"
+
+namespace boragerack::node {
+
+/// Answer of `GET /control/report`.
+core::Result<decisions::EngineReport> parseEngineReport(std::string_view text);
+
+/// Body of `POST /control/load` and `/control/unload`.
+std::string serialiseOrder(const decisions::SendOrder &order);
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/LifecycleTask.cpp
@@ -0,0 +1,93 @@
+#include "LifecycleTask.h"
+
+#include <utility>
+
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::node {
+
+namespace drain = decisions::drain;
+
+namespace {
+
+constexpr std::size_t kMailboxCapacity = 8192;
+/// The task has no other timer than those of the sequence.
+constexpr std::chrono::hours kLongWait(1);
+
+} // namespace
+
+LifecycleTask::LifecycleTask(std::shared_ptr<const decisions::NodeBinding> chart,
+                             std::chrono::milliseconds addressLifetime, const core::Clock &clock,
+                             LifecycleListener &listener)
+    : clock_(clock)
+    , listener_(listener)
+    , sequence_(std::move(chart), addressLifetime)
+    , admission_(Admission {sequence_.admit(), false})
+    , mailbox_(kMailboxCapacity)
+{
+}
+
+void LifecycleTask::start()
+{
+    fibers_.start([this] { run(); });
+}
+
+bool LifecycleTask::send(const drain::Event &event)
+{
+    return mailbox_.send(event);
+}
+
+void LifecycleTask::run()
+{
+    while (!sequence_.isFinished()) {
+        const auto wakeAt = sequence_.wakeAt().value_or(clock_.now() + kLongWait);
+        if (auto event = mailbox_.receiveUntil(wakeAt))
+            feed(*event);
+        else
+            feed(drain::TimerFired());
+    }
+    mailbox_.close();
+    listener_.onStopped();
+}
+
+void LifecycleTask::feed(const drain::Event &event)
+{
+    for (const decisions::NodeStep step : sequence_.handle(event, clock_.now()))
+        perform(step);
+    Admission admission {sequence_.admit(), mustEndStreams_};
+    if (admission != *admission_.get())
+        admission_.set(std::move(admission));
+}
+
+void LifecycleTask::perform(decisions::NodeStep step)
+{
+    switch (step) {
+    case decisions::NodeStep::PublishAddress:
+        mustEndStreams_ = false;
+        runtime::logEvent(runtime::LogEvent::NodeServing, "address is given to callers");
+        listener_.onAddressPublished(true);
+        break;
+    case decisions::NodeStep::WithdrawAddress:
+        runtime::logEvent(runtime::LogEvent::NodeDraining, "address is withdrawn");
+        listener_.onAddressPublished(false);
+        break;
+    case decisions::NodeStep::EndStreams:
+        mustEndStreams_ = true;
+        runtime::logEvent(runtime::LogEvent::NodeIsolated, "no fresh configuration");
+        listener_.onAddressPublished(false);
+        break;
+    case decisions::NodeStep::ReleaseShares:
+        listener_.onReleaseShares();
+        break;
+    case decisions::NodeStep::RemoveNodeRecord:
+        listener_.onRemoveRecord();
+        break;
+    case decisions::NodeStep::StartAddressTimer:
+    case decisions::NodeStep::RefuseQueued:
+    case decisions::NodeStep::RefuseNewRequests:
+        // The sequence keeps the timer, and requests follow the published admission.
+        break;
+    }
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/ModelHandler.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "AttemptRunner.h"
+#include "CallerRequest.h"
+#include "ModelRequest.h"
+#include "boragerack/runtime/HttpResponder.h"
+
+namespace boragerack::node {
+
+/// Answers completions and chat completions.
+class ModelHandler
+{
+public:
+    explicit ModelHandler(const RequestServices &services);
+
+    void handle(const runtime::HttpRequest &request, const CallerContext &context,
+                runtime::HttpResponder &responder);
+
+private:
+    core::Result<decisions::Artifact> authorise(const ModelRequest &model,
+                                                const CallerContext &context) const;
+    AttemptJob makeJob(const runtime::HttpRequest &request, const ModelRequest &model,
+                       const decisions::Artifact &artifact, const CallerContext &context) const;
+    void reportDeaths(const core::Digest &fingerprint, const AttemptResult &result);
+
+    const RequestServices &services_;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/ModelRequest.cpp
@@ -0,0 +1,91 @@
+#include "ModelRequest.h"
+
+#include "JsonText.h"
+
+namespace boragerack::node {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t kDefaultMaxTokens = 16;
+constexpr std::int64_t kMaxMaxTokens = 1'000'000;
+/// Usual size of a token in characters; engines report the exact count afterwards.
+constexpr std::int64_t kCharactersPerToken = 4;
+
+core::Error invalid(std::string message)
+{
+    return core::makeNotRunError(core::ErrorCode::InvalidRequest, std::move(message));
+}
+
+std::int64_t estimateTokens(const json::object &body)
+{
+    std::size_t characters = 0;
+    for (const std::string_view name : {"prompt", "messages"}) {
+        if (const json::value *member = body.if_contains(name))
+            characters +=
+                member->is_string() ? member->get_string().size() : json::serialize(*member).size();
+    }
+    return static_cast<std::int64_t>(characters) / kCharactersPerToken + 1;
+}
+
+core::Result<std::int64_t> readMaxTokens(const json::object &body)
+{
+    for (const std::string_view name : {"max_tokens", "max_completion_tokens"}) {
+        const json::value *member = body.if_contains(name);
+        if (!member || member->is_null())
+            continue;
+        boost::system::error_code error;
+        const auto tokens = member->is_number() ? member->to_number<std::int64_t>(error) : 0;
+        if (error || tokens < 1 || tokens > kMaxMaxTokens)
+            return invalid(std::string(name) + " must be a whole number from 1 to 1000000");
+        return tokens;
+    }
+    return kDefaultMaxTokens;
+}
+
+} // namespace
+
+core::Result<ModelRequest> parseModelRequest(std::string_view text)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(text, error);
+    if (error || !value.is_object())
+        return invalid("body must be a JSON object");
+    const json::object &body = value.get_object();
+    const std::string name = textMember(value, "model");
+    if (name.empty())
+        return invalid("model must be a text that is not empty");
+    if (!body.contains("prompt") && !body.contains("messages"))
+        return invalid("prompt or messages is missing");
+    if (const json::value *stream = body.if_contains("stream"); stream && !stream->is_bool())
+        return invalid("stream must be true or false");
+    const auto maxTokens = readMaxTokens(body);
+    if (!core::isOk(maxTokens))
+        return core::errorOf(maxTokens);
+
+    ModelRequest request;
+    const auto colon = name.find(':');
+    const std::string base = name.substr(0, colon);
+    if (colon != std::string::npos)
+        request.adapter = name.substr(colon + 1);
+    const auto at = base.find('@');
+    request.model = base.substr(0, at);
+    if (at != std::string::npos)
+        request.version = base.substr(at + 1);
+    request.isStream = flagMember(value, "stream");
+    request.promptTokens = estimateTokens(body);
+    request.maxTokens = core::valueOf(maxTokens);
+    return request;
+}
+
+std::string makeEngineBody(std::string_view text, const decisions::Artifact &artifact)
+{
+    json::value value = json::parse(text);
+    value.as_object()["model"] = artifact.isAdapter()
+        ? artifact.model.value + ":" + artifact.adapter.value
+        : artifact.model.value;
+    return json::serialize(value);
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/NodeIdentity.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+#include "boragerack/core/Identifier.h"
+
+namespace boragerack::node {
+
+/// This process. The incarnation grows with each start on the same instance.
+struct NodeIdentity
+{
+    core::InstanceId instance;
+    std::uint64_t incarnation = 0;
+    core::DataCentreId dataCentre;
+    core::RegionId region;
+
+    friend auto operator<=>(const NodeIdentity &, const NodeIdentity &) = default;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/PlacementTask.cpp
@@ -0,0 +1,402 @@
+#include "PlacementTask.h"
+
+#include <utility>
+
+#include "EngineJson.h"
+#include "RecordJson.h"
+#include "boragerack/core/RendezvousHash.h"
+#include "boragerack/decisions/WarmestCheckpointPolicy.h"
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::node {
+
+namespace {
+
+constexpr std::size_t kMailboxCapacity = 4096;
+/// Interval of the planner's clock event when nothing else is due.
+constexpr std::chrono::milliseconds kTickInterval(1000);
+/// Reports are read this often while a load or unload is in progress on the target.
+constexpr std::chrono::milliseconds kBusyReportInterval(50);
+constexpr std::chrono::milliseconds kOrderTimeout(2000);
+constexpr std::chrono::milliseconds kUseInterval(1000);
+/// Time for the phase of a draining replica to reach all nodes, after which none chooses it.
+constexpr std::chrono::milliseconds kDrainGrace(5000);
+/// An instance that was listed and is then missing for this long is gone for good.
+constexpr std::chrono::seconds kGoneAfter(30);
+
+decisions::OrderOutcome readOrderOutcome(const core::Result<runtime::HttpResponse> &response)
+{
+    constexpr unsigned kAccepted = 202;
+    constexpr unsigned kStaleFence = 409;
+    constexpr unsigned kDoesNotFit = 507;
+    if (!core::isOk(response)) {
+        return core::errorOf(response).verdict == core::Verdict::NotRun
+            ? decisions::OrderOutcome::NotSent
+            : decisions::OrderOutcome::Unknown;
+    }
+    switch (core::valueOf(response).status) {
+    case kAccepted:
+        return decisions::OrderOutcome::Accepted;
+    case kStaleFence:
+        return decisions::OrderOutcome::StaleFence;
+    case kDoesNotFit:
+        return decisions::OrderOutcome::DoesNotFit;
+    default:
+        return decisions::OrderOutcome::Unknown;
+    }
+}
+
+/// Reads the current object of a conflict; version zero when it does not exist.
+template<class Record, class Parse>
+decisions::Versioned<Record> readCurrent(const platform::WriteConflict &conflict, Parse parse)
+{
+    if (!conflict.current)
+        return {};
+    const auto record = parse(conflict.current->value);
+    if (!core::isOk(record))
+        return {};
+    return {conflict.current->version, core::valueOf(record)};
+}
+
+std::optional<std::uint64_t> writeCondition(std::uint64_t version)
+{
+    return version == 0 ? std::nullopt : std::optional(version);
+}
+
+} // namespace
+
+PlacementTask::PlacementTask(const NodeIdentity &identity, const ChartSet &charts,
+                             const decisions::PlannerSettings &settings,
+                             platform::PlatformStore &store, runtime::HttpClient &client,
+                             PlannerLink &link, const core::Clock &clock,
+                             std::chrono::milliseconds reportInterval)
+    : identity_(identity)
+    , store_(store)
+    , client_(client)
+    , link_(link)
+    , clock_(clock)
+    , reportInterval_(reportInterval)
+    , loadPlanner_(identity.instance, identity.incarnation, charts.placement,
+                   std::make_unique<decisions::WarmestCheckpointPolicy>(
+                       decisions::WarmestCheckpointPolicy::Settings()),
+                   settings)
+    , mailbox_(kMailboxCapacity)
+{
+}
+
+PlacementTask::~PlacementTask() = default;
+
+void PlacementTask::start()
+{
+    fibers_.start([this] { run(); });
+}
+
+void PlacementTask::stop()
+{
+    static_cast<void>(mailbox_.send(StopPlacement()));
+}
+
+bool PlacementTask::trySend(PlacementMessage message)
+{
+    return mailbox_.trySend(std::move(message));
+}
+
+void PlacementTask::onTargetChanges(const TargetChanges &changes)
+{
+    static_cast<void>(mailbox_.send(changes));
+}
+
+void PlacementTask::onInstances(const std::vector<platform::InstanceRecord> &instances)
+{
+    static_cast<void>(mailbox_.send(InstancesListed {instances}));
+}
+
+void PlacementTask::onPlatformReachable(bool isReachable)
+{
+    static_cast<void>(mailbox_.send(decisions::PlatformReachable {isReachable}));
+}
+
+void PlacementTask::run()
+{
+    while (isRunning_) {
+        core::TimePoint wakeAt = std::min(clock_.now() + kTickInterval, loadPlanner_.wakeAt());
+        for (const auto &[target, engine] : engines_) {
+            if (isPlanner() && hasLoadInProgress(target))
+                wakeAt = std::min(wakeAt, clock_.now() + kBusyReportInterval);
+        }
+        if (auto message = mailbox_.receiveUntil(wakeAt))
+            std::visit([this](const auto &body) { on(body); }, *message);
+        else
+            feed(decisions::PlacementTick());
+        pollReports();
+        finishDrains();
+        sendUses();
+    }
+    // Fibers that still wait for a platform or an engine must not block on a full mailbox.
+    mailbox_.close();
+}
+
+void PlacementTask::feed(const decisions::PlannerEvent &event)
+{
+    for (const decisions::PlannerAction &action : loadPlanner_.handle(event, clock_.now()))
+        std::visit([this](const auto &body) { perform(body); }, action);
+}
+
+template<class Event>
+void PlacementTask::on(const Event &event)
+{
+    feed(event);
+}
+
+void PlacementTask::on(const WakeReplica &message)
+{
+    const decisions::WakeRequested request {identity_.instance, nextRequest_++, message.artifact,
+                                            message.deadline};
+    if (isPlanner() || planner_.value.empty()) {
+        waiting_.insert_or_assign({request.node, request.request}, message.reply);
+        feed(request);
+        return;
+    }
+    fibers_.start([this, planner = planner_, request, reply = message.reply] {
+        reply.set(link_.wake(planner, request));
+    });
+}
+
+void PlacementTask::on(const RemoteWake &message)
+{
+    waiting_.insert_or_assign({message.node, message.request}, message.reply);
+    feed(decisions::WakeRequested {message.node, message.request, message.artifact,
+                                   message.deadline});
+}
+
+void PlacementTask::on(const InstancesListed &message)
+{
+    std::set<core::InstanceId> present;
+    std::map<core::TargetId, platform::InstanceRecord> engines;
+    for (const platform::InstanceRecord &instance : message.instances) {
+        present.insert(instance.instance);
+        missingSince_.erase(instance.instance);
+        if (instance.kind != platform::InstanceKind::Engine || instance.region != identity_.region)
+            continue;
+        const core::TargetId target {instance.instance.value};
+        engines.emplace(target, instance);
+        feed(decisions::TargetListed {target, instance.memoryMiB, instance.checksFencing,
+                                      instance.state == platform::InstanceState::Leaving});
+    }
+    for (const core::InstanceId &instance : listed_) {
+        if (!present.contains(instance))
+            missingSince_.try_emplace(instance, clock_.now());
+    }
+    listed_.insert(present.begin(), present.end());
+    engines_ = std::move(engines);
+    for (auto entry = missingSince_.begin(); entry != missingSince_.end();) {
+        if (clock_.now() - entry->second < kGoneAfter) {
+            ++entry;
+            continue;
+        }
+        feed(decisions::InstanceGone {entry->first});
+        feed(decisions::TargetLeft {core::TargetId {entry->first.value}});
+        listed_.erase(entry->first);
+        entry = missingSince_.erase(entry);
+    }
+}
+
+void PlacementTask::on(const PlannerCandidates &message)
+{
+    const auto owners =
+        core::rendezvousOwners("planner/" + identity_.region.value, message.instances, 1);
+    const core::InstanceId planner = owners.empty() ? core::InstanceId() : owners.front();
+    if (planner == planner_)
+        return;
+    planner_ = planner;
+    reportedUses_.clear();
+    feed(decisions::RoleChanged {isPlanner()});
+}
+
+void PlacementTask::on(const StopPlacement &)
+{
+    isRunning_ = false;
+    for (const auto &[request, reply] : waiting_)
+        reply.set(core::makeNotRunError(core::ErrorCode::Draining, "node is stopping"));
+}
+
+void PlacementTask::on(const TargetChanges &message)
+{
+    if (message.isSnapshot) {
+        feed(decisions::PlatformSnapshot {message.revision, message.models, message.targets});
+        return;
+    }
+    for (const auto &model : message.models)
+        feed(decisions::ModelRead {model});
+    for (const auto &target : message.targets)
+        feed(decisions::TargetRead {target});
+}
+
+void PlacementTask::on(const decisions::ReplicaUsed &message)
+{
+    const ReplicaKey key(message.target, message.artifact);
+    usesByNode_[message.node][key] = message.inFlight;
+    if (message.node == identity_.instance)
+        uses_[key] = message.inFlight;
+    feed(message);
+}
+
+void PlacementTask::perform(const decisions::WriteModel &action)
+{
+    fibers_.start([this, action] {
+        const auto result =
+            store_.write(decisions::modelKey(action.record.artifact),
+                         serialiseModelRecord(action.record), writeCondition(action.ifVersion));
+        decisions::WriteAnswered answer {action.record.writer};
+        if (const auto *applied = std::get_if<platform::WriteApplied>(&result)) {
+            answer.outcome = decisions::WriteOutcome::Applied;
+            answer.version = applied->version;
+        } else if (const auto *conflict = std::get_if<platform::WriteConflict>(&result)) {
+            answer.outcome = decisions::WriteOutcome::Conflict;
+            answer.model = readCurrent<decisions::ModelRecord>(*conflict, parseModelRecord);
+        }
+        static_cast<void>(mailbox_.send(answer));
+    });
+}
+
+void PlacementTask::perform(const decisions::WriteTarget &action)
+{
+    fibers_.start([this, action] {
+        const auto result =
+            store_.write(decisions::targetKey(action.record.target),
+                         serialiseTargetRecord(action.record), writeCondition(action.ifVersion));
+        decisions::WriteAnswered answer {action.record.writer};
+        if (const auto *applied = std::get_if<platform::WriteApplied>(&result)) {
+            answer.outcome = decisions::WriteOutcome::Applied;
+            answer.version = applied->version;
+        } else if (const auto *conflict = std::get_if<platform::WriteConflict>(&result)) {
+            answer.outcome = decisions::WriteOutcome::Conflict;
+            answer.target = readCurrent<decisions::TargetRecord>(*conflict, parseTargetRecord);
+        }
+        static_cast<void>(mailbox_.send(answer));
+    });
+}
+
+void PlacementTask::perform(const decisions::SendOrder &action)
+{
+    const auto engine = engines_.find(action.target);
+    if (engine == engines_.end()) {
+        feed(decisions::OrderAnswered {action.order, decisions::OrderOutcome::NotSent});
+        return;
+    }
+    const bool isLoad = action.kind == decisions::OrderKind::Load;
+    runtime::logEvent(isLoad ? runtime::LogEvent::LoadOrdered : runtime::LogEvent::UnloadOrdered,
+                      decisions::modelKey(action.artifact) + " on " + action.target.value
+                          + " order " + decisions::stampText(action.order));
+    fibers_.start([this, action, isLoad, address = engine->second.address] {
+        // A new connection, because a kept one could deliver the order after its answer was lost.
+        const auto response =
+            client_.call(address,
+                         {"POST",
+                          isLoad ? "/control/load" : "/control/unload",
+                          {{"Content-Type", "application/json"}},
+                          serialiseOrder(action)},
+                         clock_.now() + kOrderTimeout, runtime::ConnectionUse::New);
+        static_cast<void>(
+            mailbox_.send(decisions::OrderAnswered {action.order, readOrderOutcome(response)}));
+    });
+}
+
+void PlacementTask::perform(const decisions::ReplicaMoved &action)
+{
+    const ReplicaKey key(action.target, action.artifact);
+    drains_.erase(key);
+    if (action.state == decisions::ReplicaState::Draining)
+        drains_[key] = Drain {clock_.now() + kDrainGrace};
+    if (action.state == decisions::ReplicaState::Ready) {
+        runtime::logEvent(runtime::LogEvent::LoadFinished,
+                          decisions::modelKey(action.artifact) + " on " + action.target.value);
+    }
+}
+
+void PlacementTask::perform(const decisions::WakeAnswered &action)
+{
+    const auto found = waiting_.find({action.node, action.request});
+    if (found == waiting_.end())
+        return;
+    found->second.set(action.outcome);
+    waiting_.erase(found);
+}
+
+bool PlacementTask::hasLoadInProgress(const core::TargetId &target) const
+{
+    for (const auto &[artifact, replica] : loadPlanner_.ledger().replicasOn(target)) {
+        if (replica.state != decisions::ReplicaState::Ready
+            && replica.state != decisions::ReplicaState::Draining)
+            return true;
+    }
+    return false;
+}
+
+void PlacementTask::pollReports()
+{
+    if (!isPlanner())
+        return;
+    for (const auto &[target, engine] : engines_) {
+        const auto interval = hasLoadInProgress(target) ? kBusyReportInterval : reportInterval_;
+        if (!reportsInProgress_.contains(target) && clock_.now() - reportedAt_[target] >= interval)
+            startReport(target);
+    }
+}
+
+void PlacementTask::startReport(const core::TargetId &target)
+{
+    reportsInProgress_.insert(target);
+    reportedAt_[target] = clock_.now();
+    fibers_.start([this, target, address = engines_.at(target).address] {
+        const auto response =
+            client_.call(address, {"GET", "/control/report", {}, ""}, clock_.now() + kOrderTimeout);
+        reportsInProgress_.erase(target);
+        if (!core::isOk(response) || core::valueOf(response).status != 200)
+            return;
+        const auto report = parseEngineReport(core::valueOf(response).body);
+        if (core::isOk(report))
+            static_cast<void>(
+                mailbox_.send(decisions::EngineReported {target, core::valueOf(report)}));
+    });
+}
+
+void PlacementTask::finishDrains()
+{
+    for (auto drain = drains_.begin(); drain != drains_.end();) {
+        const ReplicaKey key = drain->first;
+        bool isUsed = false;
+        for (const auto &[node, uses] : usesByNode_) {
+            const auto use = uses.find(key);
+            isUsed = isUsed || (use != uses.end() && use->second > 0);
+        }
+        if (isUsed || clock_.now() < drain->second.notBefore) {
+            ++drain;
+            continue;
+        }
+        drain = drains_.erase(drain);
+        feed(decisions::ReplicaDrained {key.second, key.first});
+        // The event may have changed the map; start again at the next turn.
+        break;
+    }
+}
+
+void PlacementTask::sendUses()
+{
+    if (isPlanner() || planner_.value.empty() || clock_.now() - usesSentAt_ < kUseInterval)
+        return;
+    usesSentAt_ = clock_.now();
+    std::vector<decisions::ReplicaUsed> changed;
+    for (const auto &[key, inFlight] : uses_) {
+        const auto reported = reportedUses_.find(key);
+        // A replica in use is reported each time, so that a new planner learns of it.
+        if (inFlight > 0 || reported == reportedUses_.end() || reported->second != inFlight)
+            changed.push_back({identity_.instance, key.second, key.first, inFlight});
+    }
+    if (changed.empty())
+        return;
+    reportedUses_ = uses_;
+    fibers_.start([this, planner = planner_, changed] { link_.reportUse(planner, changed); });
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/PlacementTask.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+#include "ChartSet.h"
+#include "NodeIdentity.h"
+#include "PlacementMessage.h"
+#include "PlannerLink.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/LoadPlanner.h"
+#include "boragerack/runtime/FiberGroup.h"
+#include "boragerack/runtime/HttpClient.h"
+
+namespace boragerack::node {
+
+/// Owns the load planner of this node: turns messages into its events and carries out its writes
+/// and orders. Demand goes to the planner of the region, which may be this node.
+class PlacementTask final : public TargetListener
+{
+public:
+    PlacementTask(const NodeIdentity &identity, const ChartSet &charts,
+                  const decisions::PlannerSettings &settings, platform::PlatformStore &store,
+                  runtime::HttpClient &client, PlannerLink &link, const core::Clock &clock,
+                  std::chrono::milliseconds reportInterval);
+    ~PlacementTask() override;
+
+    void start();
+    void stop();
+
+    /// False when the mailbox is full.
+    [[nodiscard]] bool trySend(PlacementMessage message);
+
+    void onTargetChanges(const TargetChanges &changes) override;
+    void onInstances(const std::vector<platform::InstanceRecord> &instances) override;
+    void onPlatformReachable(bool isReachable) override;
+
+    bool isPlanner() const { return planner_ == identity_.instance; }
+
+private:
+    struct Drain
+    {
+        core::TimePoint notBefore;
+    };
+    using ReplicaKey = std::pair<core::TargetId, decisions::Artifact>;
+
+    void run();
+    void on(const WakeReplica &message);
+    void on(const RemoteWake &message);
+    void on(const InstancesListed &message);
+    void on(const PlannerCandidates &message);
+    void on(const StopPlacement &message);
+    void on(const TargetChanges &message);
+    void on(const decisions::ReplicaUsed &message);
+    template<class Event>
+    void on(const Event &event);
+
+    void feed(const decisions::PlannerEvent &event);
+    void perform(const decisions::WriteModel &action);
+    void perform(const decisions::WriteTarget &action);
+    void perform(const decisions::SendOrder &action);
+    void perform(const decisions::ReplicaMoved &action);
+    void perform(const decisions::WakeAnswered &action);
+    void startReport(const core::TargetId &target);
+    void pollReports();
+    void finishDrains();
+    void sendUses();
+    bool hasLoadInProgress(const core::TargetId &target) const;
+
+    NodeIdentity identity_;
+    platform::PlatformStore &store_;
+    runtime::HttpClient &client_;
+    PlannerLink &link_;
+    const core::Clock &clock_;
+    std::chrono::milliseconds reportInterval_;
+    decisions::LoadPlanner loadPlanner_;
+    runtime::Mailbox<PlacementMessage> mailbox_;
+    core::InstanceId planner_;
+    std::uint64_t nextRequest_ = 1;
+    bool isRunning_ = true;
+    std::map<std::pair<core::InstanceId, std::uint64_t>,
+             runtime::Reply<core::Result<core::TargetId>>>
+        waiting_;
+    std::map<core::TargetId, platform::InstanceRecord> engines_;
+    std::set<core::TargetId> reportsInProgress_;
+    std::map<core::TargetId, core::TimePoint> reportedAt_;
+    std::map<ReplicaKey, Drain> drains_;
+    /// Requests in flight on this node, and what the planner was last told.
+    std::map<ReplicaKey, std::uint32_t> uses_;
+    std::map<ReplicaKey, std::uint32_t> reportedUses_;
+    core::TimePoint usesSentAt_;
+    std::map<core::InstanceId, std::map<ReplicaKey, std::uint32_t>> usesByNode_;
+    /// Instances that were in the list and since when they are missing.
+    std::set<core::InstanceId> listed_;
+    std::map<core::InstanceId, core::TimePoint> missingSince_;
+    runtime::FiberGroup fibers_;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/RequestServices.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "ChartSet.h"
+#include "ConfigurationTask.h"
+#include "LifecycleTask.h"
+#include "Metrics.h"
+#include "NodeIdentity.h"
+#include "QuarantineTask.h"
+#include "RoutingTask.h"
+
+namespace boragerack::node {
+
+/// The tasks that a request meets on its way.
+struct RequestServices
+{
+    const NodeIdentity &identity;
+    const ChartSet &charts;
+    const runtime::Published<ActiveConfiguration> &configuration;
+    LifecycleTask &lifecycle;
+    QuarantineTask &quarantine;
+    RoutingTask &routing;
+    platform::PlatformStore &store;
+    runtime::HttpClient &client;
+    core::RandomSource &random;
+    const core::Clock &clock;
+    Metrics &metrics;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/RoutingTask.cpp
@@ -0,0 +1,194 @@
+#include "RoutingTask.h"
+
+#include <utility>
+
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::node {
+
+namespace {
+
+constexpr std::size_t kMailboxCapacity = 8192;
+/// A replica that its target denied is left out until the records can have been corrected.
+constexpr std::chrono::seconds kMissingDuration(2);
+constexpr std::chrono::seconds kRetryAfter(1);
+constexpr std::chrono::milliseconds kCancelTimeout(500);
+
+} // namespace
+
+RoutingTask::RoutingTask(const NodeIdentity &identity, const runtime::Published<TargetTable> &table,
+                         PlacementTask &placement, runtime::HttpClient &client,
+                         core::RandomSource &random, const core::Clock &clock)
+    : identity_(identity)
+    , table_(table)
+    , placement_(placement)
+    , client_(client)
+    , clock_(clock)
+    , selector_(random)
+    , mailbox_(kMailboxCapacity)
+{
+}
+
+void RoutingTask::start()
+{
+    fibers_.start([this] { run(); });
+}
+
+void RoutingTask::stop()
+{
+    static_cast<void>(mailbox_.send(StopRouting()));
+}
+
+bool RoutingTask::trySend(RoutingMessage message)
+{
+    return mailbox_.trySend(std::move(message));
+}
+
+void RoutingTask::run()
+{
+    while (isRunning_) {
+        if (auto message = mailbox_.receive())
+            std::visit([this](const auto &body) { on(body); }, *message);
+    }
+    mailbox_.close();
+}
+
+void RoutingTask::on(const ChooseRoute &message)
+{
+    const auto replicas = makeReplicas(message.destination);
+    if (const auto target = selector_.choose(replicas, message.avoid)) {
+        give(message, *target);
+    } else if (const auto *artifact = std::get_if<decisions::Artifact>(&message.destination)) {
+        wake(message, *artifact);
+    } else {
+        message.reply.set(core::makeNotRunError(
+            core::ErrorCode::NoReadyReplica, "no target of the service is available", kRetryAfter));
+    }
+}
+
+std::vector<decisions::Replica> RoutingTask::makeReplicas(const Destination &destination) const
+{
+    const auto table = table_.get();
+    const core::TimePoint now = clock_.now();
+    std::vector<core::TargetId> targets;
+    if (const auto *service = std::get_if<core::ServiceId>(&destination)) {
+        targets = findServiceTargets(*table, *service);
+    } else if (const auto found = table->ready.find(std::get<decisions::Artifact>(destination));
+               found != table->ready.end()) {
+        for (const core::TargetId &target : found->second) {
+            const auto missing = missing_.find({target, found->first});
+            if (missing == missing_.end() || missing->second.until < now)
+                targets.push_back(target);
+        }
+    }
+    std::vector<decisions::Replica> replicas;
+    for (const core::TargetId &target : targets) {
+        decisions::Replica replica;
+        replica.target = target;
+        if (const auto count = outstanding_.find(target); count != outstanding_.end())
+            replica.outstanding = count->second;
+        replica.isLeaving = table->targets.at(target).state == platform::InstanceState::Leaving;
+        replica.isSilent = health_.isSilent(target, now);
+        replicas.push_back(replica);
+    }
+    return replicas;
+}
+
+void RoutingTask::give(const ChooseRoute &request, const core::TargetId &target)
+{
+    const auto table = table_.get();
+    const auto found = table->targets.find(target);
+    if (found == table->targets.end()) {
+        request.reply.set(
+            core::makeNotRunError(core::ErrorCode::NoReadyReplica, "target has left", kRetryAfter));
+        return;
+    }
+    ++outstanding_[target];
+    if (const auto *artifact = std::get_if<decisions::Artifact>(&request.destination))
+        ++inFlight_[{target, *artifact}];
+    reportUse(request.destination, target);
+    request.reply.set(Route {target, found->second.address});
+}
+
+void RoutingTask::wake(const ChooseRoute &request, const decisions::Artifact &artifact)
+{
+    WakeReplica message {artifact, request.deadline, {}};
+    if (!placement_.trySend(message)) {
+        request.reply.set(core::makeNotRunError(
+            core::ErrorCode::QueueFull, "too many requests wait for replicas", kRetryAfter));
+        return;
+    }
+    fibers_.start([this, request, reply = message.reply] {
+        auto outcome = reply.waitUntil(request.deadline);
+        WakeFinished finished {request,
+                               core::makeNotRunError(core::ErrorCode::DeadlineExceeded,
+                                                     "no replica was ready before the deadline",
+                                                     kRetryAfter)};
+        if (outcome)
+            finished.outcome = std::move(*outcome);
+        static_cast<void>(mailbox_.send(std::move(finished)));
+    });
+}
+
+void RoutingTask::on(const CancelAttempt &message)
+{
+    fibers_.start([this, message] {
+        const std::string body =
+            "{\"attempt\":\"" + decisions::formatAttemptId(message.attempt) + "\"}";
+        client_.call(message.address,
+                     {"POST", "/control/cancel", {{"Content-Type", "application/json"}}, body},
+                     clock_.now() + kCancelTimeout);
+    });
+}
+
+void RoutingTask::on(const WakeFinished &message)
+{
+    if (core::isOk(message.outcome))
+        give(message.request, core::valueOf(message.outcome));
+    else
+        message.request.reply.set(core::errorOf(message.outcome));
+}
+
+void RoutingTask::on(const RouteReleased &message)
+{
+    if (const auto count = outstanding_.find(message.target);
+        count != outstanding_.end() && --count->second == 0)
+        outstanding_.erase(count);
+    if (const auto *artifact = std::get_if<decisions::Artifact>(&message.destination)) {
+        const auto use = inFlight_.find({message.target, *artifact});
+        if (use != inFlight_.end())
+            --use->second;
+        reportUse(message.destination, message.target);
+        if (use != inFlight_.end() && use->second == 0)
+            inFlight_.erase(use);
+    }
+}
+
+void RoutingTask::reportUse(const Destination &destination, const core::TargetId &target)
+{
+    const auto *artifact = std::get_if<decisions::Artifact>(&destination);
+    if (!artifact)
+        return;
+    const auto use = inFlight_.find({target, *artifact});
+    const std::uint32_t count = use == inFlight_.end() ? 0 : use->second;
+    static_cast<void>(
+        placement_.trySend(decisions::ReplicaUsed {identity_.instance, *artifact, target, count}));
+}
+
+void RoutingTask::on(const TargetUnreachable &message)
+{
+    health_.handle(decisions::health::Unreachable {message.target}, clock_.now());
+    runtime::logEvent(runtime::LogEvent::ConnectionSilent, message.target.value);
+}
+
+void RoutingTask::on(const ReplicaMissing &message)
+{
+    missing_[{message.target, message.artifact}] = Missing {clock_.now() + kMissingDuration};
+}
+
+void RoutingTask::on(const StopRouting &)
+{
+    isRunning_ = false;
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/RoutingTask.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "NodeIdentity.h"
+#include "PlacementTask.h"
+#include "TargetWatchTask.h"
+#include "boragerack/core/RandomSource.h"
+#include "boragerack/decisions/AttemptId.h"
+#include "boragerack/decisions/ReplicaSelector.h"
+#include "boragerack/decisions/TargetHealth.h"
+
+namespace boragerack::node {
+
+/// What a request wants to reach: a model or adapter, or a plain service.
+using Destination = std::variant<decisions::Artifact, core::ServiceId>;
+
+/// A target chosen for one attempt.
+struct Route
+{
+    core::TargetId target;
+    std::string address;
+
+    friend auto operator<=>(const Route &, const Route &) = default;
+};
+
+/// Asks for a target; for a model without a ready replica the answer comes when one is loaded.
+struct ChooseRoute
+{
+    Destination destination;
+    std::vector<core::TargetId> avoid;
+    core::TimePoint deadline;
+    runtime::Reply<core::Result<Route>> reply;
+};
+
+/// An attempt on a target has ended; each route that was given out is returned once.
+struct RouteReleased
+{
+    Destination destination;
+    core::TargetId target;
+};
+
+struct TargetUnreachable
+{
+    core::TargetId target;
+};
+
+/// A target answered that the replica is not loaded, so the table is out of date.
+struct ReplicaMissing
+{
+    decisions::Artifact artifact;
+    core::TargetId target;
+};
+
+/// The engine may stop working on the attempt; best effort.
+struct CancelAttempt
+{
+    std::string address;
+    decisions::AttemptId attempt;
+};
+
+struct WakeFinished
+{
+    ChooseRoute request;
+    core::Result<core::TargetId> outcome;
+};
+
+struct StopRouting
+{
+};
+
+using RoutingMessage = std::variant<ChooseRoute, RouteReleased, TargetUnreachable, ReplicaMissing,
+                                    CancelAttempt, WakeFinished, StopRouting>;
+
+/// Chooses targets for attempts. Owns the counts of requests in flight and the evidence on the
+/// health of targets.
+class RoutingTask
+{
+public:
+    RoutingTask(const NodeIdentity &identity, const runtime::Published<TargetTable> &table,
+                PlacementTask &placement, runtime::HttpClient &client, core::RandomSource &random,
+                const core::Clock &clock);
+
+    void start();
+    void stop();
+    [[nodiscard]] bool trySend(RoutingMessage message);
+
+private:
+    struct Missing
+    {
+        core::TimePoint until;
+    };
+
+    void run();
+    void on(const ChooseRoute &message);
+    void on(const RouteReleased &message);
+    void on(const TargetUnreachable &message);
+    void on(const ReplicaMissing &message);
+    void on(const CancelAttempt &message);
+    void on(const WakeFinished &message);
+    void on(const StopRouting &message);
+
+    std::vector<decisions::Replica> makeReplicas(const Destination &destination) const;
+    void give(const ChooseRoute &request, const core::TargetId &target);
+    void wake(const ChooseRoute &request, const decisions::Artifact &artifact);
+    void reportUse(const Destination &destination, const core::TargetId &target);
+
+    NodeIdentity identity_;
+    const runtime::Published<TargetTable> &table_;
+    PlacementTask &placement_;
+    runtime::HttpClient &client_;
+    const core::Clock &clock_;
+    decisions::PowerOfTwoSelector selector_;
+    decisions::TargetHealth health_;
+    runtime::Mailbox<RoutingMessage> mailbox_;
+    std::map<core::TargetId, std::uint32_t> outstanding_;
+    std::map<std::pair<core::TargetId, decisions::Artifact>, std::uint32_t> inFlight_;
+    std::map<std::pair<core::TargetId, decisions::Artifact>, Missing> missing_;
+    bool isRunning_ = true;
+    runtime::FiberGroup fibers_;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/ServiceHandler.cpp
@@ -0,0 +1,153 @@
+#include "ServiceHandler.h"
+
+#include <utility>
+
+#include "CallerError.h"
+#include "CallerSink.h"
+#include "ClaimRunner.h"
+
+namespace boragerack::node {
+
+namespace {
+
+constexpr std::string_view kServicePrefix = "/services/";
+/// A plain service may work this long before its first byte.
+constexpr std::chrono::seconds kServiceSilence(10);
+constexpr std::chrono::minutes kServiceWork(10);
+
+core::Error notRun(core::ErrorCode code, std::string message)
+{
+    return core::makeNotRunError(code, std::move(message));
+}
+
+} // namespace
+
+ServiceHandler::ServiceHandler(const RequestServices &services)
+    : services_(services)
+{
+}
+
+core::Result<ServiceHandler::Call> ServiceHandler::parseCall(const runtime::HttpRequest &request,
+                                                             const CallerContext &context) const
+{
+    const std::string rest = request.target.substr(kServicePrefix.size());
+    Call call;
+    call.service.value = rest.substr(0, rest.find_first_of("/?"));
+    call.target = rest.substr(call.service.value.size());
+    if (!call.target.starts_with('/'))
+        call.target.insert(0, "/");
+    call.path = call.target.substr(0, call.target.find('?'));
+    call.idempotencyKey = runtime::findHeader(request.headers, "Idempotency-Key");
+    const auto configuration = services_.configuration.get();
+    call.route = configuration->catalogue.findRoute(call.service, request.method, call.path);
+    if (!call.route.open) {
+        if (!context.hasKey)
+            return notRun(core::ErrorCode::Unauthenticated, "a valid key is required");
+        if (!configuration->catalogue.mayUseService(context.organisation, call.service))
+            return notRun(core::ErrorCode::NotPermitted,
+                          "the plan does not include service " + call.service.value);
+    }
+    if (call.route.requireIdempotencyKey && call.idempotencyKey.empty())
+        return notRun(core::ErrorCode::InvalidRequest,
+                      "this route requires the header Idempotency-Key");
+    return call;
+}
+
+void ServiceHandler::handle(const runtime::HttpRequest &request, const CallerContext &context,
+                            runtime::HttpResponder &responder)
+{
+    const auto parsed = parseCall(request, context);
+    if (!core::isOk(parsed)) {
+        responder.send(makeErrorResponse(core::errorOf(parsed)));
+        return;
+    }
+    const Call &call = core::valueOf(parsed);
+    if (call.route.atMostOnce && !call.idempotencyKey.empty()) {
+        runClaimed(request, call, context, responder);
+        return;
+    }
+    CallerSink sink(responder, false, services_.clock);
+    AttemptRunner runner(services_.charts, services_.client, services_.routing, services_.clock,
+                         makeJob(request, call, context), sink,
+                         [&] { return findCancelReason(context, services_); });
+    sink.finish(runner.run());
+}
+
+void ServiceHandler::runClaimed(const runtime::HttpRequest &request, const Call &call,
+                                const CallerContext &context, runtime::HttpResponder &responder)
+{
+    const std::string route = request.method + " " + call.service.value + call.path;
+    decisions::ClaimPlan plan;
+    plan.key = decisions::makeClaimKey(context.organisation, route, call.idempotencyKey);
+    plan.writer = {services_.identity.instance, services_.identity.incarnation,
+                   services_.random.next()};
+    plan.request = core::makeDigest(call.target + "\n" + request.body);
+    plan.deadline = context.deadline;
+    ClaimRunner claim(services_.charts.claim, services_.store, services_.clock, plan);
+    const ClaimDecision decision = claim.begin();
+    if (const auto *outcome = std::get_if<decisions::ClaimOutcome>(&decision)) {
+        sendOutcome(*outcome, responder);
+        return;
+    }
+    if (const auto *error = std::get_if<core::Error>(&decision)) {
+        responder.send(makeErrorResponse(*error));
+        return;
+    }
+
+    CallerSink sink(responder, false, services_.clock);
+    AttemptRunner runner(services_.charts, services_.client, services_.routing, services_.clock,
+                         makeJob(request, call, context), sink,
+                         [&] { return findCancelReason(context, services_); });
+    const AttemptResult result = runner.run();
+    const runtime::HttpResponse &response = sink.response();
+    // The outcome is recorded before the caller gets it, so that a repeat after the answer finds
+    // it.
+    claim.finish(result.error
+                     ? decisions::makeClaimOutcome(result.verdict, 0, "", "")
+                     : decisions::makeClaimOutcome(
+                         result.verdict, static_cast<std::uint16_t>(response.status),
+                         std::string(runtime::findHeader(response.headers, "Content-Type")),
+                         response.body));
+    sink.finish(result);
+}
+
+void ServiceHandler::sendOutcome(const decisions::ClaimOutcome &outcome,
+                                 runtime::HttpResponder &responder)
+{
+    if (outcome.verdict == core::Verdict::Ran && outcome.hasBody) {
+        runtime::HttpResponse response {
+            outcome.status, {{"Idempotent-Replayed", "true"}}, outcome.body};
+        if (!outcome.contentType.empty())
+            response.headers.push_back({"Content-Type", outcome.contentType});
+        responder.send(response);
+        return;
+    }
+    responder.send(makeErrorResponse({core::ErrorCode::DuplicateRequest, outcome.verdict,
+                                      "a request with this Idempotency-Key was sent before and its "
+                                      "answer is not available",
+                                      std::chrono::milliseconds(0)}));
+}
+
+AttemptJob ServiceHandler::makeJob(const runtime::HttpRequest &request, const Call &call,
+                                   const CallerContext &context) const
+{
+    AttemptJob job;
+    job.plan.request = makeRequestId(services_.identity, services_.random);
+    job.plan.policy = call.route.atMostOnce ? decisions::SendPolicy::AtMostOnce
+                                            : decisions::SendPolicy::Repeatable;
+    job.plan.deadline = context.deadline;
+    job.destination = call.service;
+    job.limits.silence = kServiceSilence;
+    job.limits.silenceWhileWorking = kServiceWork;
+    job.request = {request.method, call.target, {}, request.body};
+    // Only these headers are passed on, so that no key can reach the target.
+    for (const std::string_view name : {"Content-Type", "Accept", "Idempotency-Key"}) {
+        if (const auto value = runtime::findHeader(request.headers, name); !value.empty())
+            job.request.headers.push_back({std::string(name), std::string(value)});
+    }
+    if (context.hasKey)
+        job.request.headers.push_back({"X-Organisation", context.organisation.value});
+    return job;
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/TargetTable.cpp
@@ -0,0 +1,16 @@
+#include "TargetTable.h"
+
+namespace boragerack::node {
+
+std::vector<core::TargetId> findServiceTargets(const TargetTable &table,
+                                               const core::ServiceId &service)
+{
+    std::vector<core::TargetId> found;
+    for (const auto &[target, record] : table.targets) {
+        if (record.kind == platform::InstanceKind::Service && record.service == service)
+            found.push_back(target);
+    }
+    return found;
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/TargetTable.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "boragerack/decisions/Artifact.h"
+#include "boragerack/platform/PlatformTypes.h"
+
+namespace boragerack::node {
+
+/// What a node knows of the targets: the instance list and the replicas that are in use.
+struct TargetTable
+{
+    std::map<core::TargetId, platform::InstanceRecord> targets;
+    std::map<decisions::Artifact, std::vector<core::TargetId>> ready;
+
+    friend auto operator<=>(const TargetTable &, const TargetTable &) = default;
+};
+
+/// Targets of a plain service that are in the instance list.
+std::vector<core::TargetId> findServiceTargets(const TargetTable &table,
+                                               const core::ServiceId &service);
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/runtime/include/boragerack/runtime/FiberGroup.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/mutex.hpp>
+
+namespace boragerack::runtime {
+
+/// Fibers that end before their owner does.
+class FiberGroup
+{
+public:
+    FiberGroup() = default;
+    FiberGroup(const FiberGroup &) = delete;
+    FiberGroup &operator=(const FiberGroup &) = delete;
+    /// Waits for all fibers.
+    ~FiberGroup()
+    {
+        std::unique_lock lock(mutex_);
+        ended_.wait(lock, [this] { return running_ == 0; });
+    }
+
+    template<class Function>
+    void start(Function function)
+    {
+        ++running_;
+        boost::fibers::fiber([this, body = std::move(function)]() mutable {
+            body();
+            --running_;
+            ended_.notify_all();
+        }).detach();
+    }
+
+    std::size_t size() const { return running_; }
+
+private:
+    std::size_t running_ = 0;
+    boost::fibers::mutex mutex_;
+    boost::fibers::condition_variable ended_;
+};
+
+} // namespace boragerack::runtime
