--- a/packages/decisions/src/PlacementLedger.cpp
+++ b/packages/decisions/src/PlacementLedger.cpp
@@ -333,8 +333,8 @@
             return false;
         dirtyModels_.insert(key.second);
         const auto &entries = models_[key.second].object.record.replicas;
-        const auto entry = std::find_if(entries.begin(), entries.end(), [&key](const auto &each) {
-            return each.target == key.first;
+        const auto entry = std::find_if(entries.begin(), entries.end(), [&](const auto &each) {
+            return each.target == orphan.first.first;
         });
         if (entry == entries.end() || tracks_.contains(key))
             return true;
