Let a task take messages that are already in its mailbox

Cause: a task that writes to a socket after each message makes one write a message.

Change: Mailbox::tryReceive. Ruled out: receiveUntil with a past time, which suspends the fiber once more.

--- a/packages/runtime/include/boragerack/runtime/Mailbox.h
+++ b/packages/runtime/include/boragerack/runtime/Mailbox.h
@@ -51,6 +51,16 @@
         return message;
     }
 
+    /// A message that is already there; nothing when the mailbox is empty. Lets a task handle all
+    /// that has arrived before it does something costly, such as a write.
+    std::optional<Message> tryReceive()
+    {
+        Message message;
+        if (channel_.try_pop(message) != boost::fibers::channel_op_status::success)
+            return std::nullopt;
+        return message;
+    }
+
     void close() { channel_.close(); }
     bool isClosed() const { return channel_.is_closed(); }
 
