Describe the lifecycles of peer links and connections as state charts

Cause: lifecycles are state charts that the code interprets.

Half of each backoff is random.

Ruled out: reconnecting without demand, which would keep links to peers that are no longer talked to; heartbeats are demand enough.

--- /dev/null
+++ b/packages/peer/src/LinkLifecycle.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "boragerack/charts/ChartInstance.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/core/RandomSource.h"
+#include "boragerack/core/Result.h"
+#include "boragerack/peer/PeerOptions.h"
+
+namespace boragerack::peer {
+
+enum class LinkState { Idle, Connecting, Connected, Probing, BackingOff, Closed };
+enum class LinkEvent {
+    Demand,
+    Connected,
+    ConnectFailed,
+    Received,
+    Answered,
+    Quiet,
+    Silent,
+    Lost,
+    BackoffEnded,
+    Stop,
+};
+enum class LinkAction {
+    OpenConnection,
+    CloseConnection,
+    SendPending,
+    FailPending,
+    SendProbe,
+    StartBackoff,
+    ResetBackoff,
+};
+
+using LinkBinding = charts::ChartBinding<LinkState, LinkEvent, LinkAction>;
+
+/// Reads charts/peerLink.json.
+core::Result<std::shared_ptr<const LinkBinding>>
+loadLinkBinding(const std::filesystem::path &chartsDirectory);
+
+/// Lifecycle of the connection to one peer: the chart with its times. Backoff actions are performed
+/// here, all others by the caller.
+class LinkLifecycle
+{
+public:
+    LinkLifecycle(std::shared_ptr<const LinkBinding> binding, const PeerLinkOptions &options,
+                  core::RandomSource &random);
+
+    LinkState state() const { return chart_.state(); }
+
+    std::vector<LinkAction> handle(LinkEvent event, core::TimePoint now);
+
+    /// Performs what is due. `waitingSince` is the time since which an answer has been due.
+    std::vector<LinkAction> advance(core::TimePoint now,
+                                    std::optional<core::TimePoint> waitingSince);
+
+    /// When advance has something to do.
+    std::optional<core::TimePoint> nextDue(std::optional<core::TimePoint> waitingSince) const;
+
+    /// Rest of the backoff; zero outside it.
+    std::chrono::milliseconds retryAfter(core::TimePoint now) const;
+
+private:
+    std::optional<LinkEvent> dueEvent() const;
+
+    charts::ChartInstance<LinkState, LinkEvent, LinkAction> chart_;
+    PeerLinkOptions options_;
+    core::RandomSource &random_;
+    std::chrono::milliseconds nextBackoff_;
+    core::TimePoint lastReceived_;
+    core::TimePoint probedAt_;
+    core::TimePoint backoffEnd_;
+};
+
+} // namespace boragerack::peer
