Add links and server for messages between processes

Cause: the nodes need calls with deadlines and messages without answer over connections that break, go silent or belong to restarted peers.

Ruled out: one fiber that reads and writes in turn, since a peer that does not read would stop it from hearing its callers; a fiber a request on the server, since a handler can pass its reply on; unauthenticated HTTP status codes for refusals, since a refusal that says "not run" must be provable.

Change: PeerTransport, PeerNetwork, PeerLink and PeerServer. A task owns each connection. It never waits for the socket: a reader fiber, and a writer fiber when the socket is full, send it messages. Mailboxes and the inbox are bounded and refuse with QueueFull and NotRun. One task checks for replays and calls the handler.

--- a/packages/peer/include/boragerack/peer/MessageAuthenticator.h
+++ b/packages/peer/include/boragerack/peer/MessageAuthenticator.h
@@ -20,12 +20,24 @@
     friend bool operator==(const SealedMessage &, const SealedMessage &) = default;
 };
 
+/// What an answer needs to know of its request.
+struct RequestIdentity
+{
+    core::InstanceId sender;
+    std::uint64_t counter = 0;
+    core::Digest tag;
+
+    friend bool operator==(const RequestIdentity &, const RequestIdentity &) = default;
+};
+
 /// A request whose tag and receiver are right.
 struct OpenedRequest
 {
     Envelope envelope;
     core::Digest tag;
 
+    RequestIdentity identity() const { return {envelope.sender, envelope.counter, tag}; }
+
     friend bool operator==(const OpenedRequest &, const OpenedRequest &) = default;
 };
 
@@ -50,7 +62,7 @@
 
     SealedMessage sealRequest(const core::InstanceId &receiver, std::uint64_t counter,
                               MessageBody body) const;
-    SealedMessage sealAnswer(const OpenedRequest &request, MessageBody body) const;
+    SealedMessage sealAnswer(const RequestIdentity &request, MessageBody body) const;
 
     /// Checks the tag and the receiver. A ConfigFetch may name no receiver, because a starting
     /// node knows only addresses.
--- a/packages/peer/src/MessageAuthenticator.cpp
+++ b/packages/peer/src/MessageAuthenticator.cpp
@@ -150,11 +150,12 @@
     return message;
 }
 
-SealedMessage MessageAuthenticator::sealAnswer(const OpenedRequest &request, MessageBody body) const
+SealedMessage MessageAuthenticator::sealAnswer(const RequestIdentity &request,
+                                               MessageBody body) const
 {
     SealedMessage message;
-    message.bytes = encodeEnvelope(
-        {self_, request.envelope.sender, incarnation_, request.envelope.counter, std::move(body)});
+    message.bytes =
+        encodeEnvelope({self_, request.sender, incarnation_, request.counter, std::move(body)});
     message.tag = hmac_->compute(kAnswerDomain, viewOf(request.tag), message.bytes);
     appendTag(message.bytes, message.tag);
     return message;
--- /dev/null
+++ b/packages/peer/src/PeerNetwork.cpp
@@ -0,0 +1,120 @@
+#include "boragerack/peer/PeerNetwork.h"
+
+#include <utility>
+
+#include "boragerack/peer/MessageAuthenticator.h"
+
+namespace boragerack::peer {
+
+namespace {
+
+// Far more messages than one link sends in the life of a process.
+constexpr std::uint64_t kCountersPerLink = std::uint64_t(1) << 40;
+
+PeerLinkStatistics sumOf(const PeerLinkStatistics &left, const PeerLinkStatistics &right)
+{
+    return {left.messages + right.messages, left.connections + right.connections,
+            left.failures + right.failures, left.bytesWritten + right.bytesWritten,
+            left.bytesRead + right.bytesRead};
+}
+
+} // namespace
+
+PeerNetwork::PeerNetwork(boost::asio::io_context &ioContext,
+                         std::shared_ptr<const MessageAuthenticator> authenticator,
+                         const PeerLinkOptions &options, std::shared_ptr<const PeerCharts> charts,
+                         core::RandomSource &random)
+    : ioContext_(ioContext)
+    , authenticator_(std::move(authenticator))
+    , options_(options)
+    , charts_(std::move(charts))
+    , random_(random)
+{
+}
+
+PeerNetwork::~PeerNetwork()
+{
+    // All links stop at the same time; the members are then waited for one after the other.
+    for (const auto &[instance, link] : links_)
+        link->stop();
+}
+
+void PeerNetwork::updatePeer(const core::InstanceId &instance, const std::string &address)
+{
+    std::string &known = addresses_[instance];
+    if (known == address)
+        return;
+    known = address;
+    retire(instance);
+}
+
+void PeerNetwork::removePeer(const core::InstanceId &instance)
+{
+    addresses_.erase(instance);
+    retire(instance);
+}
+
+core::Result<Envelope> PeerNetwork::call(const core::InstanceId &receiver, MessageBody body,
+                                         core::TimePoint deadline)
+{
+    const auto link = linkTo(receiver);
+    if (!core::isOk(link))
+        return core::errorOf(link);
+    return core::valueOf(link)->call(std::move(body), deadline);
+}
+
+core::Result<core::Nothing> PeerNetwork::send(const core::InstanceId &receiver, MessageBody body)
+{
+    const auto link = linkTo(receiver);
+    if (!core::isOk(link))
+        return core::errorOf(link);
+    return core::valueOf(link)->send(std::move(body));
+}
+
+PeerLinkStatistics PeerNetwork::statistics() const
+{
+    PeerLinkStatistics total = retiredStatistics_;
+    for (const auto &[instance, link] : links_)
+        total = sumOf(total, link->statistics());
+    for (const auto &link : retired_)
+        total = sumOf(total, link->statistics());
+    return total;
+}
+
+core::Result<std::shared_ptr<PeerLink>> PeerNetwork::linkTo(const core::InstanceId &receiver)
+{
+    if (const auto found = links_.find(receiver); found != links_.end())
+        return found->second;
+    const auto address = addresses_.find(receiver);
+    if (address == addresses_.end()) {
+        return core::makeNotRunError(core::ErrorCode::NotFound,
+                                     "no address of peer \"" + receiver.value + "\" is known");
+    }
+    std::uint64_t &number = linkNumbers_[receiver];
+    auto link =
+        PeerLink::make(ioContext_, {receiver, address->second, number * kCountersPerLink + 1},
+                       authenticator_, options_, charts_, random_);
+    if (core::isOk(link)) {
+        ++number;
+        links_.emplace(receiver, core::valueOf(link));
+    }
+    return link;
+}
+
+void PeerNetwork::retire(const core::InstanceId &instance)
+{
+    std::erase_if(retired_, [this](const std::shared_ptr<PeerLink> &link) {
+        if (!link->isStopped())
+            return false;
+        retiredStatistics_ = sumOf(retiredStatistics_, link->statistics());
+        return true;
+    });
+    if (const auto found = links_.find(instance); found != links_.end()) {
+        const std::shared_ptr<PeerLink> link = found->second;
+        links_.erase(found);
+        retired_.push_back(link);
+        link->stop();
+    }
+}
+
+} // namespace boragerack::peer
--- /dev/null
+++ b/packages/peer/src/ServerConnection.cpp
@@ -0,0 +1,205 @@
+#include "ServerConnection.h"
+
+#include <chrono>
+#include <utility>
+
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::peer {
+
+namespace {
+
+constexpr int kStatusAnswer = 200;
+constexpr int kStatusNoAnswer = 204;
+constexpr int kStatusRejected = 403;
+
+// A full inbox empties within milliseconds unless the handler is overloaded.
+constexpr std::chrono::milliseconds kRetryAfterFullInbox {100};
+
+core::TimePoint currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+/// Brings outcomes to the task through its mailbox; late ones of an ended connection are dropped.
+class ServerConnection::Sink final : public ReplySink
+{
+public:
+    explicit Sink(std::shared_ptr<ConnectionMailbox> mailbox)
+        : mailbox_(std::move(mailbox))
+    {
+    }
+
+    void deliver(RequestOutcome outcome) override { (void)mailbox_->send(std::move(outcome)); }
+
+private:
+    std::shared_ptr<ConnectionMailbox> mailbox_;
+};
+
+ServerConnection::ServerConnection(std::shared_ptr<boost::beast::tcp_stream> stream,
+                                   std::shared_ptr<const MessageAuthenticator> authenticator,
+                                   const PeerServerOptions &options,
+                                   std::shared_ptr<const ConnectionBinding> binding,
+                                   std::shared_ptr<ConnectionMailbox> mailbox,
+                                   std::shared_ptr<Inbox> inbox)
+    : authenticator_(std::move(authenticator))
+    , options_(options)
+    , mailbox_(std::move(mailbox))
+    , inbox_(std::move(inbox))
+    , sink_(std::make_shared<Sink>(mailbox_))
+    , chart_(std::move(binding))
+    , connection_(std::move(stream), Http2Role::Server, options.http2, mailbox_, 0,
+                  options.writeTimeout)
+    , lastReceived_(currentTime())
+{
+}
+
+void ServerConnection::run()
+{
+    flush();
+    while (!chart_.isFinished()) {
+        // One write carries the answers to all messages that have arrived meanwhile.
+        for (auto input = mailbox_->receiveUntil(nextDue()); input; input = mailbox_->tryReceive())
+            accept(*input);
+        advance(currentTime());
+        flush();
+    }
+    finishHelpers();
+}
+
+core::TimePoint ServerConnection::nextDue() const
+{
+    return chart_.accepts(ConnectionEvent::FinishDeadline) ? finishDeadline_
+                                                           : lastReceived_ + options_.unusedTimeout;
+}
+
+void ServerConnection::accept(ConnectionInput &input)
+{
+    if (const auto *received = std::get_if<ReceivedBytes>(&input)) {
+        acceptBytes(*received);
+    } else if (const auto *outcome = std::get_if<RequestOutcome>(&input)) {
+        respond(*outcome);
+    } else if (std::holds_alternative<ReadEnded>(input)) {
+        --helpers_;
+        fire(ConnectionEvent::Lost);
+    } else if (const auto *written = std::get_if<WriteEnded>(&input)) {
+        --helpers_;
+        connection_.writeEnded();
+        if (!written->reason.empty())
+            fire(ConnectionEvent::Lost);
+    } else {
+        fire(ConnectionEvent::Stop);
+    }
+}
+
+void ServerConnection::acceptBytes(const ReceivedBytes &received)
+{
+    if (chart_.isFinished())
+        return;
+    lastReceived_ = currentTime();
+    const auto result = connection_.session().receive(received.bytes);
+    for (const Http2Event &event : connection_.session().takeEvents()) {
+        if (const auto *message = std::get_if<Http2Message>(&event))
+            acceptRequest(*message);
+    }
+    if (!core::isOk(result))
+        fire(ConnectionEvent::Lost);
+}
+
+void ServerConnection::acceptRequest(const Http2Message &message)
+{
+    auto opened = authenticator_->openRequest(message.body);
+    if (!core::isOk(opened)) {
+        reject(message.stream, core::errorOf(opened).message);
+        return;
+    }
+    OpenedRequest request = core::takeValue(std::move(opened));
+    const RequestIdentity identity = request.identity();
+    if (!inbox_->trySend({std::move(request.envelope), request.tag, message.stream, sink_})) {
+        respond({message.stream, identity,
+                 core::makeNotRunError(core::ErrorCode::QueueFull, "inbox of the peer is full",
+                                       kRetryAfterFullInbox),
+                 false});
+    }
+}
+
+void ServerConnection::respond(const RequestOutcome &outcome)
+{
+    if (chart_.isFinished())
+        return;
+    if (outcome.isRejected) {
+        reject(outcome.stream,
+               "message of peer \"" + outcome.request.sender.value
+                   + "\" was received before or is too old");
+    } else if (outcome.answer) {
+        connection_.session().submitResponse(
+            outcome.stream, kStatusAnswer,
+            authenticator_->sealAnswer(outcome.request, *outcome.answer).bytes);
+    } else {
+        connection_.session().submitResponse(outcome.stream, kStatusNoAnswer, {});
+    }
+}
+
+void ServerConnection::reject(std::int32_t stream, const std::string &reason)
+{
+    connection_.session().submitResponse(stream, kStatusRejected, {});
+    // One line a connection, so that a stranger cannot fill the log.
+    if (!std::exchange(hasLoggedRejection_, true))
+        runtime::logEvent(runtime::LogEvent::PeerRejected, reason);
+}
+
+void ServerConnection::advance(core::TimePoint now)
+{
+    if (now >= nextDue()) {
+        fire(ConnectionEvent::FinishDeadline);
+        if (connection_.session().openStreams() == 0)
+            fire(ConnectionEvent::Unused);
+        else
+            lastReceived_ = now;
+    }
+}
+
+void ServerConnection::flush()
+{
+    if (chart_.isFinished())
+        return;
+    const bool wasWriting = connection_.isWriting();
+    const std::string reason = connection_.flush();
+    if (!wasWriting && connection_.isWriting())
+        ++helpers_;
+    if (!reason.empty())
+        fire(ConnectionEvent::Lost);
+    else if (connection_.session().isFinished())
+        fire(chart_.accepts(ConnectionEvent::Finished) ? ConnectionEvent::Finished
+                                                       : ConnectionEvent::Lost);
+    else if (connection_.session().openStreams() == 0 && !connection_.isWriting())
+        fire(ConnectionEvent::Finished);
+}
+
+void ServerConnection::fire(ConnectionEvent event)
+{
+    for (const ConnectionAction action : chart_.fire(event)) {
+        switch (action) {
+        case ConnectionAction::AnnounceStop:
+            connection_.session().submitGoAway();
+            finishDeadline_ = currentTime() + options_.finishTimeout;
+            break;
+        case ConnectionAction::CloseConnection:
+            connection_.close();
+            break;
+        }
+    }
+}
+
+void ServerConnection::finishHelpers()
+{
+    while (helpers_ > 0) {
+        if (auto input = mailbox_->receive())
+            accept(*input);
+    }
+    mailbox_->close();
+}
+
+} // namespace boragerack::peer
--- /dev/null
+++ b/packages/peer/src/SessionSocket.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "SocketIo.h"
+#include "boragerack/peer/Http2Session.h"
+
+namespace boragerack::peer {
+
+/// One connection of a task: its socket, its session, and the fibers that read and write for the
+/// task when the socket is not ready. The task itself never waits for the socket.
+template<class Input>
+class SessionSocket
+{
+public:
+    SessionSocket(std::shared_ptr<boost::beast::tcp_stream> stream, Http2Role role,
+                  const Http2Limits &limits, std::shared_ptr<runtime::Mailbox<Input>> mailbox,
+                  std::uint64_t number, std::chrono::milliseconds writeTimeout)
+        : stream_(std::move(stream))
+        , session_(role, limits)
+        , mailbox_(std::move(mailbox))
+        , number_(number)
+        , writeTimeout_(writeTimeout)
+    {
+        configureSocket(*stream_);
+        startReader(stream_, mailbox_, number_);
+    }
+
+    Http2Session &session() { return session_; }
+    std::uint64_t number() const { return number_; }
+    std::uint64_t bytesWritten() const { return bytesWritten_; }
+
+    /// Writes what the session has to say. Gives the reason when the connection is lost.
+    std::string flush()
+    {
+        // Bounds how far the session runs ahead of the socket.
+        constexpr std::size_t kWriteBytes = 64 * 1024;
+        while (!isWriting_) {
+            std::string bytes = session_.takeOutput(kWriteBytes);
+            if (bytes.empty())
+                break;
+            const auto [size, error] = writeAvailable(*stream_, bytes);
+            if (error)
+                return error.message();
+            bytesWritten_ += bytes.size();
+            if (size < bytes.size()) {
+                isWriting_ = true;
+                startWriter(stream_, mailbox_, number_, bytes.substr(size), writeTimeout_);
+            }
+        }
+        return {};
+    }
+
+    void writeEnded() { isWriting_ = false; }
+    bool isWriting() const { return isWriting_; }
+
+    void close() { stream_->close(); }
+
+private:
+    std::shared_ptr<boost::beast::tcp_stream> stream_;
+    Http2Session session_;
+    std::shared_ptr<runtime::Mailbox<Input>> mailbox_;
+    std::uint64_t number_;
+    std::chrono::milliseconds writeTimeout_;
+    std::uint64_t bytesWritten_ = 0;
+    bool isWriting_ = false;
+};
+
+} // namespace boragerack::peer
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -1,23 +1,18 @@
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
 #include "EnvelopeCodec.h"
-#include "boragerack/peer/MessageAuthenticator.h"
+#include "PeerFixture.h"
 #include "boragerack/peer/ReplayGuard.h"
 
 namespace core = boragerack::core;
 namespace peer = boragerack::peer;
+using boragerack::peer::makeAuthenticator;
 
 namespace {
 
-using AuthenticatorPointer = std::shared_ptr<const peer::MessageAuthenticator>;
-
-AuthenticatorPointer makeAuthenticator(const std::string &self,
-                                       std::string_view secret = "a fleet secret for tests")
-{
-    return core::takeValue(peer::MessageAuthenticator::make(secret, core::InstanceId {self}, 7));
-}
-
 const core::InstanceId kSender {"pnw-a-1"};
 const core::InstanceId kReceiver {"pnw-b-2"};
 
@@ -111,7 +106,8 @@
     const auto first = sender->sealRequest(kReceiver, 1, peer::Heartbeat {});
     const auto second = sender->sealRequest(kReceiver, 2, peer::Heartbeat {});
     const auto opened = receiver->openRequest(first.bytes);
-    const auto answer = receiver->sealAnswer(core::valueOf(opened), peer::PlatformProbe {});
+    const auto answer =
+        receiver->sealAnswer(core::valueOf(opened).identity(), peer::PlatformProbe {});
     BOOST_TEST(core::isOk(sender->openAnswer(answer.bytes, first.tag)));
     BOOST_TEST(!core::isOk(sender->openAnswer(answer.bytes, second.tag)));
     BOOST_TEST(!core::isOk(sender->openRequest(answer.bytes)));
--- /dev/null
+++ b/packages/peer/tests/PeerLinkTest.cpp
@@ -0,0 +1,212 @@
+#include <boost/test/unit_test.hpp>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "PeerFixture.h"
+#include "boragerack/peer/PeerNetwork.h"
+
+using namespace boragerack;
+using namespace boragerack::peer;
+using namespace std::chrono_literals;
+
+// Guards against a call that does not reach the handler, or an answer of the wrong sender.
+BOOST_AUTO_TEST_CASE(callIsAnsweredOverLoopback)
+{
+    PeerFixture fixture;
+    const auto link = fixture.makeLink();
+    const auto answer = link->call(makeAsk(5), in(2s));
+    BOOST_TEST(sequenceOf(answer) == 5U);
+    BOOST_TEST(core::valueOf(answer).sender.value == "b");
+    BOOST_TEST(core::isOk(link->send(Heartbeat {})));
+    BOOST_TEST(sequenceOf(link->call(makeAsk(6), in(2s))) == 6U);
+    BOOST_TEST(fixture.handler.handled == 3);
+    BOOST_TEST(link->statistics().connections == 1U);
+}
+
+// Guards against answers that reach the wrong caller when many calls share a connection and the
+// handler answers late and out of order.
+BOOST_AUTO_TEST_CASE(concurrentCallsGetTheirOwnAnswers)
+{
+    PeerFixture fixture;
+    std::vector<std::pair<PeerReply, std::uint32_t>> waiting;
+    fixture.handler.other = [&](const Envelope &request, PeerReply reply) {
+        const auto deaths = std::get<QuarantineNotice>(request.body).deaths;
+        waiting.emplace_back(std::move(reply), deaths);
+        if (waiting.size() < 200)
+            return;
+        for (auto i = waiting.rbegin(); i != waiting.rend(); ++i)
+            i->first.answer(QuarantineNotice {{}, i->second, 0ms});
+    };
+    const auto link = fixture.makeLink();
+    std::vector<boost::fibers::fiber> callers;
+    int matching = 0;
+    for (std::uint32_t i = 0; i < 200; ++i) {
+        callers.emplace_back([&, i] {
+            const auto answer = link->call(QuarantineNotice {{}, i, 0ms}, in(5s));
+            if (core::isOk(answer)
+                && std::get<QuarantineNotice>(core::valueOf(answer).body).deaths == i)
+                ++matching;
+        });
+    }
+    for (auto &caller : callers)
+        caller.join();
+    BOOST_TEST(matching == 200);
+}
+
+// Guards against handling a message that was sealed with another secret.
+BOOST_AUTO_TEST_CASE(strangerIsRejected)
+{
+    PeerFixture fixture;
+    const auto link = fixture.makeLink({}, {}, "the secret of another fleet");
+    const auto answer = link->call(makeAsk(1), in(2s));
+    BOOST_REQUIRE(!core::isOk(answer));
+    BOOST_TEST((core::errorOf(answer).code == core::ErrorCode::Unauthenticated));
+    BOOST_TEST(fixture.handler.handled == 0);
+}
+
+// Guards against a large message that ends the connection of the small ones.
+BOOST_AUTO_TEST_CASE(oversizedMessageIsRefusedAlone)
+{
+    PeerServerOptions options;
+    options.http2.maxMessageBytes = 100000;
+    PeerFixture fixture(options);
+    const auto link = fixture.makeLink();
+    BOOST_TEST(sequenceOf(link->call(makeAsk(1), in(2s))) == 1U);
+    for (const std::size_t size : {std::size_t(200000), std::size_t(3000000)}) {
+        const auto answer = link->call(ConfigUpdate {1, {}, {std::string(size, 'x')}}, in(2s));
+        BOOST_REQUIRE(!core::isOk(answer));
+        BOOST_TEST((core::errorOf(answer).code == core::ErrorCode::TooLarge));
+        BOOST_TEST((core::errorOf(answer).verdict == core::Verdict::NotRun));
+    }
+    BOOST_TEST(sequenceOf(link->call(makeAsk(2), in(2s))) == 2U);
+    BOOST_TEST(link->statistics().connections == 1U);
+}
+
+// Guards against a caller that waits beyond its deadline for a handler that never answers, and
+// against streams that stay open after it.
+BOOST_AUTO_TEST_CASE(deadlineIsRespected)
+{
+    PeerFixture fixture;
+    std::vector<PeerReply> kept;
+    fixture.handler.other = [&](const Envelope &, PeerReply reply) {
+        kept.push_back(std::move(reply));
+    };
+    PeerLinkOptions options;
+    options.http2.maxConcurrentStreams = 2;
+    const auto link = fixture.makeLink(options);
+    for (int i = 0; i < 5; ++i) {
+        const auto start = std::chrono::steady_clock::now();
+        const auto answer = link->call(PlatformProbe {}, in(50ms));
+        const auto elapsed = std::chrono::steady_clock::now() - start;
+        BOOST_REQUIRE(!core::isOk(answer));
+        BOOST_TEST((core::errorOf(answer).code == core::ErrorCode::DeadlineExceeded));
+        BOOST_TEST((core::errorOf(answer).verdict == core::Verdict::MayHaveRun));
+        BOOST_TEST((elapsed >= 50ms && elapsed < 500ms));
+    }
+    BOOST_TEST(fixture.handler.handled == 5);
+    const auto late = link->call(makeAsk(1), in(-1ms));
+    BOOST_REQUIRE(!core::isOk(late));
+    BOOST_TEST((core::errorOf(late).verdict == core::Verdict::NotRun));
+    BOOST_TEST(sequenceOf(link->call(makeAsk(2), in(2s))) == 2U);
+}
+
+// Guards against a mailbox that grows without bound or drops a message without a reason.
+BOOST_AUTO_TEST_CASE(fullMailboxRefusesWithAReason)
+{
+    PeerFixture fixture;
+    PeerLinkOptions options;
+    options.mailboxCapacity = 4;
+    const auto link = fixture.makeLink(options);
+    int accepted = 0;
+    core::Result<core::Nothing> refusal;
+    // The link's task does not run before this fiber waits.
+    for (int i = 0; i < 10; ++i) {
+        const auto result = link->send(Heartbeat {});
+        if (core::isOk(result))
+            ++accepted;
+        else
+            refusal = result;
+    }
+    BOOST_TEST(accepted == 3);
+    BOOST_REQUIRE(!core::isOk(refusal));
+    BOOST_TEST((core::errorOf(refusal).code == core::ErrorCode::QueueFull));
+    BOOST_TEST((core::errorOf(refusal).verdict == core::Verdict::NotRun));
+    BOOST_TEST(core::errorOf(refusal).retryAfter > 0ms);
+}
+
+// Guards against a server that buffers without bound while its handler is busy.
+BOOST_AUTO_TEST_CASE(fullInboxRefusesWithAReason)
+{
+    PeerServerOptions serverOptions;
+    serverOptions.inboxCapacity = 4;
+    PeerFixture fixture(serverOptions);
+    fixture.handler.other = [](const Envelope &, PeerReply reply) {
+        boost::this_fiber::sleep_for(20ms);
+        reply.answer(PlatformProbe {});
+    };
+    const auto link = fixture.makeLink();
+    int answered = 0;
+    int refused = 0;
+    std::vector<boost::fibers::fiber> callers;
+    for (int i = 0; i < 40; ++i) {
+        callers.emplace_back([&] {
+            const auto answer = link->call(PlatformProbe {}, in(5s));
+            if (core::isOk(answer))
+                ++answered;
+            else if (core::errorOf(answer).code == core::ErrorCode::QueueFull
+                     && core::errorOf(answer).verdict == core::Verdict::NotRun)
+                ++refused;
+        });
+    }
+    for (auto &caller : callers)
+        caller.join();
+    BOOST_TEST(answered + refused == 40);
+    BOOST_TEST(refused > 0);
+    BOOST_TEST(fixture.handler.handled == answered);
+}
+
+// Guards against a link that stays broken after its peer was restarted, and against a wrong
+// verdict while the peer is down.
+BOOST_AUTO_TEST_CASE(linkRecoversAfterPeerRestart)
+{
+    PeerFixture fixture;
+    const auto link = fixture.makeLink();
+    BOOST_TEST(sequenceOf(link->call(makeAsk(1), in(2s))) == 1U);
+    fixture.server.reset();
+    const auto failed = link->call(makeAsk(2), in(2s));
+    BOOST_REQUIRE(!core::isOk(failed));
+    BOOST_TEST((core::errorOf(failed).code == core::ErrorCode::ConnectionFailed));
+    BOOST_TEST((core::errorOf(failed).verdict == core::Verdict::NotRun));
+    BOOST_TEST(core::errorOf(failed).retryAfter > 0ms);
+
+    fixture.startServer(fixture.address, 8);
+    core::Result<Envelope> answer;
+    for (int i = 0; i < 100; ++i) {
+        answer = link->call(makeAsk(3), in(2s));
+        if (core::isOk(answer))
+            break;
+        boost::this_fiber::sleep_for(10ms);
+    }
+    BOOST_TEST(sequenceOf(answer) == 3U);
+    BOOST_TEST(core::valueOf(answer).incarnation == 8U);
+}
+
+// Guards against lost calls, leaked tasks and reused counters when members change address or go.
+BOOST_AUTO_TEST_CASE(networkFollowsMembers)
+{
+    PeerFixture fixture;
+    PeerNetwork network(fixture.fiberRuntime.ioContext(), makeAuthenticator("a"), {},
+                        fixture.charts, fixture.random);
+    const core::InstanceId b {"b"};
+    const auto unknown = network.call(b, makeAsk(1), in(1s));
+    BOOST_REQUIRE(!core::isOk(unknown));
+    BOOST_TEST((core::errorOf(unknown).code == core::ErrorCode::NotFound));
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        network.updatePeer(b, fixture.address);
+        BOOST_TEST(sequenceOf(network.call(b, makeAsk(i), in(1s))) == i);
+        network.removePeer(b);
+        BOOST_TEST(!core::isOk(network.send(b, Heartbeat {})));
+    }
+    BOOST_TEST(network.linkCount() == 0U);
+    BOOST_TEST(network.statistics().messages == 5U);
+}
