--- a/packages/decisions/tests/RequestCharts.h
+++ b/packages/decisions/tests/RequestCharts.h
@@ -7,6 +7,8 @@
 #include "boragerack/charts/ChartParser.h"
 #include "boragerack/decisions/AttemptChart.h"
 #include "boragerack/decisions/ClaimChart.h"
+#include "boragerack/decisions/ConnectionChart.h"
+#include "boragerack/decisions/NodeChart.h"
 
 namespace boragerack::decisions::testing {
 
@@ -38,4 +40,25 @@
     return shareBinding(bindClaimChart(chart));
 }
 
+inline std::shared_ptr<const ConnectionBinding>
+makeConnectionBinding(const charts::StateChart &chart = readChart("connection"))
+{
+    return shareBinding(bindConnectionChart(chart));
+}
+
+inline std::shared_ptr<const NodeBinding>
+makeNodeBinding(const charts::StateChart &chart = readChart("node"))
+{
+    return shareBinding(bindNodeChart(chart));
+}
+
+/// A copy of the chart with another transition; tests use it to switch a mechanism off.
+inline charts::StateChart withTransition(charts::StateChart chart, const std::string &state,
+                                         const std::string &event,
+                                         const charts::Transition &transition)
+{
+    chart.states.at(state).transitions.at(event) = transition;
+    return chart;
+}
+
 } // namespace boragerack::decisions::testing
