Test ClaimProtocol by histories of several nodes

Cause: at most once has to hold for every mix of lost, slow and refused platform answers, target faults, node deaths and repeated calls.

--- /dev/null
+++ b/packages/decisions/tests/ClaimHistory.cpp
@@ -0,0 +1,360 @@
+#include "ClaimHistory.h"
+
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace boragerack::decisions::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t kNodes = 3;
+constexpr milliseconds kRestart(300);
+/// No history may run on beyond this; all retries are bounded.
+constexpr milliseconds kEnd(120000);
+
+class History
+{
+public:
+    explicit History(const HistorySettings &settings)
+        : settings_(settings)
+    {
+        result_.calls.resize(settings.calls);
+        if (chance(4) == 3) {
+            outageStart_ = core::TimePoint(milliseconds(100 * chance(20)));
+            outageEnd_ = outageStart_ + milliseconds(200 * chance(30));
+        }
+    }
+
+    HistoryResult run()
+    {
+        core::TimePoint start {};
+        for (std::uint32_t call = 0; call < settings_.calls; ++call) {
+            const std::uint32_t node = chance(kNodes);
+            at(start, [this, call, node] { begin(call, node); });
+            start += milliseconds(chance(2) == 0 ? 4000 : 10 * chance(200));
+        }
+        while (!events_.empty() && now_ < core::TimePoint(kEnd)) {
+            const auto next = events_.begin();
+            now_ = next->first;
+            const auto step = std::move(next->second);
+            events_.erase(next);
+            step();
+        }
+        check();
+        return result_;
+    }
+
+private:
+    struct Run
+    {
+        std::uint32_t call = 0;
+        std::uint32_t node = 0;
+        std::uint32_t incarnation = 0;
+        ClaimProtocol claim;
+        std::optional<RequestAttempt> attempt;
+    };
+
+    struct Node
+    {
+        bool isAlive = true;
+        std::uint32_t incarnation = 1;
+        std::uint64_t sequence = 0;
+    };
+
+    /// A number below the bound; zero, the harmless choice, when the chances are used up.
+    std::uint32_t chance(std::uint32_t bound)
+    {
+        return nextChance_ < settings_.chances.size() ? settings_.chances[nextChance_++] % bound
+                                                      : 0;
+    }
+
+    void at(core::TimePoint time, std::function<void()> step)
+    {
+        events_.emplace(time, std::move(step));
+    }
+    void after(milliseconds delay, std::function<void()> step)
+    {
+        at(now_ + delay, std::move(step));
+    }
+
+    bool isRunning(const Run &run) const
+    {
+        const Node &node = nodes_[run.node];
+        return node.isAlive && node.incarnation == run.incarnation;
+    }
+
+    void begin(std::uint32_t call, std::uint32_t nodeIndex)
+    {
+        Node &node = nodes_[nodeIndex];
+        result_.calls[call].node = nodeIndex;
+        if (!node.isAlive) {
+            result_.calls[call].nodeDied = true;
+            return;
+        }
+        ClaimPlan plan;
+        plan.key = "claims/x";
+        plan.writer = ClaimWriter {{"node-" + std::to_string(nodeIndex)},
+                                   node.incarnation,
+                                   settings_.repeatsSequence ? 1 : ++node.sequence};
+        plan.deadline = now_ + 3s;
+        auto run =
+            std::make_shared<Run>(Run {call, nodeIndex, node.incarnation,
+                                       ClaimProtocol(settings_.claimChart, plan), std::nullopt});
+        runs_.push_back(run);
+        if (settings_.sendsBeforeClaim)
+            startAttempt(run);
+        tellClaim(run, claim::Begin {});
+    }
+
+    /// Counts an action and lets the node die right after it; false when the node is dead already.
+    bool mayAct(const Run &run) const { return isRunning(run); }
+
+    void countAction(const Run &run)
+    {
+        if (settings_.killAtAction != result_.actions++)
+            return;
+        Node &node = nodes_[run.node];
+        node.isAlive = false;
+        for (const auto &other : runs_) {
+            if (other->node == run.node && result_.calls[other->call].results == 0)
+                result_.calls[other->call].nodeDied = true;
+        }
+        after(kRestart, [&node] {
+            node.isAlive = true;
+            ++node.incarnation;
+        });
+    }
+
+    void tellClaim(const std::shared_ptr<Run> &run, const claim::Event &event)
+    {
+        if (!mayAct(*run))
+            return;
+        for (const claim::Action &action : run->claim.handle(event, now_)) {
+            if (!mayAct(*run))
+                return;
+            std::visit([&](const auto &concrete) { perform(run, concrete); }, action);
+            countAction(*run);
+        }
+        if (const auto time = run->claim.wakeAt())
+            at(std::max(*time, now_ + 1ms), [this, run] { tellClaim(run, claim::TimerFired {}); });
+    }
+
+    void tellAttempt(const std::shared_ptr<Run> &run, const attempt::Event &event)
+    {
+        if (!mayAct(*run) || run->attempt->isFinished())
+            return;
+        for (const attempt::Action &action : run->attempt->handle(event, now_)) {
+            if (!mayAct(*run))
+                return;
+            std::visit([&](const auto &concrete) { perform(run, concrete); }, action);
+            countAction(*run);
+        }
+        if (const auto time = run->attempt->waitUntil())
+            at(std::max(*time, now_ + 1ms),
+               [this, run] { tellAttempt(run, attempt::TimerFired {}); });
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const claim::CreateClaim &action)
+    {
+        callPlatform(run, action.call, [this, action]() -> claim::Event {
+            if (stored_)
+                return claim::Found {action.call, stored_};
+            stored_ = StoredClaim {++version_, action.record};
+            return claim::Written {action.call, version_};
+        });
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const claim::UpdateClaim &action)
+    {
+        callPlatform(run, action.call, [this, action]() -> claim::Event {
+            if (!stored_ || stored_->version != action.version)
+                return claim::Found {action.call, stored_};
+            stored_ = StoredClaim {++version_, action.record};
+            return claim::Written {action.call, version_};
+        });
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const claim::ReadClaim &action)
+    {
+        callPlatform(run, action.call, [this, action]() -> claim::Event {
+            return claim::Found {action.call, stored_};
+        });
+    }
+
+    /// The platform fails in the ways of the design page: 503, slow, answer lost, no answer.
+    void callPlatform(const std::shared_ptr<Run> &run, std::uint64_t call,
+                      const std::function<claim::Event()> &apply)
+    {
+        const std::uint32_t fault = chance(12);
+        const milliseconds delay(fault == 1 || fault == 2 ? 100 * chance(40) : 2);
+        after(delay, [=, this] {
+            if (fault == 3 || (now_ >= outageStart_ && now_ < outageEnd_)) {
+                after(2ms, [=, this] { tellClaim(run, claim::CallFailed {call, false}); });
+                return;
+            }
+            if (fault == 4) {
+                after(2ms, [=, this] { tellClaim(run, claim::CallFailed {call, true}); });
+                return;
+            }
+            const claim::Event answer = apply();
+            if (fault == 5 || fault == 6)
+                after(2ms, [=, this] { tellClaim(run, claim::CallFailed {call, true}); });
+            else if (fault != 7)
+                after(2ms, [=, this] { tellClaim(run, answer); });
+        });
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const claim::Grant &)
+    {
+        if (!run->attempt)
+            startAttempt(run);
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const claim::Repeat &action)
+    {
+        answer(*run, action.outcome.verdict, {}, action.outcome.body);
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const claim::Refuse &action)
+    {
+        answer(*run, action.error.verdict, action.error.code, {});
+    }
+
+    void answer(const Run &run, core::Verdict verdict, core::ErrorCode code,
+                const std::string &body)
+    {
+        CallResult &result = result_.calls[run.call];
+        // With the send before the claim, the caller gets whichever answer comes first.
+        if (settings_.sendsBeforeClaim && result.results > 0)
+            return;
+        ++result.results;
+        result.verdict = verdict;
+        result.code = code;
+        result.body = body;
+    }
+
+    void startAttempt(const std::shared_ptr<Run> &run)
+    {
+        AttemptPlan plan;
+        plan.request = "call-" + std::to_string(run->call);
+        plan.policy = settings_.policy;
+        plan.deadline = now_ + 3s;
+        run->attempt.emplace(settings_.attemptChart, plan);
+        perform(run, attempt::ChooseTarget {});
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const attempt::ChooseTarget &)
+    {
+        const bool isRefused = chance(12) == 11;
+        after(1ms, [=, this] {
+            if (isRefused)
+                tellAttempt(run, attempt::Refuse {});
+            else
+                tellAttempt(run, attempt::Dispatch {{"target"}});
+        });
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const attempt::OpenConnection &action)
+    {
+        const bool isRefused = chance(8) == 7;
+        after(1ms, [=, this] {
+            if (isRefused)
+                tellAttempt(run, attempt::ConnectionLost {action.attempt});
+            else
+                tellAttempt(run, attempt::Connected {action.attempt});
+        });
+    }
+
+    /// What has been sent may run even if the connection breaks and the node dies.
+    void perform(const std::shared_ptr<Run> &run, const attempt::SendRequest &action)
+    {
+        const std::uint32_t fault = chance(8);
+        const milliseconds delay(fault == 1 || fault == 2 ? 100 * chance(20) : 1);
+        if (fault == 2 || fault == 3)
+            after(1ms, [=, this] { tellAttempt(run, attempt::ConnectionLost {action.attempt}); });
+        if (fault == 3)
+            return;
+        after(delay, [=, this] {
+            ++result_.executions;
+            ++result_.calls[run->call].executions;
+            if (firstBody_.empty())
+                firstBody_ = "run by call " + std::to_string(run->call);
+            if (fault == 4) {
+                tellAttempt(run, attempt::ConnectionLost {action.attempt});
+                return;
+            }
+            tellAttempt(run, attempt::AnswerStarted {action.attempt, action.attempt});
+            tellAttempt(run, attempt::AnswerPart {action.attempt, 0, 1});
+            if (fault == 5)
+                tellAttempt(run, attempt::ConnectionLost {action.attempt});
+            else
+                tellAttempt(run, attempt::AnswerCompleted {action.attempt, 1});
+        });
+    }
+
+    void perform(const std::shared_ptr<Run> &run, const attempt::Finish &action)
+    {
+        const std::string body = action.error ? "" : "run by call " + std::to_string(run->call);
+        answer(*run, action.verdict, action.error ? action.error->code : core::ErrorCode::Internal,
+               body);
+        tellClaim(run, claim::Finished {makeClaimOutcome(action.verdict, 200, "text/plain", body)});
+    }
+
+    /// The remaining actions do not matter to an identity.
+    template<class Action>
+    void perform(const std::shared_ptr<Run> &, const Action &)
+    {
+    }
+
+    void check()
+    {
+        if (result_.executions > 1)
+            fail("the identity ran " + std::to_string(result_.executions) + " times");
+        for (const CallResult &call : result_.calls) {
+            if (call.results != 1 && !call.nodeDied)
+                fail("a call got " + std::to_string(call.results) + " results");
+            if (call.results == 0)
+                continue;
+            if (call.verdict == core::Verdict::NotRun && call.executions > 0)
+                fail("a call that ran was told not run");
+            if (!call.body.empty() && call.body != firstBody_)
+                fail("a call got an answer that is not the first outcome");
+        }
+        for (const auto &run : runs_) {
+            if (isRunning(*run) && !settings_.sendsBeforeClaim && !run->claim.isFinished())
+                fail("a claim was never closed");
+        }
+    }
+
+    void fail(const std::string &violation)
+    {
+        if (result_.violation.empty())
+            result_.violation = violation;
+    }
+
+    HistorySettings settings_;
+    HistoryResult result_;
+    std::size_t nextChance_ = 0;
+    core::TimePoint now_ {};
+    core::TimePoint outageStart_ {};
+    core::TimePoint outageEnd_ {};
+    std::multimap<core::TimePoint, std::function<void()>> events_;
+    std::vector<Node> nodes_ = std::vector<Node>(kNodes);
+    std::vector<std::shared_ptr<Run>> runs_;
+    std::optional<StoredClaim> stored_;
+    std::uint64_t version_ = 0;
+    std::string firstBody_;
+};
+
+} // namespace
+
+HistoryResult runHistory(const HistorySettings &settings)
+{
+    return History(settings).run();
+}
+
+} // namespace boragerack::decisions::testing
