--- /dev/null
+++ b/packages/decisions/tests/QuarantineTest.cpp
@@ -0,0 +1,140 @@
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+#include "RequestCharts.h"
+#include "boragerack/decisions/Quarantine.h"
+#include "boragerack/decisions/RequestAttempt.h"
+
+namespace boragerack::decisions::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::TimePoint kStart {};
+const core::OrganisationId kOrganisation {"tegel"};
+
+core::Digest fingerprintOf(const std::string &body)
+{
+    return makeFingerprint(kOrganisation, "POST /v1/completions", body);
+}
+
+/// Six nodes; node 0 owns the fingerprint. Every target that runs the request dies.
+class Fleet
+{
+public:
+    explicit Fleet(const QuarantineLimits &limits)
+        : nodes_(6, Quarantine(limits))
+    {
+    }
+
+    /// Sends the poison request at a node; false when it is refused.
+    bool send(std::size_t node, core::TimePoint now)
+    {
+        if (nodes_[node].check(fingerprintOf("poison"), now))
+            return false;
+        AttemptPlan plan;
+        plan.request = std::to_string(++requests_);
+        plan.policy = SendPolicy::Repeatable;
+        plan.deadline = now + 30s;
+        RequestAttempt request(chart_, plan);
+        while (!request.isFinished()) {
+            request.handle(attempt::Dispatch {{"t" + std::to_string(deaths_)}}, now);
+            request.handle(attempt::Connected {request.current()}, now);
+            ++deaths_;
+            report(request.current(), now);
+            request.handle(attempt::ConnectionLost {request.current(), true}, now);
+        }
+        return true;
+    }
+
+    std::size_t deaths() const { return deaths_; }
+    const Quarantine &node(std::size_t index) const { return nodes_[index]; }
+
+private:
+    void report(const AttemptId &attempt, core::TimePoint now)
+    {
+        // The second report stands for one that is sent again.
+        for (int repeat = 0; repeat < 2; ++repeat) {
+            for (const auto &action : nodes_[0].handle(
+                     quarantine::CrashReport {fingerprintOf("poison"), attempt}, now)) {
+                const auto &announce = std::get<quarantine::Announce>(action);
+                for (Quarantine &other : nodes_)
+                    other.handle(quarantine::Notice {announce.fingerprint, announce.remaining},
+                                 now);
+            }
+        }
+    }
+
+    std::vector<Quarantine> nodes_;
+    std::shared_ptr<const AttemptBinding> chart_ = makeAttemptBinding();
+    std::size_t deaths_ = 0;
+    std::size_t requests_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(QuarantineTest)
+
+// Guards against one request that takes down the fleet, target by target, as it is sent again.
+BOOST_AUTO_TEST_CASE(poisonRequestCostsTwoTargets)
+{
+    Fleet fleet({});
+    for (int i = 0; i < 20; ++i)
+        BOOST_TEST(fleet.send(i % 6, kStart + i * 1s) == (i == 0));
+    BOOST_TEST(fleet.deaths() == 2U);
+    // Other requests of the organisation, and the same text from another one, still run.
+    const auto now = kStart + 1min;
+    BOOST_TEST(!fleet.node(3).check(fingerprintOf("other"), now).has_value());
+    BOOST_TEST(!fleet.node(3)
+                    .check(makeFingerprint({"other"}, "POST /v1/completions", "poison"), now)
+                    .has_value());
+    const auto refusal = fleet.node(3).check(fingerprintOf("poison"), now);
+    BOOST_TEST_REQUIRE(refusal.has_value());
+    BOOST_TEST((refusal->code == core::ErrorCode::Quarantined));
+    BOOST_TEST((refusal->verdict == core::Verdict::NotRun));
+    BOOST_TEST((refusal->retryAfter == 9min));
+    BOOST_TEST(fleet.send(3, kStart + 10min));
+
+    // Switched off: deaths are never enough.
+    Fleet open(QuarantineLimits {1000, 10min, 4096});
+    for (int i = 0; i < 20; ++i)
+        open.send(i % 6, kStart + i * 1s);
+    BOOST_TEST(open.deaths() == 40U);
+}
+
+// Guards against a refusal on the evidence of one death that was reported twice, or of two that
+// lie far apart.
+BOOST_AUTO_TEST_CASE(oneDeathIsNotEnough)
+{
+    Quarantine quarantine;
+    const auto print = fingerprintOf("x");
+    BOOST_TEST(quarantine.handle(quarantine::CrashReport {print, {"r", 1}}, kStart).empty());
+    BOOST_TEST(quarantine.handle(quarantine::CrashReport {print, {"r", 1}}, kStart).empty());
+    BOOST_TEST(
+        quarantine.handle(quarantine::CrashReport {print, {"r", 2}}, kStart + 10min).empty());
+    BOOST_TEST(!quarantine.check(print, kStart + 10min).has_value());
+    BOOST_TEST(quarantine.handle(quarantine::CrashReport {print, {"s", 1}}, kStart + 11min).size()
+               == 1U);
+}
+
+// Guards against memory that grows with the number of crashing requests, and against a flood of
+// them that pushes out a refusal.
+BOOST_AUTO_TEST_CASE(memoryIsBoundedAndRefusalsOutliveSingleDeaths)
+{
+    Quarantine quarantine(QuarantineLimits {2, 10min, 100});
+    const auto poison = fingerprintOf("poison");
+    quarantine.handle(quarantine::Notice {poison, 10min}, kStart);
+    for (int i = 0; i < 1000; ++i) {
+        quarantine.handle(quarantine::CrashReport {fingerprintOf(std::to_string(i)), {"r", 1}},
+                          kStart + i * 1ms);
+    }
+    BOOST_TEST(quarantine.size() == 100U);
+    BOOST_TEST(quarantine.check(poison, kStart + 5min).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::decisions::testing
