--- a/packages/decisions/include/boragerack/decisions/OrderChart.h
+++ b/packages/decisions/include/boragerack/decisions/OrderChart.h
@@ -24,15 +24,22 @@
     WeightsAbsent,
 };
 
-enum class OrderEffect { SendLoad, RequestUnload, PermitRelease };
+enum class OrderEffect {
+    SendLoad,
+    RequestUnload,
+    /// An unload order that left before the load order was known to have arrived proves nothing
+    /// about it, because it may have overtaken it.
+    RenewUnload,
+    PermitRelease,
+};
 
 inline constexpr charts::EnumNames<OrderState, 6> kOrderStates = {
     {"recorded", "sent", "confirmed", "lapsed", "superseded", "closed"}};
 inline constexpr charts::EnumNames<OrderEvent, 7> kOrderEvents = {{"send", "abandon", "engineSaw",
                                                                    "engineRefused", "ordererGone",
                                                                    "fenceRaised", "weightsAbsent"}};
-inline constexpr charts::EnumNames<OrderEffect, 3> kOrderEffects = {
-    {"sendLoad", "requestUnload", "permitRelease"}};
+inline constexpr charts::EnumNames<OrderEffect, 4> kOrderEffects = {
+    {"sendLoad", "requestUnload", "renewUnload", "permitRelease"}};
 
 using OrderBinding = charts::ChartBinding<OrderState, OrderEvent, OrderEffect>;
 
--- a/packages/decisions/include/boragerack/decisions/ReplicaChart.h
+++ b/packages/decisions/include/boragerack/decisions/ReplicaChart.h
@@ -35,6 +35,7 @@
     DrainCancelled,
     Drained,
     Supersede,
+    OrderConfirmed,
     UnloadWritten,
     ReleasePermitted,
     IntentReleased,
@@ -49,15 +50,13 @@
 inline constexpr charts::EnumNames<ReplicaState, 10> kReplicaStates = {
     {"absent", "deciding", "reserving", "loading", "ready", "draining", "unloading", "releasing",
      "revoking", "withdrawing"}};
-inline constexpr charts::EnumNames<ReplicaEvent, 22> kReplicaEvents = {
-    {"place",           "foundDecision",    "foundRecorded",
-     "foundReady",      "foundDraining",    "foundUnloading",
-     "decisionWritten", "decisionLost",     "intentWritten",
-     "intentRefused",   "weightsReady",     "drain",
-     "drainCancelled",  "drained",          "supersede",
-     "unloadWritten",   "releasePermitted", "intentReleased",
-     "targetWritten",   "intentFound",      "decisionWithdrawn",
-     "targetLeft"}};
+inline constexpr charts::EnumNames<ReplicaEvent, 23> kReplicaEvents = {
+    {"place",          "foundDecision",     "foundRecorded",   "foundReady",
+     "foundDraining",  "foundUnloading",    "decisionWritten", "decisionLost",
+     "intentWritten",  "intentRefused",     "weightsReady",    "drain",
+     "drainCancelled", "drained",           "supersede",       "orderConfirmed",
+     "unloadWritten",  "releasePermitted",  "intentReleased",  "targetWritten",
+     "intentFound",    "decisionWithdrawn", "targetLeft"}};
 inline constexpr charts::EnumNames<ReplicaEffect, 5> kReplicaEffects = {
     {"updateModel", "updateTarget", "queueLoad", "sendUnload", "announce"}};
 
--- a/packages/decisions/src/PlacementLedgerRecords.cpp
+++ b/packages/decisions/src/PlacementLedgerRecords.cpp
@@ -299,6 +299,9 @@
         addTrack(key, intent.order, intent.memoryMiB);
         orphans_.erase(key);
         fire(key, kFoundEvents.at(static_cast<std::size_t>(intent.phase)));
+        // These phases are written only after the engine has reported the weights as ready.
+        if (intent.phase == IntentPhase::Ready || intent.phase == IntentPhase::Draining)
+            fire(key, OrderEvent::EngineSaw);
         if (targets_[target].hasLeft)
             fire(key, ReplicaEvent::TargetLeft);
         else if (gone_.contains(intent.order.instance))
--- a/packages/decisions/src/ReplicaLifecycle.cpp
+++ b/packages/decisions/src/ReplicaLifecycle.cpp
@@ -33,14 +33,25 @@
 std::vector<ReplicaEffect> ReplicaLifecycle::fire(OrderEvent event)
 {
     std::vector<ReplicaEffect> effects;
-    for (const OrderEffect effect : order_.fire(event)) {
-        // SendLoad is the caller's own doing: it fires Send only while it sends the order.
-        if (effect == OrderEffect::SendLoad)
-            continue;
-        const std::vector<ReplicaEffect> more =
-            replica_.fire(effect == OrderEffect::PermitRelease ? ReplicaEvent::ReleasePermitted
-                                                               : ReplicaEvent::Supersede);
+    const auto append = [this, &effects](ReplicaEvent next) {
+        const std::vector<ReplicaEffect> more = replica_.fire(next);
         effects.insert(effects.end(), more.begin(), more.end());
+    };
+    for (const OrderEffect effect : order_.fire(event)) {
+        switch (effect) {
+        case OrderEffect::SendLoad:
+            // The caller fires Send only while it sends the order.
+            break;
+        case OrderEffect::RequestUnload:
+            append(ReplicaEvent::Supersede);
+            break;
+        case OrderEffect::RenewUnload:
+            append(ReplicaEvent::OrderConfirmed);
+            break;
+        case OrderEffect::PermitRelease:
+            append(ReplicaEvent::ReleasePermitted);
+            break;
+        }
     }
     return effects;
 }
