Check the placement invariants under faults in virtual time

Cause: the ledger and the planner had no run behind them.

Change: PlacementFleet connects planners with a fake platform (conditional update, outage, lost and slow answers) and fake engines (fenced, unfenced, death, lagging reports) in virtual time. Random scenarios check that no replica is loaded without a decision, no memory is overcommitted, no request is answered twice, and the fleet recovers.

Found and fixed: - A planner that met another planner's decision in a model record decided a second replica, because it saw no intent yet; it now waits for the intent or for the revocation. - A wake request that came between the role and the first read of the platform was refused; it now waits. - A planner that lost its role kept its waiting requests until their deadline; it now refuses them at once with NotRun.

A time limit on a paused orderer overcommits the memory of an unfenced engine.

--- a/packages/decisions/include/boragerack/decisions/LoadPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/LoadPlanner.h
@@ -86,6 +86,7 @@
     void on(const EngineReported &event);
     void on(const TargetListed &event);
     void on(const TargetLeft &event);
+    void on(const RoleChanged &event);
     void on(const PlacementTick &event);
     template<class Event>
     void on(const Event &event);
@@ -95,6 +96,7 @@
     bool serveReady(const Artifact &artifact);
     void answer(const Artifact &artifact, const Waiter &waiter,
                 const core::Result<core::TargetId> &outcome);
+    void refuseNotPlanner(const Artifact &artifact, const Waiter &waiter);
     void refuseExpired();
     void finishLoad(const ReplicaKey &key, bool isReady);
     void planLoads();
@@ -119,6 +121,7 @@
     PlannerSettings settings_;
     WeightStoreBudget budget_;
     LoadCostModel costs_;
+    bool isPlanner_ = false;
     bool isPlatformReachable_ = true;
     /// Something has changed that may let a waiting load start.
     bool isPlanDue_ = false;
--- a/packages/decisions/include/boragerack/decisions/PlacementLedger.h
+++ b/packages/decisions/include/boragerack/decisions/PlacementLedger.h
@@ -67,6 +67,8 @@
     /// Artifacts with a replica in any state on the target.
     std::vector<std::pair<Artifact, Replica>> replicasOn(const core::TargetId &target) const;
     std::optional<Target> findTarget(const core::TargetId &target) const;
+    /// Whether another planner has decided a replica for which this process knows no intent yet.
+    bool hasUnknownDecision(const Artifact &artifact) const;
     /// Whether an adapter of the model has a replica in any state on the target.
     bool hasAdapters(const Artifact &base, const core::TargetId &target) const;
 
--- a/packages/decisions/src/LoadPlanner.cpp
+++ b/packages/decisions/src/LoadPlanner.cpp
@@ -125,10 +125,8 @@
 void LoadPlanner::on(const WakeRequested &event)
 {
     const Waiter waiter {event.node, event.request, event.deadline};
-    if (!ledger_.isActive()) {
-        answer(event.artifact, waiter,
-               core::makeNotRunError(core::ErrorCode::NoReadyReplica,
-                                     "this node is not the planner", kRetryAfter));
+    if (!isPlanner_) {
+        refuseNotPlanner(event.artifact, waiter);
         return;
     }
     if (!catalogue_.contains(event.artifact)) {
@@ -145,6 +143,28 @@
     isPlanDue_ = !serveReady(event.artifact);
 }
 
+void LoadPlanner::refuseNotPlanner(const Artifact &artifact, const Waiter &waiter)
+{
+    answer(artifact, waiter,
+           core::makeNotRunError(core::ErrorCode::NoReadyReplica, "this node is not the planner",
+                                 kRetryAfter));
+}
+
+void LoadPlanner::on(const RoleChanged &event)
+{
+    isPlanner_ = event.isPlanner;
+    if (!isPlanner_) {
+        for (const auto &[artifact, demand] : demands_) {
+            for (const Waiter &waiter : demand.waiters)
+                refuseNotPlanner(artifact, waiter);
+        }
+        demands_.clear();
+        evictions_.clear();
+    }
+    forward(event);
+    isPlanDue_ = true;
+}
+
 void LoadPlanner::refuseExpired()
 {
     const core::TimePoint limit = now_ + settings_.refusalMargin;
--- a/packages/decisions/src/LoadPlannerPlacing.cpp
+++ b/packages/decisions/src/LoadPlannerPlacing.cpp
@@ -48,6 +48,8 @@
 
 bool LoadPlanner::isBeingLoaded(const Artifact &artifact) const
 {
+    if (ledger_.hasUnknownDecision(artifact))
+        return true;
     const auto replicas = ledger_.replicasOf(artifact);
     return std::any_of(replicas.begin(), replicas.end(), [this](const auto &entry) {
         const PlacementLedger::Replica &replica = entry.second;
--- a/packages/decisions/src/PlacementLedger.cpp
+++ b/packages/decisions/src/PlacementLedger.cpp
@@ -328,8 +328,8 @@
     for (const TrackKey &key : keys)
         seekEvidence(key);
     std::erase_if(orphans_, [this](const auto &orphan) {
-        const auto &[key, since] = orphan;
-        if (now_ - since < kOrphanAge)
+        const TrackKey &key = orphan.first;
+        if (now_ - orphan.second < kOrphanAge)
             return false;
         dirtyModels_.insert(key.second);
         const auto &entries = models_[key.second].object.record.replicas;
--- a/packages/decisions/src/PlacementLedgerRecords.cpp
+++ b/packages/decisions/src/PlacementLedgerRecords.cpp
@@ -423,6 +423,17 @@
                    entry.isListed,  entry.isLeaving, entry.object.version != 0};
 }
 
+bool PlacementLedger::hasUnknownDecision(const Artifact &artifact) const
+{
+    const auto model = models_.find(artifact);
+    if (model == models_.end())
+        return false;
+    const auto &replicas = model->second.object.record.replicas;
+    return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaEntry &entry) {
+        return !tracks_.contains({entry.target, artifact});
+    });
+}
+
 bool PlacementLedger::hasAdapters(const Artifact &base, const core::TargetId &target) const
 {
     const auto entry = targets_.find(target);
--- /dev/null
+++ b/packages/decisions/tests/PlacementFakes.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "boragerack/decisions/PlacementMessages.h"
+
+namespace boragerack::decisions {
+
+/// Platform with conditional updates; versions grow over all objects.
+class FakePlatform
+{
+public:
+    template<class Record>
+    struct PutResult
+    {
+        bool isApplied = false;
+        Versioned<Record> current;
+    };
+
+    /// Without a condition the value is replaced whatever its version.
+    PutResult<ModelRecord> put(const WriteModel &write, bool isConditional = true);
+    PutResult<TargetRecord> put(const WriteTarget &write, bool isConditional = true);
+    PlatformSnapshot list() const;
+
+    std::uint64_t revision() const { return revision_; }
+    bool isDecided(const Artifact &artifact, const ReplicaEntry &entry) const;
+    std::size_t decidedCount(const Artifact &artifact) const;
+
+private:
+    std::uint64_t revision_ = 0;
+    std::map<Artifact, Versioned<ModelRecord>> models_;
+    std::map<core::TargetId, Versioned<TargetRecord>> targets_;
+};
+
+/// Engine that loads and unloads weights, keeps caches of checkpoints and can die.
+class FakeEngine
+{
+public:
+    struct Settings
+    {
+        core::TargetId target;
+        std::uint64_t memoryMiB = 0;
+        bool checksFencing = false;
+        std::uint64_t memoryCacheMiB = 0;
+        std::uint64_t diskCacheMiB = 0;
+    };
+
+    explicit FakeEngine(Settings settings)
+        : settings_(std::move(settings))
+    {
+    }
+
+    const Settings &settings() const { return settings_; }
+    /// The engine never refuses for lack of memory, so that an overcommitment shows.
+    OrderOutcome receive(const SendOrder &order);
+    void finishLoad(const Stamp &order);
+    /// Frees the memory of weights that are being unloaded.
+    void finishUnload(const Artifact &artifact);
+    void die();
+
+    EngineReport report() const;
+    std::uint64_t usedMiB() const;
+    const std::vector<LoadedWeights> &loaded() const { return loaded_; }
+    CheckpointPlace placeOf(const Artifact &artifact) const;
+
+private:
+    struct Cache
+    {
+        std::vector<std::pair<Artifact, std::uint64_t>> entries;
+
+        void put(const Artifact &artifact, std::uint64_t memoryMiB, std::uint64_t limitMiB);
+        bool contains(const Artifact &artifact) const;
+    };
+
+    Settings settings_;
+    std::uint64_t highestFence_ = 0;
+    std::vector<LoadedWeights> loaded_;
+    std::vector<Stamp> orders_;
+    Cache memory_;
+    Cache disk_;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/tests/PlacementFleet.cpp
@@ -0,0 +1,409 @@
+#include "PlacementFleet.h"
+
+#include <algorithm>
+
+namespace boragerack::decisions {
+
+namespace {
+
+constexpr std::chrono::seconds kGoneForGood(30);
+
+/// Whether the write adds a reservation of its own writer.
+bool addsIntent(const WriteTarget &write)
+{
+    return std::any_of(write.record.intents.begin(), write.record.intents.end(),
+                       [&write](const Intent &intent) {
+                           return intent.phase == IntentPhase::Recorded
+                               && intent.order.instance == write.record.writer.instance;
+                       });
+}
+
+WriteAnswered makeAnswer(const WriteModel &write,
+                         const FakePlatform::PutResult<ModelRecord> &result)
+{
+    if (result.isApplied)
+        return {write.record.writer, WriteOutcome::Applied, result.current.version};
+    return {write.record.writer, WriteOutcome::Conflict, 0, result.current, std::nullopt};
+}
+
+WriteAnswered makeAnswer(const WriteTarget &write,
+                         const FakePlatform::PutResult<TargetRecord> &result)
+{
+    if (result.isApplied)
+        return {write.record.writer, WriteOutcome::Applied, result.current.version};
+    return {write.record.writer, WriteOutcome::Conflict, 0, std::nullopt, result.current};
+}
+
+PlannerEvent makeRead(const Versioned<ModelRecord> &object)
+{
+    return ModelRead {object};
+}
+
+PlannerEvent makeRead(const Versioned<TargetRecord> &object)
+{
+    return TargetRead {object};
+}
+
+} // namespace
+
+PlacementFleet::PlacementFleet(Settings settings, const PlacementCharts &charts)
+    : settings_(std::move(settings))
+    , random_(settings_.seed)
+{
+    // Virtual time starts late enough for subtractions from it.
+    now_ += std::chrono::hours(1);
+    for (const FakeEngine::Settings &engine : settings_.engines) {
+        engineIndex_.emplace(engine.target, engines_.size());
+        engines_.emplace_back(engine);
+        engineLives_.push_back(0);
+    }
+    for (std::size_t i = 0; i < settings_.planners; ++i) {
+        processes_.emplace_back();
+        processes_[i].planner =
+            std::make_unique<LoadPlanner>(core::InstanceId {"node-" + std::to_string(i)}, 1, charts,
+                                          settings_.makePolicy(), settings_.planner);
+        deliver(i, CatalogueAccepted {settings_.catalogue});
+        for (const FakeEngine &engine : engines_) {
+            const FakeEngine::Settings &of = engine.settings();
+            deliver(i, TargetListed {of.target, of.memoryMiB, of.checksFencing, false});
+        }
+        tick(i, now_);
+        poll(i);
+    }
+}
+
+core::Duration PlacementFleet::upTo(core::Duration limit)
+{
+    return core::Duration(static_cast<core::Duration::rep>(
+        random_.next() % static_cast<std::uint64_t>(limit.count() + 1)));
+}
+
+void PlacementFleet::at(core::TimePoint time, std::function<void()> action)
+{
+    queue_.emplace(std::max(time, now_), std::move(action));
+}
+
+void PlacementFleet::runUntil(core::TimePoint end)
+{
+    while (!queue_.empty() && queue_.begin()->first <= end) {
+        auto next = queue_.extract(queue_.begin());
+        now_ = next.key();
+        next.mapped()();
+    }
+    now_ = end;
+}
+
+void PlacementFleet::deliver(std::size_t index, const PlannerEvent &event)
+{
+    Process &process = processes_[index];
+    if (!process.isAlive)
+        return;
+    if (now_ < process.pausedUntil || !process.inbox.empty()) {
+        // Events of a paused process keep their order.
+        process.inbox.push_back(event);
+        if (process.inbox.size() == 1)
+            resume(index);
+        return;
+    }
+    handle(index, event);
+}
+
+void PlacementFleet::resume(std::size_t index)
+{
+    at(processes_[index].pausedUntil, [this, index] {
+        Process &process = processes_[index];
+        if (now_ < process.pausedUntil) {
+            resume(index);
+            return;
+        }
+        const std::vector<PlannerEvent> events = std::move(process.inbox);
+        process.inbox.clear();
+        for (const PlannerEvent &event : events)
+            handle(index, event);
+    });
+}
+
+void PlacementFleet::handle(std::size_t index, const PlannerEvent &event)
+{
+    Process &process = processes_[index];
+    for (const PlannerAction &action : process.planner->handle(event, now_))
+        std::visit([this, index](const auto &each) { perform(index, each); }, action);
+    if (process.planner->wakeAt() < process.tickAt)
+        tick(index, process.planner->wakeAt());
+}
+
+void PlacementFleet::tick(std::size_t index, core::TimePoint due)
+{
+    processes_[index].tickAt = due;
+    at(due, [this, index, due] {
+        Process &process = processes_[index];
+        if (!process.isAlive || process.tickAt != due)
+            return;
+        process.tickAt = core::TimePoint::max();
+        deliver(index, PlacementTick {});
+        if (process.tickAt == core::TimePoint::max())
+            tick(index, now_ + std::chrono::seconds(1));
+    });
+}
+
+void PlacementFleet::leave(std::size_t index, const std::function<void()> &action)
+{
+    at(now_ + upTo(Millis(1)), [this, index, action] {
+        const Process &process = processes_[index];
+        if (!process.isAlive)
+            return;
+        if (now_ < process.pausedUntil)
+            at(process.pausedUntil, [this, index, action] { leave(index, action); });
+        else
+            action();
+    });
+}
+
+void PlacementFleet::send(std::size_t index, const PlannerEvent &event)
+{
+    deliver(index, event);
+}
+
+void PlacementFleet::wake(std::size_t index, const Artifact &artifact, core::Duration patience)
+{
+    deliver(index,
+            WakeRequested {core::InstanceId {"caller"}, ++requests_, artifact, now_ + patience});
+}
+
+void PlacementFleet::setPlanner(std::size_t index, bool isPlanner)
+{
+    processes_[index].isPlanner = isPlanner;
+    deliver(index, RoleChanged {isPlanner});
+    if (isPlanner)
+        readPlatform(index);
+}
+
+void PlacementFleet::readPlatform(std::size_t index)
+{
+    at(now_ + upTo(delays.call), [this, index] {
+        if (isOutage()) {
+            at(outageUntil_, [this, index] { readPlatform(index); });
+            return;
+        }
+        const PlatformSnapshot snapshot = platform_.list();
+        at(now_ + upTo(delays.call), [this, index, snapshot] { deliver(index, snapshot); });
+    });
+}
+
+void PlacementFleet::pause(std::size_t index, core::Duration duration)
+{
+    processes_[index].pausedUntil = now_ + duration;
+}
+
+void PlacementFleet::kill(std::size_t index)
+{
+    processes_[index].isAlive = false;
+    at(now_ + kGoneForGood, [this, index] {
+        publish(InstanceGone {core::InstanceId {"node-" + std::to_string(index)}});
+    });
+}
+
+void PlacementFleet::startOutage(core::Duration duration)
+{
+    outageUntil_ = now_ + duration;
+    for (std::size_t i = 0; i < processes_.size(); ++i)
+        deliver(i, PlatformReachable {false});
+    at(outageUntil_, [this] {
+        if (isOutage())
+            return;
+        for (std::size_t i = 0; i < processes_.size(); ++i) {
+            deliver(i, PlatformReachable {true});
+            readPlatform(i);
+        }
+    });
+}
+
+void PlacementFleet::killEngine(std::size_t index)
+{
+    ++engineLives_[index];
+    engines_[index].die();
+}
+
+std::size_t PlacementFleet::loadsOf(const Artifact &artifact) const
+{
+    const auto found = loadsOf_.find(artifact);
+    return found == loadsOf_.end() ? 0 : found->second;
+}
+
+void PlacementFleet::publish(const PlannerEvent &event)
+{
+    for (std::size_t i = 0; i < processes_.size(); ++i)
+        at(now_ + upTo(delays.call), [this, i, event] { deliver(i, event); });
+}
+
+void PlacementFleet::perform(std::size_t index, const WriteModel &action)
+{
+    leave(index, [this, index, action] { put(index, action); });
+}
+
+void PlacementFleet::perform(std::size_t index, const WriteTarget &action)
+{
+    if (settings_.switchedOff == SwitchedOff::IntentBeforeOrder && addsIntent(action)) {
+        const WriteAnswered early {action.record.writer, WriteOutcome::Applied,
+                                   action.ifVersion + 1};
+        at(now_, [this, index, early] { deliver(index, early); });
+    }
+    leave(index, [this, index, action] { put(index, action); });
+}
+
+template<class Write>
+void PlacementFleet::put(std::size_t index, const Write &write)
+{
+    const core::TimePoint sentAt = now_;
+    at(now_ + upTo(delays.call), [this, index, write, sentAt] {
+        const bool isLost = isOutage() || chance(delays.lostAnswerPercent);
+        const bool isModel = std::is_same_v<Write, WriteModel>;
+        bool isConditional = !(isModel && settings_.switchedOff == SwitchedOff::Coalescing);
+        if (!isOutage() || chance(20)) {
+            const auto result = platform_.put(write, isConditional);
+            if (result.isApplied)
+                publish(makeRead(result.current));
+            if (!isLost) {
+                answerPut(index, makeAnswer(write, result), sentAt);
+                return;
+            }
+        }
+        if (settings_.switchedOff == SwitchedOff::RecognisingOwnWrites) {
+            at(now_ + Millis(500), [this, index, write] {
+                const auto result = platform_.put(write, false);
+                publish(makeRead(result.current));
+                answerPut(index, makeAnswer(write, result), now_);
+            });
+            return;
+        }
+        at(sentAt + delays.answerLimit, [this, index, write] {
+            deliver(index, WriteAnswered {write.record.writer, WriteOutcome::Unknown, 0});
+        });
+    });
+}
+
+void PlacementFleet::answerPut(std::size_t index, const WriteAnswered &answer,
+                               core::TimePoint sentAt)
+{
+    const core::TimePoint arrival = now_ + upTo(delays.call);
+    const core::TimePoint limit = sentAt + delays.answerLimit;
+    if (arrival <= limit)
+        at(arrival, [this, index, answer] { deliver(index, answer); });
+    else
+        at(limit, [this, index, answer] {
+            deliver(index, WriteAnswered {answer.write, WriteOutcome::Unknown, 0});
+        });
+}
+
+void PlacementFleet::perform(std::size_t index, const SendOrder &action)
+{
+    onOrder(index, action);
+    leave(index, [this, index, action] {
+        const core::TimePoint sentAt = now_;
+        at(now_ + upTo(delays.order),
+           [this, index, action, sentAt] { arrive(index, action, sentAt); });
+        // The answer or this limit comes first; the planner ignores the later one.
+        at(now_ + delays.answerLimit, [this, index, action] {
+            const bool isForgotten = settings_.switchedOff == SwitchedOff::HoldingUnconfirmedOrders;
+            deliver(index,
+                    OrderAnswered {action.order,
+                                   isForgotten ? OrderOutcome::NotSent : OrderOutcome::Unknown});
+        });
+    });
+}
+
+void PlacementFleet::arrive(std::size_t index, const SendOrder &order, core::TimePoint sentAt)
+{
+    FakeEngine &engine = engines_[engineIndex_.at(order.target)];
+    const OrderOutcome outcome = engine.receive(order);
+    if (outcome == OrderOutcome::Accepted) {
+        if (order.kind == OrderKind::Load)
+            checkLoad(order, engine);
+        startWork(engine, order);
+    }
+    const core::TimePoint arrival = now_ + upTo(delays.call);
+    if (!chance(delays.lostAnswerPercent) && arrival <= sentAt + delays.answerLimit)
+        at(arrival, [this, index, order, outcome] {
+            deliver(index, OrderAnswered {order.order, outcome});
+        });
+}
+
+void PlacementFleet::checkLoad(const SendOrder &order, const FakeEngine &engine)
+{
+    ++loadCount_;
+    ++loadsOf_[order.artifact];
+    const std::string name = modelKey(order.artifact) + " on " + order.target.value;
+    if (engine.usedMiB() > engine.settings().memoryMiB)
+        violations_.push_back("memory overcommitted by " + name);
+    if (!platform_.isDecided(order.artifact, {order.target, order.order}))
+        violations_.push_back("loaded without a decision: " + name);
+    std::size_t replicas = 0;
+    for (const FakeEngine &each : engines_) {
+        replicas += static_cast<std::size_t>(std::count_if(
+            each.loaded().begin(), each.loaded().end(),
+            [&order](const LoadedWeights &weights) { return weights.artifact == order.artifact; }));
+    }
+    if (replicas > platform_.decidedCount(order.artifact))
+        violations_.push_back("more replicas than decided: " + name);
+}
+
+void PlacementFleet::startWork(FakeEngine &engine, const SendOrder &order)
+{
+    const std::size_t slot = engineIndex_.at(order.target);
+    const std::uint64_t life = engineLives_[slot];
+    if (order.kind == OrderKind::Unload) {
+        at(now_ + delays.unload, [this, &engine, order, slot, life] {
+            if (engineLives_[slot] == life)
+                engine.finishUnload(order.artifact);
+        });
+        return;
+    }
+    const CheckpointPlace place = engine.placeOf(order.artifact);
+    const bool isRemote = place == CheckpointPlace::Remote && !order.artifact.isAdapter();
+    unsigned &running = order.artifact.isAdapter() ? adapterLoads_ : remoteLoads_;
+    const bool isCounted = isRemote || order.artifact.isAdapter();
+    if (isCounted)
+        ++running;
+    const core::Duration time = settings_.loadTime(place, order.artifact, order.memoryMiB, running);
+    at(now_ + time, [this, &engine, &running, order, slot, life, isCounted] {
+        if (isCounted && running > 0)
+            --running;
+        if (engineLives_[slot] == life)
+            engine.finishLoad(order.order);
+    });
+}
+
+void PlacementFleet::perform(std::size_t index, const ReplicaMoved &action)
+{
+    onMoved(index, action);
+    if (action.state == ReplicaState::Draining)
+        drain(index, action);
+}
+
+void PlacementFleet::drain(std::size_t index, const ReplicaMoved &moved)
+{
+    at(now_ + upTo(delays.drain), [this, index, moved] {
+        if (isBusy(moved.artifact, moved.target))
+            drain(index, moved);
+        else
+            deliver(index, ReplicaDrained {moved.artifact, moved.target});
+    });
+}
+
+void PlacementFleet::perform(std::size_t index, const WakeAnswered &action)
+{
+    onAnswer(index, action);
+}
+
+void PlacementFleet::poll(std::size_t index)
+{
+    if (processes_[index].isPlanner) {
+        for (const FakeEngine &engine : engines_) {
+            const EngineReported event {engine.settings().target, engine.report()};
+            at(now_ + upTo(delays.reportLag), [this, index, event] { deliver(index, event); });
+        }
+    }
+    at(now_ + delays.reportInterval, [this, index] { poll(index); });
+}
+
+} // namespace boragerack::decisions
