Add the fleet-wide token bucket decisions and a fleet test

Change: ShareBucket keeps level + outstanding portions within a share's part of the burst in exact integers and credits late refunds only up to the high-water mark since the portion ended. ShareTable drives the ownership table through the chart share.json; BudgetHolder answers asks; BudgetBorrower sizes portions, asks several shares and lets requests wait until their deadline. Three BudgetPolicy implementations split the bucket.

Ruled out: keeping a share after a restart without a write. A release sent by the predecessor can take effect after the new process has read the table, so a restarted process first writes its incarnation.

--- /dev/null
+++ b/packages/decisions/tests/FakeSharePlatform.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+
+#include "VirtualTime.h"
+#include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/decisions/ShareTable.h"
+
+namespace boragerack::decisions::testing {
+
+/// The object `budget/shares` and the instance list, with outages, slow writes and lost responses.
+class FakeSharePlatform
+{
+public:
+    FakeSharePlatform(VirtualTime &time, std::uint64_t seed)
+        : time_(time)
+        , random_(seed)
+    {
+    }
+
+    std::uint64_t version = 0;
+    ShareOwners owners;
+    std::set<core::InstanceId> instances;
+    std::int64_t outageUntil = 0;
+    unsigned lostResponsePercent = 0;
+    std::int64_t slowestWrite = 5 * kMillisecond;
+    std::function<void()> onChange;
+
+    bool isDown() const { return time_.now() < outageUntil; }
+    ShareTableRead read() const { return {version, owners}; }
+
+    void write(const WriteShareTable &update, std::function<void(const ShareTableEvent &)> answer)
+    {
+        const auto delay =
+            static_cast<std::int64_t>(random_.next() % static_cast<std::uint64_t>(slowestWrite));
+        time_.after(delay, [this, update, answer = std::move(answer)] {
+            ShareTableEvent event = ShareTableWriteUnknown {};
+            if (!isDown()) {
+                const bool succeeds = update.expectedVersion == version;
+                if (succeeds) {
+                    owners = update.owners;
+                    ++version;
+                    if (onChange)
+                        onChange();
+                    event = ShareTableWritten {version};
+                } else {
+                    event = read();
+                }
+                if (random_.next() % 100 < lostResponsePercent)
+                    event = ShareTableWriteUnknown {};
+            }
+            const bool isLost = std::holds_alternative<ShareTableWriteUnknown>(event);
+            time_.after(isLost ? kSecond : kMillisecond, [answer, event] { answer(event); });
+        });
+    }
+
+private:
+    VirtualTime &time_;
+    core::SeededRandomSource random_;
+};
+
+} // namespace boragerack::decisions::testing
