Add configuration, freshness, members and overlay (test red)

Change: ConfigurationState, ConfigurationRelay with ListView, Freshness, OutageCensus, MemberView, Overlay, PrefixWatch and FleetAgent, which connects them, with their charts; a virtual fleet for the tests.

--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/ConfigurationRelay.h
@@ -0,0 +1,221 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "boragerack/charts/ChartInstance.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/ListView.h"
+
+namespace boragerack::decisions {
+
+/// What is known about a write to the platform after its answer or its loss.
+enum class WriteOutcome { Done, Conflict, Unknown };
+
+/// The head object with its platform version.
+struct StoredHead
+{
+    ConfigurationHead head;
+    std::uint64_t platformVersion = 0;
+
+    friend auto operator<=>(const StoredHead &, const StoredHead &) = default;
+};
+
+/// A relay's part in accepting the operators' lists: it follows them, has them checked, writes the
+/// parts and then replaces the head by a conditional update. Several relays may do so at once.
+class ConfigurationRelay
+{
+public:
+    enum class State {
+        Standby,
+        Reading,
+        Following,
+        Checking,
+        WritingParts,
+        WritingHead,
+        BackingOff,
+    };
+    enum class ChartEvent {
+        RoleGained,
+        RoleLost,
+        HeadKnown,
+        PlatformFailed,
+        EditSeen,
+        CandidateReady,
+        ListsReturned,
+        CandidatePassed,
+        CandidateFailed,
+        PartsWritten,
+        HeadWritten,
+        HeadConflict,
+        HeadUnknown,
+        RetryDue,
+    };
+    enum class ChartAction {
+        ReadHead,
+        CompareLists,
+        CheckCandidate,
+        DropPart,
+        WriteParts,
+        WriteHead,
+        AdoptWritten,
+        WriteStatus,
+    };
+    using Binding = charts::ChartBinding<State, ChartEvent, ChartAction>;
+
+    static core::Result<std::shared_ptr<const Binding>> bind(const charts::StateChart &chart);
+
+    struct RoleChanged
+    {
+        bool isRelay = false;
+    };
+    /// An answer to reading or watching `lists/`, asked for at `requestedAt`.
+    struct ListsRead
+    {
+        bool isComplete = false;
+        std::uint64_t revision = 0;
+        std::vector<ListPart> parts;
+        core::TimePoint requestedAt;
+    };
+    /// Answer to `ReadHead`; no head if the object does not exist.
+    struct HeadRead
+    {
+        std::optional<StoredHead> stored;
+        core::TimePoint requestedAt;
+    };
+    struct PartRead
+    {
+        core::Digest digest;
+        std::string text;
+    };
+    /// A read of the head or of a part failed.
+    struct ReadFailed
+    {
+    };
+    /// Answer to `CheckCandidate`; an empty message means that the lists are valid.
+    struct CandidateChecked
+    {
+        std::uint64_t check = 0;
+        std::string part;
+        std::string message;
+    };
+    /// A part object exists if `isStored`; writing one that exists already counts as done.
+    struct PartWritten
+    {
+        core::Digest digest;
+        bool isStored = false;
+    };
+    struct HeadWritten
+    {
+        std::uint64_t sequence = 0;
+        WriteOutcome outcome = WriteOutcome::Unknown;
+        std::uint64_t platformVersion = 0;
+    };
+    struct Tick
+    {
+    };
+    using Event = std::variant<RoleChanged, ListsRead, HeadRead, PartRead, ReadFailed,
+                               CandidateChecked, PartWritten, HeadWritten, Tick>;
+
+    struct ReadHead
+    {
+    };
+    struct ReadPart
+    {
+        core::Digest digest;
+    };
+    struct CheckCandidate
+    {
+        std::uint64_t check = 0;
+        std::map<std::string, std::string> texts;
+    };
+    struct WritePart
+    {
+        core::Digest digest;
+        std::string text;
+    };
+    /// Conditional update; no expected version means create if absent.
+    struct WriteHead
+    {
+        ConfigurationHead head;
+        std::optional<std::uint64_t> expectedVersion;
+    };
+    struct WriteStatus
+    {
+        ConfigurationStatus status;
+    };
+    /// The head as this relay knows it; the node takes it over if it is newer.
+    struct AdoptHead
+    {
+        AcceptedConfiguration configuration;
+    };
+    /// At `readAt` the accepted version was this one.
+    struct StampBeacon
+    {
+        std::uint64_t version = 0;
+        core::TimePoint readAt;
+    };
+    using Action = std::variant<ReadHead, ReadPart, CheckCandidate, WritePart, WriteHead,
+                                WriteStatus, AdoptHead, StampBeacon>;
+
+    ConfigurationRelay(std::shared_ptr<const Binding> binding, core::InstanceId self,
+                       std::uint64_t incarnation);
+
+    std::vector<Action> handle(const Event &event, core::TimePoint now);
+
+    bool isActive() const { return chart_.state() != State::Standby; }
+
+private:
+    void on(const RoleChanged &event);
+    void on(const ListsRead &event);
+    void on(const HeadRead &event);
+    void on(const PartRead &event);
+    void on(const ReadFailed &event);
+    void on(const CandidateChecked &event);
+    void on(const PartWritten &event);
+    void on(const HeadWritten &event);
+    void on(const Tick &event);
+    void fire(ChartEvent event);
+    void perform(ChartAction action);
+    void compareLists();
+    void writeParts();
+    void writeHead();
+    void finishReading();
+    void stampIfSettled();
+    void adoptStored();
+    bool isBehindHead() const;
+    std::map<std::string, std::string> acceptedTexts() const;
+
+    charts::ChartInstance<State, ChartEvent, ChartAction> chart_;
+    core::InstanceId self_;
+    std::uint64_t incarnation_ = 0;
+    core::TimePoint now_;
+    std::vector<Action> actions_;
+
+    ListView lists_;
+    bool hasLists_ = false;
+    core::TimePoint listsReadAt_;
+    std::optional<StoredHead> stored_;
+    /// Texts of accepted and written parts.
+    std::map<core::Digest, std::string> texts_;
+    std::set<core::Digest> unread_;
+    std::set<core::Digest> unwritten_;
+    std::map<std::string, std::string> candidate_;
+    /// Revision of the lists from which the candidate was composed.
+    std::uint64_t candidateRevision_ = 0;
+    ConfigurationHead written_;
+    std::uint64_t check_ = 0;
+    std::uint64_t sequence_ = 0;
+    CandidateChecked fault_;
+    std::optional<ConfigurationStatus> status_;
+    core::TimePoint asked_;
+    core::TimePoint stampedAt_;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/FleetAgent.h
@@ -0,0 +1,208 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "boragerack/decisions/ConfigurationRelay.h"
+#include "boragerack/decisions/ConfigurationState.h"
+#include "boragerack/decisions/FleetCharts.h"
+#include "boragerack/decisions/FleetMechanisms.h"
+#include "boragerack/decisions/FleetMessages.h"
+#include "boragerack/decisions/Freshness.h"
+#include "boragerack/decisions/MemberView.h"
+#include "boragerack/decisions/OutageCensus.h"
+#include "boragerack/decisions/Overlay.h"
+#include "boragerack/decisions/PrefixWatch.h"
+
+namespace boragerack::decisions {
+
+/// Connects configuration, freshness, members and overlay of one node. The task that owns it turns
+/// actions into platform calls and messages and brings the results back as events. It must answer
+/// every platform call, at the latest with a failure after its timeout, and send a Tick at least
+/// every 100 ms.
+class FleetAgent
+{
+public:
+    enum class Prefix { Lists, Nodes };
+
+    struct Tick
+    {
+    };
+    struct MessageReceived
+    {
+        core::InstanceId from;
+        FleetMessage message;
+    };
+    struct LinkBroken
+    {
+        core::InstanceId peer;
+    };
+    /// Answers to `ReadPrefix` and `WatchPrefix`.
+    struct ListsAnswered
+    {
+        std::uint64_t request = 0;
+        ConfigurationRelay::ListsRead lists;
+    };
+    struct NodesAnswered
+    {
+        std::uint64_t request = 0;
+        MemberView::RecordsRead records;
+    };
+    struct PrefixFailed
+    {
+        Prefix prefix = Prefix::Lists;
+        std::uint64_t request = 0;
+        bool isRevisionTooOld = false;
+    };
+    /// A graceful stop: the record is removed and not written again.
+    struct StopRequested
+    {
+    };
+    using Event =
+        std::variant<Tick, MessageReceived, LinkBroken, ListsAnswered, NodesAnswered, PrefixFailed,
+                     StopRequested, MemberView::InstancesRead, MemberView::RecordWritten,
+                     ConfigurationRelay::HeadRead, ConfigurationRelay::PartRead,
+                     ConfigurationRelay::ReadFailed, ConfigurationRelay::CandidateChecked,
+                     ConfigurationRelay::PartWritten, ConfigurationRelay::HeadWritten,
+                     ConfigurationState::CheckFinished, Freshness::ProbeFinished>;
+
+    struct SendMessage
+    {
+        core::InstanceId to;
+        FleetMessage message;
+    };
+    /// Send to the peers of the settings: this node knows no other member.
+    struct AskBootstrapPeers
+    {
+        MemberFetch fetch;
+    };
+    struct ReadPrefix
+    {
+        Prefix prefix = Prefix::Lists;
+        std::uint64_t request = 0;
+    };
+    /// Wait at most 1 s for a change: the start of a watch counts as the time of its evidence.
+    struct WatchPrefix
+    {
+        Prefix prefix = Prefix::Lists;
+        std::uint64_t request = 0;
+        std::uint64_t after = 0;
+    };
+    struct ReadInstances
+    {
+    };
+    /// Replace `nodes/<self>` whatever it holds.
+    struct WriteRecord
+    {
+        MemberRecord record;
+    };
+    using Action =
+        std::variant<SendMessage, AskBootstrapPeers, ReadPrefix, WatchPrefix, ReadInstances,
+                     WriteRecord, MemberView::RemoveRecord, MemberView::MembersChanged,
+                     ConfigurationRelay::ReadHead, ConfigurationRelay::ReadPart,
+                     ConfigurationRelay::CheckCandidate, ConfigurationRelay::WritePart,
+                     ConfigurationRelay::WriteHead, ConfigurationRelay::WriteStatus,
+                     ConfigurationState::CheckLists, ConfigurationState::ApplyConfiguration,
+                     ConfigurationState::ReportFault, Freshness::StartServing,
+                     Freshness::StopServing, Freshness::ProbePlatform>;
+
+    FleetAgent(const FleetCharts &charts, MemberRecord self, FleetMechanisms mechanisms = {});
+
+    std::vector<Action> handle(const Event &event, core::TimePoint now);
+
+    const MemberView &members() const { return members_; }
+    const ConfigurationState &configuration() const { return configuration_; }
+    const Freshness &freshness() const { return freshness_; }
+
+private:
+    void on(const Tick &event);
+    void on(const MessageReceived &event);
+    void on(const LinkBroken &event);
+    void on(const ListsAnswered &event);
+    void on(const NodesAnswered &event);
+    void on(const PrefixFailed &event);
+    void on(const StopRequested &event);
+    void on(const MemberView::InstancesRead &event) { perform(members_.handle(event, now_)); }
+    void on(const MemberView::RecordWritten &event) { perform(members_.handle(event, now_)); }
+    void on(const ConfigurationState::CheckFinished &event);
+    void on(const Freshness::ProbeFinished &event) { perform(freshness_.handle(event, now_)); }
+    template<class RelayEvent>
+    void on(const RelayEvent &event)
+    {
+        perform(relay_.handle(event, now_));
+    }
+
+    void receive(const core::InstanceId &from, const Heartbeat &message);
+    void receive(const core::InstanceId &from, const HeartbeatReply &message);
+    void receive(const core::InstanceId &from, const MemberEvent &message);
+    void receive(const core::InstanceId &from, const ConfigFetch &message);
+    void receive(const core::InstanceId &from, const ConfigUpdate &message);
+    void receive(const core::InstanceId &from, const MemberFetch &message);
+    void receive(const core::InstanceId &from, const MemberTable &message);
+    void receive(const core::InstanceId &from, const ProbeAsk &message);
+    void receive(const core::InstanceId &from, const ProbeReport &message);
+
+    /// Performs the actions of one module: those that another module handles become its events,
+    /// the others are passed out.
+    template<class ModuleAction>
+    void perform(const std::vector<ModuleAction> &actions)
+    {
+        for (const ModuleAction &action : actions)
+            std::visit([this](const auto &concrete) { apply(concrete); }, action);
+    }
+
+    template<class Outgoing>
+    void apply(const Outgoing &action)
+    {
+        actions_.emplace_back(action);
+    }
+    void apply(const ConfigurationState::FetchUpdate &action);
+    void apply(const ConfigurationState::SendUpdate &action);
+    void apply(const ConfigurationState::ApplyConfiguration &action);
+    void apply(const ConfigurationRelay::AdoptHead &action);
+    void apply(const ConfigurationRelay::StampBeacon &action);
+    void apply(const Freshness::EvidenceRenewed &) { }
+    void apply(const MemberView::Spread &action);
+    void apply(const MemberView::MembersChanged &action);
+    void apply(const Overlay::SendHeartbeat &action);
+    void apply(const Overlay::SendReply &action);
+    void apply(const Overlay::PeerHeard &action);
+    void apply(const Overlay::PeerSilent &action);
+    void apply(const Overlay::BeaconProven &action);
+    void apply(const Overlay::VersionSeen &action);
+    void apply(const Overlay::PullMembers &action);
+    void apply(const OutageCensus::SendAsk &action);
+    void apply(const OutageCensus::SendReport &action);
+    void apply(const OutageCensus::ConfirmOutage &action);
+
+    void send(const core::InstanceId &to, FleetMessage message);
+    void performWatch(Prefix prefix, const std::vector<PrefixWatch::Action> &actions);
+    void updateRole();
+    void updateReport();
+
+    core::InstanceId self_;
+    ConfigurationState configuration_;
+    ConfigurationRelay relay_;
+    Freshness freshness_;
+    MemberView members_;
+    OutageCensus census_;
+    Overlay overlay_;
+    PrefixWatch listsWatch_;
+    PrefixWatch nodesWatch_;
+
+    core::TimePoint now_;
+    std::vector<Action> actions_;
+    bool isRelay_ = false;
+    bool isStarted_ = false;
+    bool isStopping_ = false;
+    NodeReport reported_;
+    std::optional<core::TimePoint> reportedProvenAt_;
+    std::optional<core::TimePoint> recordAskedAt_;
+    std::optional<core::TimePoint> bootstrapAskedAt_;
+    std::optional<core::TimePoint> instancesAskedAt_;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/FleetCharts.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include "boragerack/decisions/ConfigurationRelay.h"
+#include "boragerack/decisions/ConfigurationState.h"
+#include "boragerack/decisions/Freshness.h"
+#include "boragerack/decisions/MemberView.h"
+#include "boragerack/decisions/PrefixWatch.h"
+
+namespace boragerack::decisions {
+
+/// The bound charts that a FleetAgent needs; shared by all agents of a process.
+struct FleetCharts
+{
+    std::shared_ptr<const ConfigurationState::Binding> configuration;
+    std::shared_ptr<const ConfigurationRelay::Binding> acceptance;
+    std::shared_ptr<const Freshness::Binding> freshness;
+    std::shared_ptr<const MemberView::Binding> member;
+    std::shared_ptr<const PrefixWatch::Binding> watch;
+};
+
+/// Gets each chart by its name and binds it.
+core::Result<FleetCharts>
+makeFleetCharts(const std::function<core::Result<charts::StateChart>(std::string_view)> &load);
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/FleetMechanisms.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace boragerack::decisions {
+
+/// Safety mechanisms that a test switches off one at a time to show that it would notice.
+/// Programs leave all of them on.
+struct FleetMechanisms
+{
+    bool onlyHigherVersions = true;
+    bool freshnessBound = true;
+    bool pull = true;
+    bool majority = true;
+
+    friend auto operator<=>(const FleetMechanisms &, const FleetMechanisms &) = default;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/Freshness.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "boragerack/charts/ChartInstance.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/FleetMechanisms.h"
+#include "boragerack/decisions/FleetMessages.h"
+
+namespace boragerack::decisions {
+
+/// Age beyond which evidence no longer lets a node serve. Clocks drift apart by at most 1%, and
+/// evidence may be held by a slow clock, so 1% of the promised 5 s is kept back.
+constexpr std::chrono::milliseconds kFreshnessBound {4950};
+
+/// Decides whether this node may serve. Beacons prove that its configuration was the accepted one
+/// a short time ago; without such proof a key may have been withdrawn.
+class Freshness
+{
+public:
+    enum class State { Unproven, Fresh, Outage, Isolated };
+    enum class ChartEvent { ReadProven, OutageProven, ProofExpired };
+    enum class ChartAction { StartServing, StopServing };
+    using Binding = charts::ChartBinding<State, ChartEvent, ChartAction>;
+
+    static core::Result<std::shared_ptr<const Binding>> bind(const charts::StateChart &chart);
+
+    /// A beacon whose evidence was gathered at `provenAt` or later, by the clock of this node.
+    struct BeaconSeen
+    {
+        BeaconKind kind = BeaconKind::PlatformRead;
+        std::uint64_t version = 0;
+        core::TimePoint provenAt;
+    };
+    /// The configuration version of this node changed.
+    struct VersionAccepted
+    {
+        std::uint64_t version = 0;
+    };
+    struct ProbeFinished
+    {
+        bool isReadable = false;
+        core::TimePoint startedAt;
+    };
+    struct Tick
+    {
+    };
+    using Event = std::variant<BeaconSeen, VersionAccepted, ProbeFinished, Tick>;
+
+    struct StartServing
+    {
+    };
+    /// Refuse new requests and end streams.
+    struct StopServing
+    {
+    };
+    struct ProbePlatform
+    {
+    };
+    /// The evidence got younger, which neighbours should learn.
+    struct EvidenceRenewed
+    {
+    };
+    using Action = std::variant<StartServing, StopServing, ProbePlatform, EvidenceRenewed>;
+
+    explicit Freshness(std::shared_ptr<const Binding> binding, FleetMechanisms mechanisms = {});
+
+    std::vector<Action> handle(const Event &event, core::TimePoint now);
+
+    /// Exact at any time, also between two ticks.
+    bool mayServe(core::TimePoint now) const;
+
+    /// The youngest beacon whose version this node has, with its age now.
+    std::optional<Beacon> beacon(core::TimePoint now) const;
+
+    /// Time at which the evidence of `beacon` was gathered.
+    std::optional<core::TimePoint> provenAt() const;
+
+    /// Start of the last probe if it failed and is recent enough to count.
+    std::optional<core::TimePoint> outageSeenAt(core::TimePoint now) const;
+
+    State state() const { return chart_.state(); }
+
+private:
+    void on(const BeaconSeen &event);
+    void on(const VersionAccepted &event);
+    void on(const ProbeFinished &event);
+    void on(const Tick &event);
+    void adopt(const BeaconSeen &beacon);
+    void fire(ChartEvent event);
+
+    charts::ChartInstance<State, ChartEvent, ChartAction> chart_;
+    FleetMechanisms mechanisms_;
+    core::TimePoint now_;
+    std::vector<Action> actions_;
+    std::uint64_t version_ = 0;
+    std::optional<BeaconSeen> evidence_;
+    /// The youngest beacon of a version that this node does not have yet.
+    std::optional<BeaconSeen> ahead_;
+    std::optional<core::TimePoint> failedProbe_;
+    std::optional<core::TimePoint> probeStarted_;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/OutageCensus.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/FleetMechanisms.h"
+#include "boragerack/decisions/FleetMessages.h"
+
+namespace boragerack::decisions {
+
+/// Counts on a relay how many members confirm that the platform cannot be read. In a large fleet
+/// the relay asks one member of each group of about sqrt(n) members, which asks the others, so that
+/// no node handles a message from every member.
+class OutageCensus
+{
+public:
+    /// All members in ring order, and those that are suspected. Suspected members count in the
+    /// total: otherwise a cut-off minority would become a majority of what it can reach.
+    struct RingChanged
+    {
+        std::vector<core::InstanceId> ring;
+        std::set<core::InstanceId> suspected;
+    };
+    struct AskReceived
+    {
+        core::InstanceId from;
+        ProbeAsk ask;
+    };
+    struct ReportReceived
+    {
+        core::InstanceId from;
+        ProbeReport report;
+    };
+    struct Tick
+    {
+        bool isRelay = false;
+        /// Start of this node's own last probe if it failed.
+        std::optional<core::TimePoint> outageSeenAt;
+    };
+    using Event = std::variant<RingChanged, AskReceived, ReportReceived, Tick>;
+
+    struct SendAsk
+    {
+        core::InstanceId to;
+        ProbeAsk ask;
+    };
+    struct SendReport
+    {
+        core::InstanceId to;
+        ProbeReport report;
+    };
+    /// More than half of the members confirm an outage, all by probes from `provenAt` or later.
+    struct ConfirmOutage
+    {
+        core::TimePoint provenAt;
+    };
+    using Action = std::variant<SendAsk, SendReport, ConfirmOutage>;
+
+    explicit OutageCensus(core::InstanceId self, FleetMechanisms mechanisms = {});
+
+    std::vector<Action> handle(const Event &event, core::TimePoint now);
+
+private:
+    struct Ask
+    {
+        std::uint64_t sequence = 0;
+        core::TimePoint sentAt;
+    };
+
+    void on(const RingChanged &event);
+    void on(const AskReceived &event);
+    void on(const ReportReceived &event);
+    void on(const Tick &event);
+    void ask(const core::InstanceId &member);
+    void askOwnGroup();
+    void count();
+    std::size_t groupSize() const;
+    std::optional<core::InstanceId> aggregatorOf(std::size_t group) const;
+
+    core::InstanceId self_;
+    FleetMechanisms mechanisms_;
+    core::TimePoint now_;
+    std::vector<Action> actions_;
+    std::vector<core::InstanceId> ring_;
+    std::set<core::InstanceId> suspected_;
+    std::size_t position_ = 0;
+    std::map<core::InstanceId, Ask> asks_;
+    /// Start of the failed probe that each member reported, at the latest possible age.
+    std::map<core::InstanceId, core::TimePoint> votes_;
+    std::uint64_t sequence_ = 0;
+    std::optional<core::TimePoint> askedGroups_;
+    std::optional<core::TimePoint> askedMembers_;
+    std::optional<core::TimePoint> confirmed_;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/Overlay.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/FleetMessages.h"
+
+namespace boragerack::decisions {
+
+/// The members at distance 1, 2, 4, ... after `self` in the ring.
+std::vector<core::InstanceId> fingerLinks(const std::vector<core::InstanceId> &ring,
+                                          const core::InstanceId &self);
+
+/// Which neighbours a node talks to and when. Heartbeats go out each second, and at once when the
+/// neighbour lacks something; the neighbour then pulls. Only answers count as evidence, because
+/// the asker knows how long ago it asked, whatever the network delays.
+class Overlay
+{
+public:
+    struct RingChanged
+    {
+        std::vector<core::InstanceId> ring;
+        std::vector<core::InstanceId> aliveRing;
+    };
+    /// What this node reports from now on; its beacon was gathered at `provenAt`.
+    struct ReportChanged
+    {
+        NodeReport report;
+        std::optional<core::TimePoint> provenAt;
+    };
+    struct HeartbeatReceived
+    {
+        core::InstanceId from;
+        Heartbeat heartbeat;
+    };
+    struct ReplyReceived
+    {
+        core::InstanceId from;
+        HeartbeatReply reply;
+    };
+    /// The connection to the peer failed and could not be opened again.
+    struct LinkBroken
+    {
+        core::InstanceId peer;
+    };
+    struct Tick
+    {
+    };
+    using Event = std::variant<RingChanged, ReportChanged, HeartbeatReceived, ReplyReceived,
+                               LinkBroken, Tick>;
+
+    struct SendHeartbeat
+    {
+        core::InstanceId to;
+        Heartbeat heartbeat;
+    };
+    struct SendReply
+    {
+        core::InstanceId to;
+        HeartbeatReply reply;
+    };
+    struct PeerHeard
+    {
+        core::InstanceId peer;
+        std::uint64_t incarnation = 0;
+        std::uint32_t refutation = 0;
+    };
+    struct PeerSilent
+    {
+        core::InstanceId peer;
+    };
+    struct BeaconProven
+    {
+        BeaconKind kind = BeaconKind::PlatformRead;
+        std::uint64_t version = 0;
+        core::TimePoint provenAt;
+    };
+    struct VersionSeen
+    {
+        core::InstanceId from;
+        std::uint64_t version = 0;
+    };
+    /// The peer's member records differ from this node's.
+    struct PullMembers
+    {
+        core::InstanceId from;
+    };
+    using Action = std::variant<SendHeartbeat, SendReply, PeerHeard, PeerSilent, BeaconProven,
+                                VersionSeen, PullMembers>;
+
+    explicit Overlay(core::InstanceId self);
+
+    std::vector<Action> handle(const Event &event, core::TimePoint now);
+
+    /// Neighbours to which changes are pushed.
+    const std::vector<core::InstanceId> &pushTargets() const { return pushTargets_; }
+
+private:
+    struct Link
+    {
+        bool isNeighbour = false;
+        core::TimePoint sentAt;
+        /// Heartbeats without an answer, by sequence.
+        std::map<std::uint64_t, core::TimePoint> unanswered;
+        std::uint64_t knownVersion = 0;
+        std::optional<core::TimePoint> knownProvenAt;
+    };
+
+    void on(const RingChanged &event);
+    void on(const ReportChanged &event);
+    void on(const HeartbeatReceived &event);
+    void on(const ReplyReceived &event);
+    void on(const LinkBroken &event);
+    void on(const Tick &event);
+    void send(const core::InstanceId &peer, Link &link);
+    void learn(const core::InstanceId &peer, const NodeReport &report);
+    bool lacksNews(const Link &link) const;
+    NodeReport currentReport() const;
+
+    core::InstanceId self_;
+    core::TimePoint now_;
+    std::vector<Action> actions_;
+    std::map<core::InstanceId, Link> links_;
+    std::vector<core::InstanceId> pushTargets_;
+    NodeReport report_;
+    std::optional<core::TimePoint> provenAt_;
+    std::optional<core::TimePoint> pulledMembersAt_;
+    std::uint64_t sequence_ = 0;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/Freshness.cpp
@@ -0,0 +1,129 @@
+#include "boragerack/decisions/Freshness.h"
+
+#include <chrono>
+#include <utility>
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// Beacons are at most about 1.5 s old while relays read the platform. At this age a node starts
+/// to probe, which leaves time to confirm an outage before the evidence expires.
+constexpr std::chrono::milliseconds kProbeAfter {2000};
+constexpr std::chrono::milliseconds kProbeInterval {1000};
+
+} // namespace
+
+core::Result<std::shared_ptr<const Freshness::Binding>>
+Freshness::bind(const charts::StateChart &chart)
+{
+    using namespace std::string_view_literals;
+    const charts::EnumNames<State, 4> states {{"unproven"sv, "fresh"sv, "outage"sv, "isolated"sv}};
+    const charts::EnumNames<ChartEvent, 3> events {
+        {"readProven"sv, "outageProven"sv, "proofExpired"sv}};
+    const charts::EnumNames<ChartAction, 2> actions {{"startServing"sv, "stopServing"sv}};
+    auto binding = Binding::make(chart, states, events, actions);
+    if (!core::isOk(binding))
+        return core::errorOf(binding);
+    return std::make_shared<const Binding>(core::takeValue(std::move(binding)));
+}
+
+Freshness::Freshness(std::shared_ptr<const Binding> binding, FleetMechanisms mechanisms)
+    : chart_(std::move(binding))
+    , mechanisms_(mechanisms)
+{
+}
+
+std::vector<Freshness::Action> Freshness::handle(const Event &event, core::TimePoint now)
+{
+    now_ = now;
+    std::visit([this](const auto &concrete) { on(concrete); }, event);
+    return std::exchange(actions_, {});
+}
+
+void Freshness::on(const BeaconSeen &event)
+{
+    if (event.version > version_) {
+        if (!ahead_ || event.provenAt > ahead_->provenAt)
+            ahead_ = event;
+        return;
+    }
+    adopt(event);
+}
+
+void Freshness::on(const VersionAccepted &event)
+{
+    version_ = event.version;
+    if (ahead_ && ahead_->version <= version_)
+        adopt(*std::exchange(ahead_, std::nullopt));
+}
+
+void Freshness::on(const ProbeFinished &event)
+{
+    if (event.isReadable)
+        failedProbe_.reset();
+    else if (!failedProbe_ || event.startedAt > *failedProbe_)
+        failedProbe_ = event.startedAt;
+}
+
+void Freshness::on(const Tick &)
+{
+    if (mechanisms_.freshnessBound && (!evidence_ || now_ - evidence_->provenAt >= kFreshnessBound))
+        fire(ChartEvent::ProofExpired);
+    // In a confirmed outage the probes go on: they are the votes that confirm it.
+    const bool isReadProven = evidence_ && evidence_->kind == BeaconKind::PlatformRead
+        && now_ - evidence_->provenAt < kProbeAfter;
+    if (!isReadProven && (!probeStarted_ || now_ - *probeStarted_ >= kProbeInterval)) {
+        probeStarted_ = now_;
+        actions_.emplace_back(ProbePlatform {});
+    }
+}
+
+void Freshness::adopt(const BeaconSeen &beacon)
+{
+    if ((evidence_ && beacon.provenAt <= evidence_->provenAt)
+        || now_ - beacon.provenAt >= kFreshnessBound)
+        return;
+    evidence_ = beacon;
+    fire(beacon.kind == BeaconKind::PlatformRead ? ChartEvent::ReadProven
+                                                 : ChartEvent::OutageProven);
+    actions_.emplace_back(EvidenceRenewed {});
+}
+
+bool Freshness::mayServe(core::TimePoint now) const
+{
+    const bool isServing = chart_.state() == State::Fresh || chart_.state() == State::Outage;
+    return isServing
+        && (!mechanisms_.freshnessBound || now - evidence_->provenAt < kFreshnessBound);
+}
+
+std::optional<Beacon> Freshness::beacon(core::TimePoint now) const
+{
+    if (!evidence_ || now - evidence_->provenAt >= kFreshnessBound)
+        return std::nullopt;
+    return Beacon {evidence_->kind, evidence_->version, now - evidence_->provenAt};
+}
+
+std::optional<core::TimePoint> Freshness::provenAt() const
+{
+    return evidence_ ? std::optional(evidence_->provenAt) : std::nullopt;
+}
+
+std::optional<core::TimePoint> Freshness::outageSeenAt(core::TimePoint now) const
+{
+    if (!failedProbe_ || now - *failedProbe_ >= kFreshnessBound)
+        return std::nullopt;
+    return failedProbe_;
+}
+
+void Freshness::fire(ChartEvent event)
+{
+    for (const ChartAction action : chart_.fire(event)) {
+        if (action == ChartAction::StartServing)
+            actions_.emplace_back(StartServing {});
+        else
+            actions_.emplace_back(StopServing {});
+    }
+}
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/OutageCensus.cpp
@@ -0,0 +1,148 @@
+#include "boragerack/decisions/OutageCensus.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <functional>
+#include <utility>
+
+#include "boragerack/decisions/Freshness.h"
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// Votes are at most 1.5 s old when asked for; two hops at this interval add 1 s, which leaves 2 s
+/// of the freshness bound for the way to every node.
+constexpr std::chrono::milliseconds kAskInterval {500};
+/// Up to this size a relay asks every member itself.
+constexpr std::size_t kMaxDirectMembers = 32;
+
+} // namespace
+
+OutageCensus::OutageCensus(core::InstanceId self, FleetMechanisms mechanisms)
+    : self_(std::move(self))
+    , mechanisms_(mechanisms)
+{
+}
+
+std::vector<OutageCensus::Action> OutageCensus::handle(const Event &event, core::TimePoint now)
+{
+    now_ = now;
+    std::visit([this](const auto &concrete) { on(concrete); }, event);
+    return std::exchange(actions_, {});
+}
+
+void OutageCensus::on(const RingChanged &event)
+{
+    ring_ = event.ring;
+    suspected_ = event.suspected;
+    position_ =
+        static_cast<std::size_t>(std::find(ring_.begin(), ring_.end(), self_) - ring_.begin());
+    const std::set<core::InstanceId> members(ring_.begin(), ring_.end());
+    std::erase_if(votes_, [&](const auto &vote) { return !members.contains(vote.first); });
+    std::erase_if(asks_, [&](const auto &ask) { return !members.contains(ask.first); });
+}
+
+void OutageCensus::on(const AskReceived &event)
+{
+    ProbeReport report {event.ask.sequence, {}};
+    for (const auto &[member, startedAt] : votes_) {
+        if (now_ - startedAt < kFreshnessBound)
+            report.votes.push_back({member, now_ - startedAt});
+    }
+    actions_.emplace_back(SendReport {event.from, std::move(report)});
+    if (groupSize() > 1 && aggregatorOf(position_ / groupSize()) == self_)
+        askOwnGroup();
+}
+
+void OutageCensus::on(const ReportReceived &event)
+{
+    const auto ask = asks_.find(event.from);
+    if (ask == asks_.end() || ask->second.sequence != event.report.sequence)
+        return;
+    // The age counts from the time of asking, so a delayed report never makes a vote too young.
+    for (const OutageVote &vote : event.report.votes) {
+        const core::TimePoint startedAt = ask->second.sentAt - vote.age;
+        if (const auto [known, isNew] = votes_.emplace(vote.member, startedAt); !isNew)
+            known->second = std::max(known->second, startedAt);
+    }
+}
+
+void OutageCensus::on(const Tick &event)
+{
+    if (event.outageSeenAt)
+        votes_[self_] = *event.outageSeenAt;
+    else
+        votes_.erase(self_);
+    if (!event.isRelay || !event.outageSeenAt || ring_.empty())
+        return;
+    if (!askedGroups_ || now_ - *askedGroups_ >= kAskInterval) {
+        askedGroups_ = now_;
+        const std::size_t size = groupSize();
+        for (std::size_t group = 0; group * size < ring_.size(); ++group) {
+            const auto aggregator = aggregatorOf(group);
+            if (aggregator == self_)
+                askOwnGroup();
+            else if (aggregator)
+                ask(*aggregator);
+        }
+    }
+    count();
+}
+
+void OutageCensus::ask(const core::InstanceId &member)
+{
+    asks_[member] = {++sequence_, now_};
+    actions_.emplace_back(SendAsk {member, {sequence_}});
+}
+
+void OutageCensus::askOwnGroup()
+{
+    if (askedMembers_ && now_ - *askedMembers_ < kAskInterval)
+        return;
+    askedMembers_ = now_;
+    const std::size_t first = position_ / groupSize() * groupSize();
+    for (std::size_t i = first; i < std::min(first + groupSize(), ring_.size()); ++i) {
+        if (ring_[i] != self_)
+            ask(ring_[i]);
+    }
+}
+
+void OutageCensus::count()
+{
+    std::vector<core::TimePoint> started;
+    for (const auto &[member, startedAt] : votes_) {
+        if (now_ - startedAt < kFreshnessBound)
+            started.push_back(startedAt);
+    }
+    // Exactly half is not a majority: the other half could read the platform.
+    const std::size_t needed = mechanisms_.majority ? ring_.size() / 2 + 1 : 1;
+    if (started.size() < needed)
+        return;
+    std::sort(started.begin(), started.end(), std::greater<>());
+    const core::TimePoint provenAt = started[needed - 1];
+    if (confirmed_ && provenAt <= *confirmed_)
+        return;
+    confirmed_ = provenAt;
+    actions_.emplace_back(ConfirmOutage {provenAt});
+}
+
+std::size_t OutageCensus::groupSize() const
+{
+    if (ring_.size() <= kMaxDirectMembers)
+        return 1;
+    return static_cast<std::size_t>(std::ceil(std::sqrt(static_cast<double>(ring_.size()))));
+}
+
+std::optional<core::InstanceId> OutageCensus::aggregatorOf(std::size_t group) const
+{
+    const std::size_t first = group * groupSize();
+    for (std::size_t i = first; i < std::min(first + groupSize(), ring_.size()); ++i) {
+        if (!suspected_.contains(ring_[i]))
+            return ring_[i];
+    }
+    return std::nullopt;
+}
+
+} // namespace boragerack::decisions
