Make a majority without the platform take its highest version

Cause: the random test found 2 of 3 nodes, cut off from the platform, that confirmed an outage to each other and served a key whose withdrawal the third node had accepted. While only a minority can read the platform the others cannot learn of an edit, but a version that more than half of the members have must not be passed over.

Change: outage votes carry the voter's version and the confirmation carries the highest, so that nodes behind pull it before they serve; a process that never had proof from the platform does not vote, because it may have got an old version from a peer.

Ruled out: accepting only while a majority is reachable. A cut during the 3 s before a suspicion still leaves the same state.

--- a/packages/decisions/include/boragerack/decisions/FleetAgent.h
+++ b/packages/decisions/include/boragerack/decisions/FleetAgent.h
@@ -151,7 +151,7 @@
     void perform(const std::vector<ModuleAction> &actions)
     {
         for (const ModuleAction &action : actions)
-            std::visit([this](const auto &concrete) { apply(concrete); }, action);
+            std::visit([this](const auto &concrete) { this->apply(concrete); }, action);
     }
 
     template<class Outgoing>
--- a/packages/decisions/include/boragerack/decisions/FleetMessages.h
+++ b/packages/decisions/include/boragerack/decisions/FleetMessages.h
@@ -121,11 +121,13 @@
     friend auto operator<=>(const ProbeAsk &, const ProbeAsk &) = default;
 };
 
-/// A member could not read the platform in a probe that it started `age` ago.
+/// A member could not read the platform in a probe that it started `age` ago. `version` is its
+/// configuration: a version that more than half of the members have shows up in every majority.
 struct OutageVote
 {
     core::InstanceId member;
     core::Duration age = {};
+    std::uint64_t version = 0;
 
     friend auto operator<=>(const OutageVote &, const OutageVote &) = default;
 };
--- a/packages/decisions/include/boragerack/decisions/Freshness.h
+++ b/packages/decisions/include/boragerack/decisions/Freshness.h
@@ -81,7 +81,11 @@
     std::optional<core::TimePoint> provenAt() const;
 
     /// Start of the last probe if it failed and is recent enough to count.
-    std::optional<core::TimePoint> outageSeenAt(core::TimePoint now) const;
+    std::optional<core::TimePoint> failedProbeAt(core::TimePoint now) const;
+
+    /// Whether this node's probes may confirm an outage. A process that never had proof from the
+    /// platform may hold an old version that it got from a peer, so it does not count.
+    bool mayVote() const { return hadReadProof_; }
 
     State state() const { return chart_.state(); }
 
@@ -101,6 +105,7 @@
     std::optional<BeaconSeen> evidence_;
     /// The youngest beacon of a version that this node does not have yet.
     std::optional<BeaconSeen> ahead_;
+    bool hadReadProof_ = false;
     std::optional<core::TimePoint> failedProbe_;
     std::optional<core::TimePoint> probeStarted_;
 };
--- a/packages/decisions/include/boragerack/decisions/OutageCensus.h
+++ b/packages/decisions/include/boragerack/decisions/OutageCensus.h
@@ -41,7 +41,9 @@
     {
         bool isRelay = false;
         /// Start of this node's own last probe if it failed.
-        std::optional<core::TimePoint> outageSeenAt;
+        std::optional<core::TimePoint> failedProbeAt;
+        bool mayVote = false;
+        std::uint64_t version = 0;
     };
     using Event = std::variant<RingChanged, AskReceived, ReportReceived, Tick>;
 
@@ -56,9 +58,11 @@
         ProbeReport report;
     };
     /// More than half of the members confirm an outage, all by probes from `provenAt` or later.
+    /// The version is the highest that any of them has.
     struct ConfirmOutage
     {
         core::TimePoint provenAt;
+        std::uint64_t version = 0;
     };
     using Action = std::variant<SendAsk, SendReport, ConfirmOutage>;
 
@@ -67,6 +71,12 @@
     std::vector<Action> handle(const Event &event, core::TimePoint now);
 
 private:
+    struct Vote
+    {
+        /// Start of the failed probe at the latest possible age.
+        core::TimePoint startedAt;
+        std::uint64_t version = 0;
+    };
     struct Ask
     {
         std::uint64_t sequence = 0;
@@ -91,8 +101,7 @@
     std::set<core::InstanceId> suspected_;
     std::size_t position_ = 0;
     std::map<core::InstanceId, Ask> asks_;
-    /// Start of the failed probe that each member reported, at the latest possible age.
-    std::map<core::InstanceId, core::TimePoint> votes_;
+    std::map<core::InstanceId, Vote> votes_;
     std::uint64_t sequence_ = 0;
     std::optional<core::TimePoint> askedGroups_;
     std::optional<core::TimePoint> askedMembers_;
--- a/packages/decisions/src/FleetAgent.cpp
+++ b/packages/decisions/src/FleetAgent.cpp
@@ -51,7 +51,9 @@
     perform(freshness_.handle(Freshness::Tick {}, now_));
     perform(members_.handle(MemberView::Tick {}, now_));
     perform(census_.handle(OutageCensus::Tick {isRelay_ && members_.isComplete(),
-                                                       freshness_.outageSeenAt(now_)}, now_));
+                                               freshness_.failedProbeAt(now_), freshness_.mayVote(),
+                                               configuration_.version()},
+                           now_));
     perform(overlay_.handle(Overlay::Tick {}, now_));
     performWatch(Prefix::Lists, listsWatch_.handle(PrefixWatch::Tick {}, now_));
     performWatch(Prefix::Nodes, nodesWatch_.handle(PrefixWatch::Tick {}, now_));
@@ -251,9 +253,9 @@
 
 void FleetAgent::apply(const OutageCensus::ConfirmOutage &action)
 {
-    perform(freshness_.handle(Freshness::BeaconSeen {BeaconKind::ConfirmedOutage,
-                                                     configuration_.version(), action.provenAt},
-                              now_));
+    perform(freshness_.handle(
+        Freshness::BeaconSeen {BeaconKind::ConfirmedOutage, action.version, action.provenAt},
+        now_));
 }
 
 void FleetAgent::send(const core::InstanceId &to, FleetMessage message)
--- a/packages/decisions/src/Freshness.cpp
+++ b/packages/decisions/src/Freshness.cpp
@@ -85,6 +85,7 @@
         || now_ - beacon.provenAt >= kFreshnessBound)
         return;
     evidence_ = beacon;
+    hadReadProof_ = hadReadProof_ || beacon.kind == BeaconKind::PlatformRead;
     fire(beacon.kind == BeaconKind::PlatformRead ? ChartEvent::ReadProven
                                                  : ChartEvent::OutageProven);
     actions_.emplace_back(EvidenceRenewed {});
@@ -109,7 +110,7 @@
     return evidence_ ? std::optional(evidence_->provenAt) : std::nullopt;
 }
 
-std::optional<core::TimePoint> Freshness::outageSeenAt(core::TimePoint now) const
+std::optional<core::TimePoint> Freshness::failedProbeAt(core::TimePoint now) const
 {
     if (!failedProbe_ || now - *failedProbe_ >= kFreshnessBound)
         return std::nullopt;
--- a/packages/decisions/src/OutageCensus.cpp
+++ b/packages/decisions/src/OutageCensus.cpp
@@ -47,9 +47,9 @@
 void OutageCensus::on(const AskReceived &event)
 {
     ProbeReport report {event.ask.sequence, {}};
-    for (const auto &[member, startedAt] : votes_) {
-        if (now_ - startedAt < kFreshnessBound)
-            report.votes.push_back({member, now_ - startedAt});
+    for (const auto &[member, vote] : votes_) {
+        if (now_ - vote.startedAt < kFreshnessBound)
+            report.votes.push_back({member, now_ - vote.startedAt, vote.version});
     }
     actions_.emplace_back(SendReport {event.from, std::move(report)});
     if (groupSize() > 1 && aggregatorOf(position_ / groupSize()) == self_)
@@ -64,18 +64,19 @@
     // The age counts from the time of asking, so a delayed report never makes a vote too young.
     for (const OutageVote &vote : event.report.votes) {
         const core::TimePoint startedAt = ask->second.sentAt - vote.age;
-        if (const auto [known, isNew] = votes_.emplace(vote.member, startedAt); !isNew)
-            known->second = std::max(known->second, startedAt);
+        const auto [known, isNew] = votes_.emplace(vote.member, Vote {startedAt, vote.version});
+        if (!isNew && startedAt > known->second.startedAt)
+            known->second = {startedAt, vote.version};
     }
 }
 
 void OutageCensus::on(const Tick &event)
 {
-    if (event.outageSeenAt)
-        votes_[self_] = *event.outageSeenAt;
+    if (event.failedProbeAt && event.mayVote)
+        votes_[self_] = {*event.failedProbeAt, event.version};
     else
         votes_.erase(self_);
-    if (!event.isRelay || !event.outageSeenAt || ring_.empty())
+    if (!event.isRelay || !event.failedProbeAt || ring_.empty())
         return;
     if (!askedGroups_ || now_ - *askedGroups_ >= kAskInterval) {
         askedGroups_ = now_;
@@ -112,9 +113,12 @@
 void OutageCensus::count()
 {
     std::vector<core::TimePoint> started;
-    for (const auto &[member, startedAt] : votes_) {
-        if (now_ - startedAt < kFreshnessBound)
-            started.push_back(startedAt);
+    std::uint64_t version = 0;
+    for (const auto &[member, vote] : votes_) {
+        if (now_ - vote.startedAt < kFreshnessBound) {
+            started.push_back(vote.startedAt);
+            version = std::max(version, vote.version);
+        }
     }
     // Exactly half is not a majority: the other half could read the platform.
     const std::size_t needed = mechanisms_.majority ? ring_.size() / 2 + 1 : 1;
@@ -125,7 +129,7 @@
     if (confirmed_ && provenAt <= *confirmed_)
         return;
     confirmed_ = provenAt;
-    actions_.emplace_back(ConfirmOutage {provenAt});
+    actions_.emplace_back(ConfirmOutage {provenAt, version});
 }
 
 std::size_t OutageCensus::groupSize() const
--- a/packages/decisions/tests/FleetTest.cpp
+++ b/packages/decisions/tests/FleetTest.cpp
@@ -18,6 +18,7 @@
 /// operators added and did not remove.
 std::set<std::string> runRandomFaults(FleetWorld &world, int steps)
 {
+    world.run(5s); // Every node writes its record.
     std::set<std::string> expected = {"first"};
     world.edit(kParts[0], "first", true);
     for (int step = 0; step < steps; ++step) {
@@ -228,6 +229,38 @@
     BOOST_TEST(world->violations().empty());
 }
 
+// Guards against counting the age of a beacon from its arrival: in messages that take longer than
+// the bound, evidence that is too old would pass for fresh.
+BOOST_AUTO_TEST_CASE(nodeBehindASlowNetworkStops)
+{
+    const auto world = makeWorld(7, 2);
+    world->setMessageDelay(4, 6s);
+    world->setPlatformCut(4, true);
+    world->run(2s);
+    world->edit("plans/a", "gate", false);
+    for (int second = 0; second < 30; ++second) {
+        world->run(1s);
+        BOOST_TEST((second < 5 || !world->isServing(4)));
+    }
+    BOOST_TEST(world->violations().empty());
+}
+
+// Guards against a majority without the platform that serves a withdrawn key because its members
+// with the old version do not learn that one of them has the new one.
+BOOST_AUTO_TEST_CASE(majorityWithoutThePlatformTakesItsHighestVersion)
+{
+    const auto world = makeWorld(7, 2);
+    for (const std::size_t node : {4U, 5U, 6U})
+        world->setSide(node, 1);
+    world->edit("plans/a", "gate", false);
+    world->run(1s);
+    world->setSide(3, 1); // Only node 3 brings the new version to the majority.
+    world->run(60s);
+    BOOST_TEST(world->isServing(6));
+    BOOST_TEST(!world->servesKey(6, "gate"));
+    BOOST_TEST(world->violations().empty());
+}
+
 // Guards against two parts of a fleet that both count as a majority.
 BOOST_AUTO_TEST_CASE(withoutThePlatformOnlyMoreThanHalfServesOn)
 {
