Name the outcome of a head write apart from that of a placement write

Cause: two enumerations named WriteOutcome with different values stood in one namespace, so a file could not include both and two translation units disagreed about the name. Change: the configuration relay's is HeadWriteOutcome.

--- a/packages/decisions/include/boragerack/decisions/ConfigurationRelay.h
+++ b/packages/decisions/include/boragerack/decisions/ConfigurationRelay.h
@@ -16,7 +16,7 @@
 namespace boragerack::decisions {
 
 /// What is known about a write to the platform after its answer or its loss.
-enum class WriteOutcome { Done, Conflict, Unknown };
+enum class HeadWriteOutcome { Done, Conflict, Unknown };
 
 /// The head object with its platform version.
 struct StoredHead
@@ -114,7 +114,7 @@
     struct HeadWritten
     {
         std::uint64_t sequence = 0;
-        WriteOutcome outcome = WriteOutcome::Unknown;
+        HeadWriteOutcome outcome = HeadWriteOutcome::Unknown;
         std::uint64_t platformVersion = 0;
     };
     struct Tick
--- a/packages/decisions/src/ConfigurationRelay.cpp
+++ b/packages/decisions/src/ConfigurationRelay.cpp
@@ -152,15 +152,15 @@
     if (event.sequence != sequence_)
         return;
     switch (event.outcome) {
-    case WriteOutcome::Done:
+    case HeadWriteOutcome::Done:
         if (chart_.state() == State::WritingHead)
             stored_ = StoredHead {written_, event.platformVersion};
         fire(ChartEvent::HeadWritten);
         break;
-    case WriteOutcome::Conflict:
+    case HeadWriteOutcome::Conflict:
         fire(ChartEvent::HeadConflict);
         break;
-    case WriteOutcome::Unknown:
+    case HeadWriteOutcome::Unknown:
         fire(ChartEvent::HeadUnknown);
         break;
     }
