--- a/packages/peer/src/LinkTask.cpp
+++ b/packages/peer/src/LinkTask.cpp
@@ -182,8 +182,10 @@
     connection_->close();
     statistics_.bytesWritten += connection_->bytesWritten();
     connection_.reset();
-    runtime::logEvent(runtime::LogEvent::PeerLost,
-                      peer_.instance.value + " at " + peer_.address + ": " + lossReason_);
+    if (lifecycle_.state() != LinkState::Closed) {
+        runtime::logEvent(runtime::LogEvent::PeerLost,
+                          peer_.instance.value + " at " + peer_.address + ": " + lossReason_);
+    }
 }
 
 void LinkTask::sendPending()
