Carry the values of the decision modules in peer messages

Cause: the decision modules define the messages that they exchange; a second set of value types would need a conversion at each node task.

Ruled out: conversions between two sets of value types, which is twice the code for nothing. Time points stay out of messages: WakeRequest and ages are durations; ages are rounded up, so that evidence never looks younger, and tokens outside 0 to 2^63-1 are malformed.

Change: the alternatives of MessageBody are the values of FleetMessages, BudgetTypes and Quarantine; WakeRequest, WakeReply, ReplicaUses and TargetUpdate remain in peer. Identities that repeat the envelope's (incarnation of a report, borrower of an ask) are left out on the wire.

--- a/bench/PeerBench.cpp
+++ b/bench/PeerBench.cpp
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/operations.hpp>
 #include <unistd.h>
 
 #include "boragerack/core/SystemRandomSource.h"
@@ -40,24 +39,29 @@
 public:
     void handle(const peer::Envelope &request, peer::PeerReply reply) override
     {
-        if (const auto *ask = std::get_if<peer::BudgetAsk>(&request.body)) {
-            reply.answer(peer::BudgetGrant {ask->organisation, ask->share, ask->sequence,
-                                            ask->tokens, 2000ms});
+        if (const auto *ask = std::get_if<decisions::BudgetAsk>(&request.body)) {
+            reply.answer(decisions::BudgetGrant {
+                ask->id, ask->share, ask->organisation, kIncarnation, true, ask->wantedTokens, {}});
+        } else if (const auto *beat = std::get_if<decisions::Heartbeat>(&request.body)) {
+            reply.answer(decisions::HeartbeatReply {beat->sequence, beat->report});
         }
     }
 };
 
-peer::BudgetAsk makeAsk(std::uint64_t sequence)
+decisions::BudgetAsk makeAsk(const core::InstanceId &borrower, std::uint64_t sequence)
 {
-    return {core::OrganisationId {"cascadia-yards"}, 3, sequence, 20000};
+    return {{borrower, kIncarnation, sequence},
+            {41, 3},
+            core::OrganisationId {"cascadia-yards"},
+            20000,
+            {}};
 }
 
-peer::Heartbeat makeHeartbeat(std::uint64_t sequence)
+decisions::Heartbeat makeHeartbeat(std::uint64_t sequence)
 {
-    peer::Heartbeat heartbeat {70000 + sequence, 41000, 90000, 1200, {}};
-    for (const char *relay : {"pnw-a-1", "pnw-b-4", "pnw-d-2"})
-        heartbeat.beacons.push_back({core::InstanceId {relay}, sequence, 800ms, false});
-    return heartbeat;
+    return {sequence,
+            {kIncarnation, 0, 70000, 0x8123456789abcdefULL,
+             decisions::Beacon {decisions::BeaconKind::PlatformRead, 70000, 800ms}}};
 }
 
 double residentKiB()
@@ -82,7 +86,7 @@
         for (std::size_t i = 0; i < count; ++i) {
             links_.push_back(core::takeValue(peer::PeerLink::make(
                 fiberRuntime.ioContext(), {core::InstanceId {"pnw-b-2"}, address, 1},
-                makeAuthenticator("pnw-a-" + std::to_string(i)), {}, charts_, random_)));
+                makeAuthenticator(borrowerOf(i).value), {}, charts_, random_)));
             call(i, 0);
         }
         memoryPerLink_ = (residentKiB() - before) / static_cast<double>(count);
@@ -93,7 +97,12 @@
 
     void call(std::size_t link, std::uint64_t sequence)
     {
-        const auto answer = links_[link]->call(makeAsk(sequence), SteadyClock::now() + 5s);
+        call(link, makeAsk(borrowerOf(link), sequence));
+    }
+
+    void call(std::size_t link, peer::MessageBody body)
+    {
+        const auto answer = links_[link]->call(std::move(body), SteadyClock::now() + 5s);
         if (!core::isOk(answer)) {
             std::fprintf(stderr, "call failed: %s\n", core::errorOf(answer).message.c_str());
             std::exit(1);
@@ -101,6 +110,11 @@
     }
 
 private:
+    static core::InstanceId borrowerOf(std::size_t link)
+    {
+        return core::InstanceId {"pnw-a-" + std::to_string(link)};
+    }
+
     static std::shared_ptr<const peer::MessageAuthenticator>
     makeAuthenticator(const std::string &self)
     {
@@ -160,7 +174,7 @@
     return samples;
 }
 
-/// Bytes both ways of one heartbeat with its confirmation and of one ask with its grant.
+/// Bytes both ways of one heartbeat with its reply and of one ask with its grant.
 void printBytes(Fleet &fleet)
 {
     constexpr std::uint64_t kRounds = 500;
@@ -172,10 +186,8 @@
                     static_cast<double>(after.bytesRead - before.bytesRead) / kRounds);
     };
     auto before = link.statistics();
-    for (std::uint64_t i = 0; i < kRounds; ++i) {
-        (void)link.send(makeHeartbeat(i));
-        boost::this_fiber::sleep_for(1ms);
-    }
+    for (std::uint64_t i = 0; i < kRounds; ++i)
+        fleet.call(0, makeHeartbeat(i));
     print("heartbeat", before);
     before = link.statistics();
     for (std::uint64_t i = 0; i < kRounds; ++i)
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -1,7 +1,9 @@
 #include "WireConversion.h"
 
 #include <algorithm>
+#include <limits>
 #include <string>
+#include <utility>
 
 namespace boragerack::peer {
 
@@ -9,67 +11,187 @@
 
 using std::chrono::milliseconds;
 
-std::optional<core::Digest> readDigest(const std::string &bytes)
+bool read(const std::string &bytes, core::Digest &digest)
 {
-    core::Digest digest;
     if (bytes.size() != digest.bytes.size())
-        return std::nullopt;
+        return false;
     std::copy(bytes.begin(), bytes.end(), digest.bytes.begin());
-    return digest;
+    return true;
 }
 
-std::optional<MessageBody> fromWire(const wire::Heartbeat &in)
+/// Amounts of tokens are never negative.
+bool read(std::uint64_t value, std::int64_t &tokens)
 {
-    Heartbeat body {in.configuration_version(),
-                    in.members_version(),
-                    in.targets_version(),
-                    in.shares_version(),
-                    {}};
-    for (const wire::Beacon &record : in.beacons()) {
-        body.beacons.push_back({core::InstanceId {record.relay()}, record.sequence(),
-                                milliseconds(record.age_ms()), record.platform_down()});
-    }
-    return body;
+    tokens = static_cast<std::int64_t>(value);
+    return value <= static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
 }
 
-std::optional<MessageBody> fromWire(const wire::MemberEvent &in)
+bool read(const wire::NodeReport &in, const wire::Envelope &message, decisions::NodeReport &report)
 {
-    if (!wire::MemberEvent::Kind_IsValid(in.kind()))
+    report.incarnation = in.incarnation() != 0 ? in.incarnation() : message.incarnation();
+    report.refutation = in.refutation();
+    report.configurationVersion = in.configuration_version();
+    report.memberHash = in.member_hash();
+    if (!in.has_beacon())
+        return true;
+    report.beacon = decisions::Beacon {static_cast<decisions::BeaconKind>(in.beacon().kind()),
+                                       in.beacon().version(), milliseconds(in.beacon().age_ms())};
+    return wire::Beacon::Kind_IsValid(in.beacon().kind());
+}
+
+decisions::MemberRecord read(const wire::MemberRecord &in)
+{
+    return {core::InstanceId {in.instance()},
+            in.caller_address(),
+            in.peer_address(),
+            core::DataCentreId {in.data_centre()},
+            core::RegionId {in.region()},
+            in.incarnation(),
+            in.version(),
+            in.removed()};
+}
+
+decisions::PortionId read(const wire::PortionId &in, const std::string &owner,
+                          std::uint64_t ownerIncarnation)
+{
+    return {core::InstanceId {in.borrower().empty() ? owner : in.borrower()},
+            in.incarnation() != 0 ? in.incarnation() : ownerIncarnation, in.sequence()};
+}
+
+decisions::ShareKey read(const wire::ShareKey &in)
+{
+    return {in.shard(), in.index()};
+}
+
+template<class Entries>
+bool read(const Entries &in, const wire::Envelope &message,
+          std::vector<decisions::PortionReturn> &returns)
+{
+    return std::all_of(in.begin(), in.end(), [&](const wire::PortionReturn &record) {
+        decisions::PortionReturn &entry = returns.emplace_back();
+        entry.portion = read(record.portion(), message.sender(), message.incarnation());
+        entry.holderIncarnation = record.holder_incarnation();
+        return read(record.returned_total(), entry.returnedTotal);
+    });
+}
+
+decisions::Artifact read(const wire::Artifact &in)
+{
+    return {core::ModelId {in.model()}, in.version(), core::AdapterId {in.adapter()}};
+}
+
+bool read(const wire::Refusal &in, core::Error &error)
+{
+    error = {static_cast<core::ErrorCode>(in.code()), static_cast<core::Verdict>(in.verdict()),
+             in.message(), milliseconds(in.retry_after_ms())};
+    return in.code() <= static_cast<std::uint32_t>(core::ErrorCode::Internal)
+        && in.verdict() <= static_cast<std::uint32_t>(core::Verdict::Ran);
+}
+
+/// Gives the body, or nothing when a field was out of range.
+template<class Body>
+std::optional<MessageBody> checked(bool isValid, Body &body)
+{
+    if (!isValid)
         return std::nullopt;
-    return MemberEvent {static_cast<MemberEventKind>(in.kind()),
-                        core::InstanceId {in.instance()},
-                        in.incarnation(),
-                        in.address(),
-                        core::DataCentreId {in.data_centre()},
-                        core::RegionId {in.region()},
-                        in.version()};
+    return std::move(body);
+}
+
+std::optional<MessageBody> fromWire(const wire::Heartbeat &in, const wire::Envelope &message)
+{
+    decisions::Heartbeat body {in.sequence(), {}};
+    return checked(read(in.report(), message, body.report), body);
+}
+
+std::optional<MessageBody> fromWire(const wire::HeartbeatReply &in, const wire::Envelope &message)
+{
+    decisions::HeartbeatReply body {in.sequence(), {}};
+    return checked(read(in.report(), message, body.report), body);
+}
+
+std::optional<MessageBody> fromWire(const wire::MemberEvent &in)
+{
+    decisions::MemberEvent body {static_cast<decisions::MemberEventKind>(in.kind()),
+                                 read(in.record()), in.refutation()};
+    return checked(wire::MemberEvent::Kind_IsValid(in.kind()), body);
+}
+
+std::optional<MessageBody> fromWire(const wire::MemberFetch &in)
+{
+    return decisions::MemberFetch {{in.bucket_hashes().begin(), in.bucket_hashes().end()}};
+}
+
+std::optional<MessageBody> fromWire(const wire::MemberTable &in)
+{
+    decisions::MemberTable body;
+    for (const wire::MemberRecord &record : in.records())
+        body.records.push_back(read(record));
+    return body;
 }
 
 std::optional<MessageBody> fromWire(const wire::ConfigUpdate &in)
 {
-    ConfigUpdate body {in.version(), {}, {}};
-    for (const wire::ConfigPart &record : in.parts()) {
-        const auto digest = readDigest(record.digest());
-        if (!digest)
-            return std::nullopt;
-        body.parts.push_back({record.name(), *digest});
+    decisions::ConfigUpdate body;
+    decisions::ConfigurationUpdate &update = body.update;
+    const wire::ConfigHead &head = in.head();
+    update.baseVersion = in.base_version();
+    update.head = {head.version(),
+                   head.list_revision(),
+                   core::InstanceId {head.writer()},
+                   head.writer_incarnation(),
+                   head.sequence(),
+                   {}};
+    bool isValid = read(in.head_digest(), update.headDigest);
+    for (const wire::ConfigPart &record : head.parts()) {
+        update.head.parts.push_back({record.name(), {}});
+        isValid = isValid && read(record.digest(), update.head.parts.back().digest);
     }
-    body.contents.assign(in.contents().begin(), in.contents().end());
-    return body;
+    for (const wire::PartText &record : in.changed())
+        update.changed.push_back({record.name(), record.text()});
+    update.removed.assign(in.removed().begin(), in.removed().end());
+    return checked(isValid, body);
 }
 
-std::optional<MessageBody> fromWire(const wire::ConfigFetch &in)
+std::optional<MessageBody> fromWire(const wire::ProbeReport &in)
 {
-    ConfigFetch body {in.known_version(), {}};
-    for (const std::string &bytes : in.wanted()) {
-        const auto digest = readDigest(bytes);
-        if (!digest)
-            return std::nullopt;
-        body.wanted.push_back(*digest);
+    decisions::ProbeReport body {in.sequence(), {}};
+    for (const wire::OutageVote &record : in.votes()) {
+        body.votes.push_back(
+            {core::InstanceId {record.member()}, milliseconds(record.age_ms()), record.version()});
     }
     return body;
 }
 
+std::optional<MessageBody> fromWire(const wire::BudgetAsk &in, const wire::Envelope &message)
+{
+    decisions::BudgetAsk body;
+    body.id = read(in.id(), message.sender(), message.incarnation());
+    body.share = read(in.share());
+    body.organisation.value = in.organisation();
+    const bool isValid =
+        read(in.wanted_tokens(), body.wantedTokens) && read(in.returns(), message, body.returns);
+    return checked(isValid, body);
+}
+
+std::optional<MessageBody> fromWire(const wire::BudgetGrant &in, const wire::Envelope &message)
+{
+    decisions::BudgetGrant body;
+    body.id = read(in.id(), message.receiver(), 0);
+    body.share = read(in.share());
+    body.organisation.value = in.organisation();
+    body.holderIncarnation =
+        in.holder_incarnation() != 0 ? in.holder_incarnation() : message.incarnation();
+    body.isHolder = in.is_holder();
+    body.retryAfter = milliseconds(in.retry_after_ms());
+    return checked(read(in.tokens(), body.tokens), body);
+}
+
+std::optional<MessageBody> fromWire(const wire::BudgetReturn &in, const wire::Envelope &message)
+{
+    decisions::BudgetReturn body {read(in.share()), core::OrganisationId {in.organisation()}, {}};
+    return checked(read(in.returns(), message, body.returns), body);
+}
+
 std::optional<MessageBody> fromWire(const wire::TargetUpdate &in)
 {
     TargetUpdate body {in.version(), {}};
@@ -85,76 +207,55 @@
         for (const wire::ReplicaRecord &entry : record.replicas()) {
             if (!wire::ReplicaRecord::State_IsValid(entry.state()))
                 return std::nullopt;
-            target.replicas.push_back({core::ModelId {entry.model()},
-                                       core::AdapterId {entry.adapter()}, entry.version(),
-                                       static_cast<ReplicaState>(entry.state())});
+            target.replicas.push_back(
+                {read(entry.artifact()), static_cast<ReplicaState>(entry.state())});
         }
         body.targets.push_back(std::move(target));
     }
     return body;
 }
 
-std::optional<MessageBody> fromWire(const wire::BudgetAsk &in)
-{
-    return BudgetAsk {core::OrganisationId {in.organisation()}, in.share(), in.sequence(),
-                      in.tokens()};
-}
-
-std::optional<MessageBody> fromWire(const wire::BudgetGrant &in)
-{
-    return BudgetGrant {core::OrganisationId {in.organisation()}, in.share(), in.sequence(),
-                        in.tokens(), milliseconds(in.lifetime_ms())};
-}
-
-std::optional<MessageBody> fromWire(const wire::BudgetReturn &in)
-{
-    return BudgetReturn {core::OrganisationId {in.organisation()}, in.share(), in.sequence(),
-                         in.tokens(), in.holder_incarnation()};
-}
-
-std::optional<MessageBody> fromWire(const wire::WakeRequest &in)
+std::optional<MessageBody> fromWire(const wire::WakeReply &in)
 {
-    return WakeRequest {core::ModelId {in.model()}, core::AdapterId {in.adapter()}, in.version(),
-                        in.waiting_requests(), milliseconds(in.deadline_ms())};
+    WakeReply body {in.request(), read(in.artifact()), {}};
+    if (in.outcome_case() == wire::WakeReply::kTarget) {
+        body.outcome = core::TargetId {in.target()};
+        return body;
+    }
+    core::Error error;
+    // A missing outcome must not be taken for a refusal that says "not run".
+    const bool isValid =
+        in.outcome_case() == wire::WakeReply::kRefusal && read(in.refusal(), error);
+    body.outcome = std::move(error);
+    return checked(isValid, body);
 }
 
-std::optional<MessageBody> fromWire(const wire::WakeReply &in)
+std::optional<MessageBody> fromWire(const wire::ReplicaUses &in)
 {
-    if (!wire::WakeReply::Outcome_IsValid(in.outcome()))
-        return std::nullopt;
-    return WakeReply {static_cast<WakeOutcome>(in.outcome()), core::TargetId {in.target()},
-                      milliseconds(in.expected_ms()), in.reason()};
+    ReplicaUses body;
+    for (const wire::ReplicaUse &record : in.uses()) {
+        body.uses.push_back(
+            {read(record.artifact()), core::TargetId {record.target()}, record.in_flight()});
+    }
+    return body;
 }
 
 std::optional<MessageBody> fromWire(const wire::CrashReport &in)
 {
-    const auto fingerprint = readDigest(in.fingerprint());
-    if (!fingerprint)
-        return std::nullopt;
-    return CrashReport {*fingerprint, core::TargetId {in.target()}, in.attempt()};
+    decisions::quarantine::CrashReport body {{}, {in.request(), in.attempt()}};
+    return checked(read(in.fingerprint(), body.fingerprint), body);
 }
 
 std::optional<MessageBody> fromWire(const wire::QuarantineNotice &in)
 {
-    const auto fingerprint = readDigest(in.fingerprint());
-    if (!fingerprint)
-        return std::nullopt;
-    return QuarantineNotice {*fingerprint, in.deaths(), milliseconds(in.remaining_ms())};
-}
-
-std::optional<MessageBody> fromWire(const wire::PlatformProbe &in)
-{
-    return PlatformProbe {in.reachable(), milliseconds(in.last_success_age_ms())};
+    decisions::quarantine::Notice body {{}, milliseconds(in.remaining_ms())};
+    return checked(read(in.fingerprint(), body.fingerprint), body);
 }
 
 std::optional<MessageBody> fromWire(const wire::Refusal &in)
 {
-    if (in.code() > static_cast<std::uint32_t>(core::ErrorCode::Internal)
-        || in.verdict() > static_cast<std::uint32_t>(core::Verdict::Ran))
-        return std::nullopt;
-    return core::Error {static_cast<core::ErrorCode>(in.code()),
-                        static_cast<core::Verdict>(in.verdict()), in.message(),
-                        milliseconds(in.retry_after_ms())};
+    core::Error error;
+    return checked(read(in, error), error);
 }
 
 } // namespace
@@ -163,31 +264,43 @@
 {
     switch (message.body_case()) {
     case wire::Envelope::kHeartbeat:
-        return fromWire(message.heartbeat());
+        return fromWire(message.heartbeat(), message);
+    case wire::Envelope::kHeartbeatReply:
+        return fromWire(message.heartbeat_reply(), message);
     case wire::Envelope::kMemberEvent:
         return fromWire(message.member_event());
+    case wire::Envelope::kMemberFetch:
+        return fromWire(message.member_fetch());
+    case wire::Envelope::kMemberTable:
+        return fromWire(message.member_table());
+    case wire::Envelope::kConfigFetch:
+        return decisions::ConfigFetch {message.config_fetch().have_version()};
     case wire::Envelope::kConfigUpdate:
         return fromWire(message.config_update());
-    case wire::Envelope::kConfigFetch:
-        return fromWire(message.config_fetch());
-    case wire::Envelope::kTargetUpdate:
-        return fromWire(message.target_update());
+    case wire::Envelope::kPlatformProbe:
+        return decisions::ProbeAsk {message.platform_probe().sequence()};
+    case wire::Envelope::kProbeReport:
+        return fromWire(message.probe_report());
     case wire::Envelope::kBudgetAsk:
-        return fromWire(message.budget_ask());
+        return fromWire(message.budget_ask(), message);
     case wire::Envelope::kBudgetGrant:
-        return fromWire(message.budget_grant());
+        return fromWire(message.budget_grant(), message);
     case wire::Envelope::kBudgetReturn:
-        return fromWire(message.budget_return());
+        return fromWire(message.budget_return(), message);
+    case wire::Envelope::kTargetUpdate:
+        return fromWire(message.target_update());
     case wire::Envelope::kWakeRequest:
-        return fromWire(message.wake_request());
+        return WakeRequest {message.wake_request().request(),
+                            read(message.wake_request().artifact()),
+                            milliseconds(message.wake_request().deadline_ms())};
     case wire::Envelope::kWakeReply:
         return fromWire(message.wake_reply());
+    case wire::Envelope::kReplicaUses:
+        return fromWire(message.replica_uses());
     case wire::Envelope::kCrashReport:
         return fromWire(message.crash_report());
     case wire::Envelope::kQuarantineNotice:
         return fromWire(message.quarantine_notice());
-    case wire::Envelope::kPlatformProbe:
-        return fromWire(message.platform_probe());
     case wire::Envelope::kRefusal:
         return fromWire(message.refusal());
     case wire::Envelope::BODY_NOT_SET:
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -9,66 +9,203 @@
 namespace {
 
 // A longer duration than the field holds is as good as its maximum of 49 days.
-std::uint32_t toMilliseconds(std::chrono::milliseconds duration)
+std::uint32_t clampMilliseconds(std::chrono::milliseconds duration)
 {
     constexpr std::int64_t kMaximum = std::numeric_limits<std::uint32_t>::max();
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(duration.count(), 0, kMaximum));
 }
 
+// Rounded up, so that evidence never looks younger than it is.
+std::uint32_t ageMilliseconds(core::Duration age)
+{
+    return clampMilliseconds(std::chrono::ceil<std::chrono::milliseconds>(age));
+}
+
 std::string toBytes(const core::Digest &digest)
 {
     return std::string(reinterpret_cast<const char *>(digest.bytes.data()), digest.bytes.size());
 }
 
+void write(const decisions::NodeReport &report, const wire::Envelope &message,
+           wire::NodeReport &out)
+{
+    if (report.incarnation != message.incarnation())
+        out.set_incarnation(report.incarnation);
+    out.set_refutation(report.refutation);
+    out.set_configuration_version(report.configurationVersion);
+    out.set_member_hash(report.memberHash);
+    if (report.beacon) {
+        out.mutable_beacon()->set_kind(static_cast<wire::Beacon::Kind>(report.beacon->kind));
+        out.mutable_beacon()->set_version(report.beacon->version);
+        out.mutable_beacon()->set_age_ms(ageMilliseconds(report.beacon->age));
+    }
+}
+
+void write(const decisions::MemberRecord &record, wire::MemberRecord &out)
+{
+    out.set_instance(record.instance.value);
+    out.set_caller_address(record.callerAddress);
+    out.set_peer_address(record.peerAddress);
+    out.set_data_centre(record.dataCentre.value);
+    out.set_region(record.region.value);
+    out.set_incarnation(record.incarnation);
+    out.set_version(record.version);
+    out.set_removed(record.isRemoved);
+}
+
+void write(const decisions::PortionId &id, const std::string &owner, std::uint64_t ownerIncarnation,
+           wire::PortionId &out)
+{
+    if (id.borrower.value != owner)
+        out.set_borrower(id.borrower.value);
+    if (id.incarnation != ownerIncarnation)
+        out.set_incarnation(id.incarnation);
+    out.set_sequence(id.sequence);
+}
+
+void write(const decisions::ShareKey &share, wire::ShareKey &out)
+{
+    out.set_shard(share.shard);
+    out.set_index(share.index);
+}
+
+void write(const decisions::PortionReturn &entry, const wire::Envelope &message,
+           wire::PortionReturn &out)
+{
+    write(entry.portion, message.sender(), message.incarnation(), *out.mutable_portion());
+    out.set_holder_incarnation(entry.holderIncarnation);
+    out.set_returned_total(static_cast<std::uint64_t>(entry.returnedTotal));
+}
+
+void write(const decisions::Artifact &artifact, wire::Artifact &out)
+{
+    out.set_model(artifact.model.value);
+    out.set_version(artifact.version);
+    out.set_adapter(artifact.adapter.value);
+}
+
+void write(const core::Error &error, wire::Refusal &out)
+{
+    out.set_code(static_cast<std::uint32_t>(error.code));
+    out.set_verdict(static_cast<std::uint32_t>(error.verdict));
+    out.set_message(error.message);
+    out.set_retry_after_ms(clampMilliseconds(error.retryAfter));
+}
+
 } // namespace
 
-void toWire(const Heartbeat &body, wire::Envelope &message)
-{
-    wire::Heartbeat &out = *message.mutable_heartbeat();
-    out.set_configuration_version(body.configurationVersion);
-    out.set_members_version(body.membersVersion);
-    out.set_targets_version(body.targetsVersion);
-    out.set_shares_version(body.sharesVersion);
-    for (const Beacon &beacon : body.beacons) {
-        wire::Beacon &record = *out.add_beacons();
-        record.set_relay(beacon.relay.value);
-        record.set_sequence(beacon.sequence);
-        record.set_age_ms(toMilliseconds(beacon.age));
-        record.set_platform_down(beacon.isPlatformDown);
-    }
+void toWire(const decisions::Heartbeat &body, wire::Envelope &message)
+{
+    message.mutable_heartbeat()->set_sequence(body.sequence);
+    write(body.report, message, *message.mutable_heartbeat()->mutable_report());
 }
 
-void toWire(const MemberEvent &body, wire::Envelope &message)
+void toWire(const decisions::HeartbeatReply &body, wire::Envelope &message)
+{
+    message.mutable_heartbeat_reply()->set_sequence(body.sequence);
+    write(body.report, message, *message.mutable_heartbeat_reply()->mutable_report());
+}
+
+void toWire(const decisions::MemberEvent &body, wire::Envelope &message)
 {
     wire::MemberEvent &out = *message.mutable_member_event();
     out.set_kind(static_cast<wire::MemberEvent::Kind>(body.kind));
-    out.set_instance(body.instance.value);
-    out.set_incarnation(body.incarnation);
-    out.set_address(body.address);
-    out.set_data_centre(body.dataCentre.value);
-    out.set_region(body.region.value);
-    out.set_version(body.version);
+    write(body.record, *out.mutable_record());
+    out.set_refutation(body.refutation);
+}
+
+void toWire(const decisions::MemberFetch &body, wire::Envelope &message)
+{
+    message.mutable_member_fetch()->mutable_bucket_hashes()->Add(body.bucketHashes.begin(),
+                                                                 body.bucketHashes.end());
 }
 
-void toWire(const ConfigUpdate &body, wire::Envelope &message)
+void toWire(const decisions::MemberTable &body, wire::Envelope &message)
 {
+    wire::MemberTable &out = *message.mutable_member_table();
+    for (const decisions::MemberRecord &record : body.records)
+        write(record, *out.add_records());
+}
+
+void toWire(const decisions::ConfigFetch &body, wire::Envelope &message)
+{
+    message.mutable_config_fetch()->set_have_version(body.haveVersion);
+}
+
+void toWire(const decisions::ConfigUpdate &body, wire::Envelope &message)
+{
+    const decisions::ConfigurationUpdate &update = body.update;
     wire::ConfigUpdate &out = *message.mutable_config_update();
-    out.set_version(body.version);
-    for (const ConfigPart &part : body.parts) {
-        wire::ConfigPart &record = *out.add_parts();
+    out.set_base_version(update.baseVersion);
+    wire::ConfigHead &head = *out.mutable_head();
+    head.set_version(update.head.version);
+    head.set_list_revision(update.head.listRevision);
+    head.set_writer(update.head.writer.value);
+    head.set_writer_incarnation(update.head.writerIncarnation);
+    head.set_sequence(update.head.sequence);
+    for (const decisions::HeadPart &part : update.head.parts) {
+        wire::ConfigPart &record = *head.add_parts();
         record.set_name(part.name);
         record.set_digest(toBytes(part.digest));
     }
-    for (const std::string &content : body.contents)
-        out.add_contents(content);
+    for (const decisions::PartText &part : update.changed) {
+        wire::PartText &record = *out.add_changed();
+        record.set_name(part.name);
+        record.set_text(part.text);
+    }
+    for (const std::string &name : update.removed)
+        out.add_removed(name);
+    out.set_head_digest(toBytes(update.headDigest));
 }
 
-void toWire(const ConfigFetch &body, wire::Envelope &message)
+void toWire(const decisions::ProbeAsk &body, wire::Envelope &message)
 {
-    wire::ConfigFetch &out = *message.mutable_config_fetch();
-    out.set_known_version(body.knownVersion);
-    for (const core::Digest &digest : body.wanted)
-        out.add_wanted(toBytes(digest));
+    message.mutable_platform_probe()->set_sequence(body.sequence);
+}
+
+void toWire(const decisions::ProbeReport &body, wire::Envelope &message)
+{
+    wire::ProbeReport &out = *message.mutable_probe_report();
+    out.set_sequence(body.sequence);
+    for (const decisions::OutageVote &vote : body.votes) {
+        wire::OutageVote &record = *out.add_votes();
+        record.set_member(vote.member.value);
+        record.set_age_ms(ageMilliseconds(vote.age));
+        record.set_version(vote.version);
+    }
+}
+
+void toWire(const decisions::BudgetAsk &body, wire::Envelope &message)
+{
+    wire::BudgetAsk &out = *message.mutable_budget_ask();
+    write(body.id, message.sender(), message.incarnation(), *out.mutable_id());
+    write(body.share, *out.mutable_share());
+    out.set_organisation(body.organisation.value);
+    out.set_wanted_tokens(static_cast<std::uint64_t>(body.wantedTokens));
+    for (const decisions::PortionReturn &entry : body.returns)
+        write(entry, message, *out.add_returns());
+}
+
+void toWire(const decisions::BudgetGrant &body, wire::Envelope &message)
+{
+    wire::BudgetGrant &out = *message.mutable_budget_grant();
+    write(body.id, message.receiver(), 0, *out.mutable_id());
+    write(body.share, *out.mutable_share());
+    out.set_organisation(body.organisation.value);
+    if (body.holderIncarnation != message.incarnation())
+        out.set_holder_incarnation(body.holderIncarnation);
+    out.set_is_holder(body.isHolder);
+    out.set_tokens(static_cast<std::uint64_t>(body.tokens));
+    out.set_retry_after_ms(clampMilliseconds(body.retryAfter));
+}
+
+void toWire(const decisions::BudgetReturn &body, wire::Envelope &message)
+{
+    wire::BudgetReturn &out = *message.mutable_budget_return();
+    write(body.share, *out.mutable_share());
+    out.set_organisation(body.organisation.value);
+    for (const decisions::PortionReturn &entry : body.returns)
+        write(entry, message, *out.add_returns());
 }
 
 void toWire(const TargetUpdate &body, wire::Envelope &message)
@@ -86,92 +223,60 @@
         record.set_removed(target.isRemoved);
         for (const ReplicaRecord &replica : target.replicas) {
             wire::ReplicaRecord &entry = *record.add_replicas();
-            entry.set_model(replica.model.value);
-            entry.set_adapter(replica.adapter.value);
-            entry.set_version(replica.version);
+            write(replica.artifact, *entry.mutable_artifact());
             entry.set_state(static_cast<wire::ReplicaRecord::State>(replica.state));
         }
     }
 }
 
-void toWire(const BudgetAsk &body, wire::Envelope &message)
-{
-    wire::BudgetAsk &out = *message.mutable_budget_ask();
-    out.set_organisation(body.organisation.value);
-    out.set_share(body.share);
-    out.set_sequence(body.sequence);
-    out.set_tokens(body.tokens);
-}
-
-void toWire(const BudgetGrant &body, wire::Envelope &message)
-{
-    wire::BudgetGrant &out = *message.mutable_budget_grant();
-    out.set_organisation(body.organisation.value);
-    out.set_share(body.share);
-    out.set_sequence(body.sequence);
-    out.set_tokens(body.tokens);
-    out.set_lifetime_ms(toMilliseconds(body.lifetime));
-}
-
-void toWire(const BudgetReturn &body, wire::Envelope &message)
-{
-    wire::BudgetReturn &out = *message.mutable_budget_return();
-    out.set_organisation(body.organisation.value);
-    out.set_share(body.share);
-    out.set_sequence(body.sequence);
-    out.set_tokens(body.tokens);
-    out.set_holder_incarnation(body.holderIncarnation);
-}
-
 void toWire(const WakeRequest &body, wire::Envelope &message)
 {
     wire::WakeRequest &out = *message.mutable_wake_request();
-    out.set_model(body.model.value);
-    out.set_adapter(body.adapter.value);
-    out.set_version(body.version);
-    out.set_waiting_requests(body.waitingRequests);
-    out.set_deadline_ms(toMilliseconds(body.deadline));
+    out.set_request(body.request);
+    write(body.artifact, *out.mutable_artifact());
+    out.set_deadline_ms(clampMilliseconds(body.deadline));
 }
 
 void toWire(const WakeReply &body, wire::Envelope &message)
 {
     wire::WakeReply &out = *message.mutable_wake_reply();
-    out.set_outcome(static_cast<wire::WakeReply::Outcome>(body.outcome));
-    out.set_target(body.target.value);
-    out.set_expected_ms(toMilliseconds(body.expected));
-    out.set_reason(body.reason);
+    out.set_request(body.request);
+    write(body.artifact, *out.mutable_artifact());
+    if (core::isOk(body.outcome))
+        out.set_target(core::valueOf(body.outcome).value);
+    else
+        write(core::errorOf(body.outcome), *out.mutable_refusal());
 }
 
-void toWire(const CrashReport &body, wire::Envelope &message)
+void toWire(const ReplicaUses &body, wire::Envelope &message)
 {
-    wire::CrashReport &out = *message.mutable_crash_report();
-    out.set_fingerprint(toBytes(body.fingerprint));
-    out.set_target(body.target.value);
-    out.set_attempt(body.attempt);
+    wire::ReplicaUses &out = *message.mutable_replica_uses();
+    for (const ReplicaUse &use : body.uses) {
+        wire::ReplicaUse &record = *out.add_uses();
+        write(use.artifact, *record.mutable_artifact());
+        record.set_target(use.target.value);
+        record.set_in_flight(use.inFlight);
+    }
 }
 
-void toWire(const QuarantineNotice &body, wire::Envelope &message)
+void toWire(const decisions::quarantine::CrashReport &body, wire::Envelope &message)
 {
-    wire::QuarantineNotice &out = *message.mutable_quarantine_notice();
+    wire::CrashReport &out = *message.mutable_crash_report();
     out.set_fingerprint(toBytes(body.fingerprint));
-    out.set_deaths(body.deaths);
-    out.set_remaining_ms(toMilliseconds(body.remaining));
+    out.set_request(body.attempt.request);
+    out.set_attempt(body.attempt.number);
 }
 
-void toWire(const PlatformProbe &body, wire::Envelope &message)
+void toWire(const decisions::quarantine::Notice &body, wire::Envelope &message)
 {
-    wire::PlatformProbe &out = *message.mutable_platform_probe();
-    out.set_reachable(body.isReachable);
-    out.set_last_success_age_ms(toMilliseconds(body.lastSuccessAge));
+    wire::QuarantineNotice &out = *message.mutable_quarantine_notice();
+    out.set_fingerprint(toBytes(body.fingerprint));
+    out.set_remaining_ms(clampMilliseconds(body.remaining));
 }
 
 void toWire(const core::Error &body, wire::Envelope &message)
 {
-    wire::Refusal &out = *message.mutable_refusal();
-    out.set_code(static_cast<std::uint32_t>(body.code));
-    out.set_verdict(static_cast<std::uint32_t>(body.verdict));
-    out.set_message(body.message);
-    out.set_retry_after_ms(toMilliseconds(body.retryAfter));
+    write(body, *message.mutable_refusal());
 }
 
 } // namespace boragerack::peer
--- a/packages/peer/src/WireConversion.h
+++ b/packages/peer/src/WireConversion.h
@@ -7,20 +7,26 @@
 
 namespace boragerack::peer {
 
-/// Each overload writes one kind of body into the envelope.
-void toWire(const Heartbeat &body, wire::Envelope &message);
-void toWire(const MemberEvent &body, wire::Envelope &message);
-void toWire(const ConfigUpdate &body, wire::Envelope &message);
-void toWire(const ConfigFetch &body, wire::Envelope &message);
+/// Each overload writes one kind of body into the envelope, whose other fields are already set:
+/// identities that repeat them are left out.
+void toWire(const decisions::Heartbeat &body, wire::Envelope &message);
+void toWire(const decisions::HeartbeatReply &body, wire::Envelope &message);
+void toWire(const decisions::MemberEvent &body, wire::Envelope &message);
+void toWire(const decisions::MemberFetch &body, wire::Envelope &message);
+void toWire(const decisions::MemberTable &body, wire::Envelope &message);
+void toWire(const decisions::ConfigFetch &body, wire::Envelope &message);
+void toWire(const decisions::ConfigUpdate &body, wire::Envelope &message);
+void toWire(const decisions::ProbeAsk &body, wire::Envelope &message);
+void toWire(const decisions::ProbeReport &body, wire::Envelope &message);
+void toWire(const decisions::BudgetAsk &body, wire::Envelope &message);
+void toWire(const decisions::BudgetGrant &body, wire::Envelope &message);
+void toWire(const decisions::BudgetReturn &body, wire::Envelope &message);
 void toWire(const TargetUpdate &body, wire::Envelope &message);
-void toWire(const BudgetAsk &body, wire::Envelope &message);
-void toWire(const BudgetGrant &body, wire::Envelope &message);
-void toWire(const BudgetReturn &body, wire::Envelope &message);
 void toWire(const WakeRequest &body, wire::Envelope &message);
 void toWire(const WakeReply &body, wire::Envelope &message);
-void toWire(const CrashReport &body, wire::Envelope &message);
-void toWire(const QuarantineNotice &body, wire::Envelope &message);
-void toWire(const PlatformProbe &body, wire::Envelope &message);
+void toWire(const ReplicaUses &body, wire::Envelope &message);
+void toWire(const decisions::quarantine::CrashReport &body, wire::Envelope &message);
+void toWire(const decisions::quarantine::Notice &body, wire::Envelope &message);
 void toWire(const core::Error &body, wire::Envelope &message);
 
 /// Nothing when the body is absent, unknown, or has a value out of range.
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -23,32 +23,64 @@
 {
     using std::chrono::milliseconds;
     const core::Digest digest = core::makeDigest("part");
+    namespace decisions = boragerack::decisions;
+    const core::OrganisationId organisation {"o"};
+    const decisions::NodeReport report {
+        11, 2, 3, 4,
+        decisions::Beacon {decisions::BeaconKind::ConfirmedOutage, 5, milliseconds(6)}};
+    const decisions::MemberRecord record {kSender,
+                                          "127.0.0.1:1",
+                                          "127.0.0.1:2",
+                                          core::DataCentreId {"pnw-a"},
+                                          core::RegionId {"pnw"},
+                                          3,
+                                          4,
+                                          true};
+    const decisions::PortionId own {kSender, 11, 5};
+    const decisions::PortionId other {core::InstanceId {"pnw-c-3"}, 12, 6};
+    const std::vector<decisions::PortionReturn> returns = {{own, 7, 100}, {other, 8, 0}};
+    const decisions::Artifact artifact {core::ModelId {"m"}, "3", core::AdapterId {"a"}};
+    const core::Error error {core::ErrorCode::QueueFull, core::Verdict::MayHaveRun, "m",
+                             milliseconds(3)};
+    const decisions::ConfigurationUpdate update {7,
+                                                 {8, 9, kSender, 10, 11, {{"plans/a", digest}}},
+                                                 {{"plans/a", "{}"}},
+                                                 {"plans/b"},
+                                                 digest};
     const std::vector<peer::MessageBody> bodies = {
-        peer::Heartbeat {1, 2, 3, 4, {{kSender, 5, milliseconds(6), true}}},
-        peer::MemberEvent {peer::MemberEventKind::Suspected, kSender, 1, "127.0.0.1:1",
-                           core::DataCentreId {"pnw-a"}, core::RegionId {"pnw"}, 9},
-        peer::ConfigUpdate {8, {{"plans/a", digest}}, {"{}", ""}},
-        peer::ConfigFetch {8, {digest}},
-        peer::TargetUpdate {
-            4,
-            {{core::TargetId {"t"},
-              "127.0.0.1:2",
-              core::DataCentreId {"d"},
-              core::RegionId {"r"},
-              core::ServiceId {"s"},
-              true,
-              false,
-              {{core::ModelId {"m"}, core::AdapterId {"a"}, "3", peer::ReplicaState::Ready}}}}},
-        peer::BudgetAsk {core::OrganisationId {"o"}, 3, 4, 5},
-        peer::BudgetGrant {core::OrganisationId {"o"}, 3, 4, 5, milliseconds(2000)},
-        peer::BudgetReturn {core::OrganisationId {"o"}, 3, 4, 5, 6},
-        peer::WakeRequest {core::ModelId {"m"}, core::AdapterId {"a"}, "3", 2, milliseconds(9)},
-        peer::WakeReply {peer::WakeOutcome::Refused, core::TargetId {"t"}, milliseconds(1), "full"},
-        peer::CrashReport {digest, core::TargetId {"t"}, 12},
-        peer::QuarantineNotice {digest, 2, milliseconds(600000)},
-        peer::PlatformProbe {true, milliseconds(40)},
-        core::Error {core::ErrorCode::QueueFull, core::Verdict::MayHaveRun, "m", milliseconds(3)}};
-    BOOST_TEST(bodies.size() == std::variant_size_v<peer::MessageBody>);
+        decisions::Heartbeat {1, report},
+        decisions::HeartbeatReply {1, {12, 0, 3, 4, std::nullopt}},
+        decisions::MemberEvent {decisions::MemberEventKind::Suspected, record, 9},
+        decisions::MemberFetch {{1, 2}},
+        decisions::MemberTable {{record}},
+        decisions::ConfigFetch {8},
+        decisions::ConfigUpdate {update},
+        decisions::ProbeAsk {6},
+        decisions::ProbeReport {6, {{kSender, milliseconds(7), 8}}},
+        decisions::BudgetAsk {own, {1, 2}, organisation, 20000, returns},
+        decisions::BudgetGrant {other, {1, 2}, organisation, 9, true, 300, milliseconds(4)},
+        decisions::BudgetGrant {{kReceiver, 5, 6}, {1, 2}, organisation, 11, false, 0, {}},
+        decisions::BudgetReturn {{1, 2}, organisation, returns},
+        peer::TargetUpdate {4,
+                            {{core::TargetId {"t"},
+                              "127.0.0.1:2",
+                              core::DataCentreId {"d"},
+                              core::RegionId {"r"},
+                              core::ServiceId {"s"},
+                              true,
+                              false,
+                              {{artifact, peer::ReplicaState::Ready}}}}},
+        peer::WakeRequest {2, artifact, milliseconds(9)},
+        peer::WakeReply {2, artifact, core::TargetId {"t"}},
+        peer::WakeReply {2, artifact, error},
+        peer::ReplicaUses {{{artifact, core::TargetId {"t"}, 5}}},
+        decisions::quarantine::CrashReport {digest, {"r", 12}},
+        decisions::quarantine::Notice {digest, milliseconds(600000)},
+        error};
+    std::set<std::size_t> kinds;
+    for (const peer::MessageBody &body : bodies)
+        kinds.insert(body.index());
+    BOOST_TEST(kinds.size() == std::variant_size_v<peer::MessageBody>);
     for (const peer::MessageBody &body : bodies) {
         const peer::Envelope envelope {kSender, kReceiver, 11, 12, body};
         const auto decoded = peer::decodeEnvelope(peer::encodeEnvelope(envelope));
@@ -65,8 +97,7 @@
 {
     const auto sender = makeAuthenticator(kSender.value);
     const auto receiver = makeAuthenticator(kReceiver.value);
-    const auto sealed =
-        sender->sealRequest(kReceiver, 5, peer::BudgetAsk {core::OrganisationId {"o"}, 1, 2, 3});
+    const auto sealed = sender->sealRequest(kReceiver, 5, peer::makeAsk(5));
     const auto opened = receiver->openRequest(sealed.bytes);
     BOOST_REQUIRE(core::isOk(opened));
     BOOST_TEST(core::valueOf(opened).envelope.counter == 5U);
@@ -83,7 +114,7 @@
 BOOST_AUTO_TEST_CASE(wrongSecretAndWrongReceiverAreRejected)
 {
     const auto sender = makeAuthenticator(kSender.value);
-    const auto sealed = sender->sealRequest(kReceiver, 1, peer::Heartbeat {});
+    const auto sealed = sender->sealRequest(kReceiver, 1, boragerack::decisions::Heartbeat {});
     BOOST_TEST(!core::isOk(
         makeAuthenticator(kReceiver.value, "another fleet's secret")->openRequest(sealed.bytes)));
     const auto misdirected = makeAuthenticator("pnw-c-3")->openRequest(sealed.bytes);
@@ -92,9 +123,9 @@
     BOOST_TEST((core::errorOf(misdirected).verdict == core::Verdict::NotRun));
     BOOST_TEST(!core::isOk(peer::MessageAuthenticator::make("short", kSender, 1)));
 
-    const auto fetch = sender->sealRequest({}, 2, peer::ConfigFetch {});
+    const auto fetch = sender->sealRequest({}, 2, boragerack::decisions::ConfigFetch {});
     BOOST_TEST(core::isOk(makeAuthenticator(kReceiver.value)->openRequest(fetch.bytes)));
-    const auto anonymous = sender->sealRequest({}, 3, peer::Heartbeat {});
+    const auto anonymous = sender->sealRequest({}, 3, boragerack::decisions::Heartbeat {});
     BOOST_TEST(!core::isOk(makeAuthenticator(kReceiver.value)->openRequest(anonymous.bytes)));
 }
 
@@ -103,11 +134,11 @@
 {
     const auto sender = makeAuthenticator(kSender.value);
     const auto receiver = makeAuthenticator(kReceiver.value);
-    const auto first = sender->sealRequest(kReceiver, 1, peer::Heartbeat {});
-    const auto second = sender->sealRequest(kReceiver, 2, peer::Heartbeat {});
+    const auto first = sender->sealRequest(kReceiver, 1, boragerack::decisions::Heartbeat {});
+    const auto second = sender->sealRequest(kReceiver, 2, boragerack::decisions::Heartbeat {});
     const auto opened = receiver->openRequest(first.bytes);
-    const auto answer =
-        receiver->sealAnswer(core::valueOf(opened).identity(), peer::PlatformProbe {});
+    const auto answer = receiver->sealAnswer(core::valueOf(opened).identity(),
+                                             boragerack::decisions::ProbeReport {});
     BOOST_TEST(core::isOk(sender->openAnswer(answer.bytes, first.tag)));
     BOOST_TEST(!core::isOk(sender->openAnswer(answer.bytes, second.tag)));
     BOOST_TEST(!core::isOk(sender->openRequest(answer.bytes)));
--- a/packages/peer/tests/BrokenConnectionTest.cpp
+++ b/packages/peer/tests/BrokenConnectionTest.cpp
@@ -174,14 +174,14 @@
     fixture.handler.other = [&](const Envelope &, PeerReply reply) {
         fibers.emplace_back([reply = std::move(reply)]() mutable {
             boost::this_fiber::sleep_for(400ms);
-            reply.answer(PlatformProbe {});
+            reply.answer(decisions::ProbeReport {});
         });
     };
     PeerLinkOptions options;
     options.quietAfter = 50ms;
     options.silentAfter = 50ms;
     const auto link = fixture.makeLink(options);
-    BOOST_TEST(core::isOk(link->call(PlatformProbe {}, in(5s))));
+    BOOST_TEST(core::isOk(link->call(decisions::ProbeAsk {}, in(5s))));
     BOOST_TEST(link->statistics().connections == 1U);
     for (auto &fiber : fibers)
         fiber.join();
--- a/packages/peer/tests/PeerFixture.h
+++ b/packages/peer/tests/PeerFixture.h
@@ -38,9 +38,9 @@
     void handle(const Envelope &request, PeerReply reply) override
     {
         ++handled;
-        if (const auto *ask = std::get_if<BudgetAsk>(&request.body)) {
-            reply.answer(BudgetGrant {ask->organisation, ask->share, ask->sequence, ask->tokens,
-                                      std::chrono::milliseconds(2000)});
+        if (const auto *ask = std::get_if<decisions::BudgetAsk>(&request.body)) {
+            reply.answer(decisions::BudgetGrant {
+                ask->id, ask->share, ask->organisation, 7, true, ask->wantedTokens, {}});
         } else if (other) {
             other(request, std::move(reply));
         }
@@ -89,16 +89,20 @@
     std::string address;
 };
 
-inline BudgetAsk makeAsk(std::uint64_t sequence)
+inline decisions::BudgetAsk makeAsk(std::uint64_t sequence)
 {
-    return {core::OrganisationId {"cascadia-yards"}, 3, sequence, 20000};
+    return {{core::InstanceId {"a"}, 7, sequence},
+            {3, 1},
+            core::OrganisationId {"cascadia-yards"},
+            20000,
+            {}};
 }
 
 inline std::uint64_t sequenceOf(const core::Result<Envelope> &answer)
 {
     if (!core::isOk(answer))
         BOOST_FAIL(core::errorOf(answer).message);
-    return std::get<BudgetGrant>(core::valueOf(answer).body).sequence;
+    return std::get<decisions::BudgetGrant>(core::valueOf(answer).body).id.sequence;
 }
 
 } // namespace boragerack::peer
--- a/packages/peer/tests/PeerLinkTest.cpp
+++ b/packages/peer/tests/PeerLinkTest.cpp
@@ -9,6 +9,17 @@
 using namespace boragerack::peer;
 using namespace std::chrono_literals;
 
+namespace {
+
+decisions::ConfigUpdate makeLargeUpdate(std::size_t size)
+{
+    decisions::ConfigUpdate message;
+    message.update.changed.push_back({"plans/a", std::string(size, 'x')});
+    return message;
+}
+
+} // namespace
+
 // Guards against a call that does not reach the handler, or an answer of the wrong sender.
 BOOST_AUTO_TEST_CASE(callIsAnsweredOverLoopback)
 {
@@ -17,7 +28,7 @@
     const auto answer = link->call(makeAsk(5), in(2s));
     BOOST_TEST(sequenceOf(answer) == 5U);
     BOOST_TEST(core::valueOf(answer).sender.value == "b");
-    BOOST_TEST(core::isOk(link->send(Heartbeat {})));
+    BOOST_TEST(core::isOk(link->send(decisions::Heartbeat {})));
     BOOST_TEST(sequenceOf(link->call(makeAsk(6), in(2s))) == 6U);
     BOOST_TEST(fixture.handler.handled == 3);
     BOOST_TEST(link->statistics().connections == 1U);
@@ -28,23 +39,23 @@
 BOOST_AUTO_TEST_CASE(concurrentCallsGetTheirOwnAnswers)
 {
     PeerFixture fixture;
-    std::vector<std::pair<PeerReply, std::uint32_t>> waiting;
+    std::vector<std::pair<PeerReply, std::uint64_t>> waiting;
     fixture.handler.other = [&](const Envelope &request, PeerReply reply) {
-        const auto deaths = std::get<QuarantineNotice>(request.body).deaths;
-        waiting.emplace_back(std::move(reply), deaths);
+        const auto sequence = std::get<decisions::ProbeAsk>(request.body).sequence;
+        waiting.emplace_back(std::move(reply), sequence);
         if (waiting.size() < 200)
             return;
         for (auto i = waiting.rbegin(); i != waiting.rend(); ++i)
-            i->first.answer(QuarantineNotice {{}, i->second, 0ms});
+            i->first.answer(decisions::ProbeReport {i->second, {}});
     };
     const auto link = fixture.makeLink();
     std::vector<boost::fibers::fiber> callers;
     int matching = 0;
-    for (std::uint32_t i = 0; i < 200; ++i) {
+    for (std::uint64_t i = 0; i < 200; ++i) {
         callers.emplace_back([&, i] {
-            const auto answer = link->call(QuarantineNotice {{}, i, 0ms}, in(5s));
+            const auto answer = link->call(decisions::ProbeAsk {i}, in(5s));
             if (core::isOk(answer)
-                && std::get<QuarantineNotice>(core::valueOf(answer).body).deaths == i)
+                && std::get<decisions::ProbeReport>(core::valueOf(answer).body).sequence == i)
                 ++matching;
         });
     }
@@ -73,7 +84,7 @@
     const auto link = fixture.makeLink();
     BOOST_TEST(sequenceOf(link->call(makeAsk(1), in(2s))) == 1U);
     for (const std::size_t size : {std::size_t(200000), std::size_t(3000000)}) {
-        const auto answer = link->call(ConfigUpdate {1, {}, {std::string(size, 'x')}}, in(2s));
+        const auto answer = link->call(makeLargeUpdate(size), in(2s));
         BOOST_REQUIRE(!core::isOk(answer));
         BOOST_TEST((core::errorOf(answer).code == core::ErrorCode::TooLarge));
         BOOST_TEST((core::errorOf(answer).verdict == core::Verdict::NotRun));
@@ -96,7 +107,7 @@
     const auto link = fixture.makeLink(options);
     for (int i = 0; i < 5; ++i) {
         const auto start = std::chrono::steady_clock::now();
-        const auto answer = link->call(PlatformProbe {}, in(50ms));
+        const auto answer = link->call(decisions::ProbeAsk {}, in(50ms));
         const auto elapsed = std::chrono::steady_clock::now() - start;
         BOOST_REQUIRE(!core::isOk(answer));
         BOOST_TEST((core::errorOf(answer).code == core::ErrorCode::DeadlineExceeded));
@@ -121,7 +132,7 @@
     core::Result<core::Nothing> refusal;
     // The link's task does not run before this fiber waits.
     for (int i = 0; i < 10; ++i) {
-        const auto result = link->send(Heartbeat {});
+        const auto result = link->send(decisions::Heartbeat {});
         if (core::isOk(result))
             ++accepted;
         else
@@ -142,7 +153,7 @@
     PeerFixture fixture(serverOptions);
     fixture.handler.other = [](const Envelope &, PeerReply reply) {
         boost::this_fiber::sleep_for(20ms);
-        reply.answer(PlatformProbe {});
+        reply.answer(decisions::ProbeReport {});
     };
     const auto link = fixture.makeLink();
     int answered = 0;
@@ -150,7 +161,7 @@
     std::vector<boost::fibers::fiber> callers;
     for (int i = 0; i < 40; ++i) {
         callers.emplace_back([&] {
-            const auto answer = link->call(PlatformProbe {}, in(5s));
+            const auto answer = link->call(decisions::ProbeAsk {}, in(5s));
             if (core::isOk(answer))
                 ++answered;
             else if (core::errorOf(answer).code == core::ErrorCode::QueueFull
@@ -205,7 +216,7 @@
         network.updatePeer(b, fixture.address);
         BOOST_TEST(sequenceOf(network.call(b, makeAsk(i), in(1s))) == i);
         network.removePeer(b);
-        BOOST_TEST(!core::isOk(network.send(b, Heartbeat {})));
+        BOOST_TEST(!core::isOk(network.send(b, decisions::Heartbeat {})));
     }
     BOOST_TEST(network.linkCount() == 0U);
     BOOST_TEST(network.statistics().messages == 5U);
