--- a/packages/decisions/src/ShareBucket.cpp
+++ b/packages/decisions/src/ShareBucket.cpp
@@ -33,12 +33,12 @@
     if (const auto found = portions_.find(id); found != portions_.end()) {
         if (!faults_.grantRepeatedAsks)
             return found->second.tokens;
+        end(found->second, 0);
+        portions_.erase(found);
     }
     if (portions_.size() >= kMaxPortions)
         return 0;
     const std::int64_t tokens = std::clamp<std::int64_t>(wanted, 0, level_ / toUnits(1));
-    if (faults_.grantRepeatedAsks && portions_.contains(id))
-        return tokens;
     level_ -= toUnits(tokens);
     Portion portion;
     portion.tokens = tokens;
