Spread the shares of a shard over different members

Cause: with independent rendezvous choices one of 7 nodes could own several of the 8 shares of a bucket, and its death refused 158 of 9127 requests.

Ruled out: taking the first 8 members in one rendezvous order. A leaving member would shift all lower ranks, and each moved share costs a warm-up.

Change: a share takes the first member of its own order that owns no more than its part of the shard's shares.

A leaving member moves at most 6 of 512 shares at 360 members (SharedHoldersPolicyTest).

--- a/packages/decisions/src/SharedHoldersPolicy.cpp
+++ b/packages/decisions/src/SharedHoldersPolicy.cpp
@@ -1,6 +1,8 @@
 #include "boragerack/decisions/SharedHoldersPolicy.h"
 
+#include <map>
 #include <string>
+#include <utility>
 
 #include "boragerack/core/RendezvousHash.h"
 
@@ -11,15 +13,27 @@
 {
 }
 
+/// Shares of one shard go to different members while there are enough, so that a death stops as
+/// little of a bucket as possible: each share takes the first member in its rendezvous order that
+/// has no more than its part yet.
 std::vector<core::InstanceId>
 SharedHoldersPolicy::preferredOwners(std::uint32_t shard,
                                      std::span<const core::InstanceId> members) const
 {
     std::vector<core::InstanceId> owners;
+    if (members.empty())
+        return owners;
+    const std::size_t most = (shares_ + members.size() - 1) / members.size();
+    std::map<core::InstanceId, std::size_t> counts;
     for (std::uint32_t index = 0; index < shares_; ++index) {
         const std::string key = "budget/" + std::to_string(shard) + "/" + std::to_string(index);
-        for (core::InstanceId &owner : core::rendezvousOwners(key, members, 1))
+        for (core::InstanceId &owner : core::rendezvousOwners(key, members, shares_)) {
+            if (counts[owner] >= most)
+                continue;
+            ++counts[owner];
             owners.push_back(std::move(owner));
+            break;
+        }
     }
     return owners;
 }
--- /dev/null
+++ b/packages/decisions/tests/SharedHoldersPolicyTest.cpp
@@ -0,0 +1,60 @@
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "boragerack/decisions/SharedHoldersPolicy.h"
+
+using namespace boragerack::decisions;
+namespace core = boragerack::core;
+
+namespace {
+
+std::vector<core::InstanceId> makeMembers(std::size_t count)
+{
+    std::vector<core::InstanceId> members;
+    for (std::size_t i = 0; i < count; ++i)
+        members.push_back({"node-" + std::to_string(i)});
+    return members;
+}
+
+std::size_t countMoves(std::size_t memberCount)
+{
+    const SharedHoldersPolicy policy;
+    const auto members = makeMembers(memberCount);
+    const auto remaining = makeMembers(memberCount - 1);
+    std::size_t moves = 0;
+    for (std::uint32_t shard = 0; shard < policy.shardCount(); ++shard) {
+        const auto before = policy.preferredOwners(shard, members);
+        const auto after = policy.preferredOwners(shard, remaining);
+        for (std::size_t i = 0; i < before.size(); ++i)
+            moves += before[i] != after[i] ? 1 : 0;
+    }
+    return moves;
+}
+
+} // namespace
+
+// Guards against one death that stops a large part of an organisation's rate.
+BOOST_AUTO_TEST_CASE(sharesOfShardAreSpread)
+{
+    const SharedHoldersPolicy policy;
+    for (const auto &[memberCount, most] : std::map<std::size_t, int> {{1, 8}, {7, 2}, {20, 1}}) {
+        const auto members = makeMembers(memberCount);
+        for (std::uint32_t shard = 0; shard < policy.shardCount(); ++shard) {
+            std::map<core::InstanceId, int> counts;
+            for (const core::InstanceId &owner : policy.preferredOwners(shard, members))
+                BOOST_TEST(++counts[owner] <= most);
+        }
+    }
+    BOOST_TEST(policy.preferredOwners(0, {}).empty());
+}
+
+// Guards against an assignment that moves most shares when one member goes, each with a warm-up.
+BOOST_AUTO_TEST_CASE(leavingMemberMovesFewShares)
+{
+    constexpr std::size_t kAllShares = 512;
+    // A member owns 512/n shares; the bound per member moves a few more.
+    BOOST_TEST(countMoves(360) <= 6U);
+    BOOST_TEST(countMoves(20) <= 2 * kAllShares / 20);
+    BOOST_TEST(countMoves(7) <= 2 * kAllShares / 7);
+}
