--- /dev/null
+++ b/packages/node/src/BudgetLink.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "boragerack/decisions/BudgetTypes.h"
+
+namespace boragerack::node {
+
+/// Way to the other nodes for token budgets. Messages may be lost or repeated.
+class BudgetLink
+{
+public:
+    BudgetLink() = default;
+    BudgetLink(const BudgetLink &) = delete;
+    BudgetLink &operator=(const BudgetLink &) = delete;
+    virtual ~BudgetLink() = default;
+
+    virtual void sendAsk(const core::InstanceId &holder, const decisions::BudgetAsk &ask) = 0;
+    virtual void sendGrant(const core::InstanceId &borrower,
+                           const decisions::BudgetGrant &grant) = 0;
+    virtual void sendReturn(const core::InstanceId &holder,
+                            const decisions::BudgetReturn &message) = 0;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/BudgetMessage.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <variant>
+#include <vector>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/BudgetBorrower.h"
+#include "boragerack/runtime/Reply.h"
+
+namespace boragerack::node {
+
+/// A request needs tokens before it is sent. The answer is the number by which it settles.
+struct ReserveTokens
+{
+    core::OrganisationId organisation;
+    std::int64_t tokens = 0;
+    core::TimePoint deadline;
+    runtime::Reply<core::Result<decisions::RequestNumber>> reply;
+};
+
+/// The limits of the accepted configuration; organisations that are missing have none.
+struct LimitsAccepted
+{
+    std::map<core::OrganisationId, decisions::RateLimit> limits;
+};
+
+struct StopBudget
+{
+};
+
+using BudgetMessage =
+    std::variant<ReserveTokens, decisions::ReservationSettled, LimitsAccepted, decisions::BudgetAsk,
+                 decisions::BudgetGrant, decisions::BudgetReturn, decisions::ShareTableRead,
+                 decisions::ShareTableWritten, decisions::ShareTableWriteUnknown,
+                 decisions::InstanceListRead, decisions::BudgetMembersChanged,
+                 decisions::ShareReleaseRequested, StopBudget>;
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/BudgetTask.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "BudgetLink.h"
+#include "BudgetMessage.h"
+#include "NodeIdentity.h"
+#include "TargetWatchTask.h"
+#include "boragerack/decisions/SharedHoldersPolicy.h"
+
+namespace boragerack::node {
+
+/// Owns the budgets of this node: the shares it grants from and the tokens its requests reserve.
+class BudgetTask final : public TargetListener
+{
+public:
+    BudgetTask(const NodeIdentity &identity, std::shared_ptr<const decisions::ShareChart> chart,
+               platform::PlatformStore &store, BudgetLink &link, const core::Clock &clock,
+               std::chrono::milliseconds watchWait);
+    ~BudgetTask() override;
+
+    void start();
+    void stop();
+    [[nodiscard]] bool trySend(BudgetMessage message);
+
+    /// Waits for tokens, at most until the deadline.
+    core::Result<decisions::RequestNumber> reserve(const core::OrganisationId &organisation,
+                                                   std::int64_t tokens, core::TimePoint deadline);
+
+    void onTargetChanges(const TargetChanges &) override { }
+    void onInstances(const std::vector<platform::InstanceRecord> &instances) override;
+    void onPlatformReachable(bool) override { }
+
+private:
+    void run();
+    void followShares();
+    void on(const ReserveTokens &message);
+    void on(const decisions::ReservationSettled &message);
+    void on(const LimitsAccepted &message);
+    void on(const decisions::BudgetAsk &message);
+    void on(const decisions::BudgetGrant &message);
+    void on(const decisions::BudgetReturn &message);
+    void on(const StopBudget &message);
+    template<class TableEvent>
+    void on(const TableEvent &event);
+
+    void feedTable(const decisions::ShareTableEvent &event);
+    void feedHolder(const decisions::HolderEvent &event);
+    void feedBorrower(const decisions::BorrowerEvent &event);
+    void perform(const decisions::WriteShareTable &action);
+    void perform(const decisions::ReadShareTable &action);
+    void perform(const decisions::ShareGrantingStarted &action);
+    void perform(const decisions::ShareGrantingStopped &action);
+    void perform(const decisions::SendGrant &action);
+    void perform(const decisions::SendAsk &action);
+    void perform(const decisions::SendReturn &action);
+    void perform(const decisions::TokensReserved &action);
+    void perform(const decisions::ReservationRefused &action);
+    void readTable();
+    core::TimePoint nextTimer() const;
+
+    NodeIdentity identity_;
+    platform::PlatformStore &store_;
+    BudgetLink &link_;
+    const core::Clock &clock_;
+    std::chrono::milliseconds watchWait_;
+    decisions::SharedHoldersPolicy policy_;
+    decisions::ShareTable table_;
+    decisions::BudgetHolder holder_;
+    decisions::BudgetBorrower borrower_;
+    runtime::Mailbox<BudgetMessage> mailbox_;
+    decisions::RequestNumber nextRequest_ = 1;
+    std::map<decisions::RequestNumber, runtime::Reply<core::Result<decisions::RequestNumber>>>
+        waiting_;
+    std::map<core::OrganisationId, decisions::RateLimit> limits_;
+    decisions::ShareOwners knownOwners_;
+    bool isRunning_ = true;
+    runtime::FiberGroup fibers_;
+};
+
+} // namespace boragerack::node
--- a/packages/node/src/CallerHandler.cpp
+++ b/packages/node/src/CallerHandler.cpp
@@ -113,9 +113,13 @@
 {
     json::array addresses;
     const auto members = members_.get();
+    const auto admission = services_.lifecycle.admission().get();
+    const bool isSelfOffered = !admission->refusal && !admission->isWithdrawn;
     for (const Member &member : members->members) {
-        if (member.isServing && !member.isSuspected)
-            addresses.push_back(json::value(member.callerAddress));
+        const bool isSelf = member.record.instance == services_.identity.instance;
+        // A node leaves its own answers at once, and those of the others when its record is gone.
+        if (isSelf ? isSelfOffered : member.record.version != 0 && !member.isSuspected)
+            addresses.push_back(json::value(member.record.callerAddress));
     }
     const auto lifetime = std::chrono::duration_cast<std::chrono::seconds>(addressLifetime_);
     return makeJson(
--- a/packages/node/src/ChartSet.h
+++ b/packages/node/src/ChartSet.h
@@ -7,8 +7,10 @@
 #include "boragerack/decisions/AttemptChart.h"
 #include "boragerack/decisions/ClaimChart.h"
 #include "boragerack/decisions/ConnectionChart.h"
+#include "boragerack/decisions/FleetCharts.h"
 #include "boragerack/decisions/NodeChart.h"
 #include "boragerack/decisions/ReplicaLifecycle.h"
+#include "boragerack/decisions/ShareLifecycle.h"
 
 namespace boragerack::node {
 
@@ -20,6 +22,8 @@
     std::shared_ptr<const decisions::ConnectionBinding> connection;
     std::shared_ptr<const decisions::NodeBinding> node;
     decisions::PlacementCharts placement;
+    decisions::FleetCharts fleet;
+    std::shared_ptr<const decisions::ShareChart> share;
 };
 
 /// Fails with the name of the first chart that is missing or does not fit the code.
--- /dev/null
+++ b/packages/node/src/FleetTask.cpp
@@ -0,0 +1,348 @@
+#include "FleetTask.h"
+
+#include <utility>
+
+#include "FleetPlatform.h"
+#include "boragerack/config/ConfigurationJson.h"
+#include "boragerack/config/ListCheck.h"
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::node {
+
+using decisions::ConfigurationState;
+using decisions::Freshness;
+using decisions::MemberView;
+
+namespace {
+
+constexpr std::size_t kMailboxCapacity = 4096;
+constexpr std::chrono::milliseconds kTickInterval(100);
+/// The start of a watch counts as the time of its evidence, so a watch must be short.
+constexpr std::chrono::milliseconds kWatchWait(1000);
+
+std::string prefixOf(decisions::FleetAgent::Prefix prefix)
+{
+    return prefix == decisions::FleetAgent::Prefix::Lists ? "lists/" : "nodes/";
+}
+
+std::string headKey()
+{
+    return "config/accepted";
+}
+
+std::string partKey(const core::Digest &digest)
+{
+    return "config/parts/" + core::toHex(digest);
+}
+
+std::string memberKey(const core::InstanceId &instance)
+{
+    return "nodes/" + instance.value;
+}
+
+} // namespace
+
+FleetTask::FleetTask(const decisions::FleetCharts &charts, platform::PlatformStore &store,
+                     FleetLink &link, const core::Clock &clock, FreshnessListener &listener)
+    : store_(store)
+    , link_(link)
+    , clock_(clock)
+    , listener_(listener)
+    , charts_(charts)
+    , mailbox_(kMailboxCapacity)
+{
+}
+
+FleetTask::~FleetTask() = default;
+
+void FleetTask::start(const decisions::MemberRecord &self)
+{
+    agent_.emplace(charts_, self);
+    fibers_.start([this] { run(); });
+}
+
+void FleetTask::stop()
+{
+    isStopping_ = true;
+}
+
+bool FleetTask::trySend(FleetTaskMessage message)
+{
+    return mailbox_.trySend(std::move(message));
+}
+
+void FleetTask::answer(Agent::Event event)
+{
+    static_cast<void>(mailbox_.send(FleetTaskMessage(std::move(event))));
+}
+
+void FleetTask::run()
+{
+    publishMembers();
+    while (!isStopping_) {
+        if (auto message = mailbox_.receiveUntil(tickedAt_ + kTickInterval))
+            std::visit([this](const auto &body) { on(body); }, *message);
+        // Under a stream of messages the ticks must not stop.
+        if (clock_.now() - tickedAt_ >= kTickInterval) {
+            tickedAt_ = clock_.now();
+            feed(Agent::Tick());
+        }
+    }
+    mailbox_.close();
+}
+
+void FleetTask::on(const Agent::Event &event)
+{
+    feed(event);
+}
+
+void FleetTask::on(const MembersAsked &message)
+{
+    membersAsked_[message.from] = message.reply;
+    feed(Agent::MessageReceived {message.from, message.fetch});
+    membersAsked_.erase(message.from);
+}
+
+void FleetTask::feed(const Agent::Event &event)
+{
+    for (const Agent::Action &action : agent_->handle(event, clock_.now()))
+        std::visit([this](const auto &body) { perform(body); }, action);
+}
+
+void FleetTask::perform(const Agent::SendMessage &action)
+{
+    const auto asked = membersAsked_.find(action.to);
+    const auto *table = std::get_if<decisions::MemberTable>(&action.message);
+    if (table && asked != membersAsked_.end())
+        asked->second.set(*table);
+    else
+        link_.send(action.to, action.message);
+}
+
+void FleetTask::perform(const Agent::AskBootstrapPeers &action)
+{
+    link_.askBootstrapPeers(action.fetch);
+}
+
+void FleetTask::perform(const Agent::ReadPrefix &action)
+{
+    fibers_.start([this, action] {
+        const core::TimePoint requestedAt = clock_.now();
+        const auto list = store_.list(prefixOf(action.prefix));
+        if (!core::isOk(list))
+            answer(Agent::PrefixFailed {action.prefix, action.request, false});
+        else if (action.prefix == Agent::Prefix::Lists)
+            answer(Agent::ListsAnswered {action.request,
+                                         makeListsRead(core::valueOf(list), requestedAt)});
+        else
+            answer(Agent::NodesAnswered {action.request, makeRecordsRead(core::valueOf(list))});
+    });
+}
+
+void FleetTask::perform(const Agent::WatchPrefix &action)
+{
+    fibers_.start([this, action] {
+        const core::TimePoint requestedAt = clock_.now();
+        const auto changes = store_.watch(prefixOf(action.prefix), action.after, kWatchWait);
+        if (!core::isOk(changes) || core::valueOf(changes).isExpired)
+            answer(Agent::PrefixFailed {action.prefix, action.request, core::isOk(changes)});
+        else if (action.prefix == Agent::Prefix::Lists)
+            answer(Agent::ListsAnswered {action.request,
+                                         makeListsRead(core::valueOf(changes), requestedAt)});
+        else
+            answer(Agent::NodesAnswered {action.request, makeRecordsRead(core::valueOf(changes))});
+    });
+}
+
+void FleetTask::perform(const Agent::ReadInstances &)
+{
+    fibers_.start([this] {
+        const auto instances = store_.listInstances();
+        if (!core::isOk(instances))
+            return;
+        MemberView::InstancesRead read;
+        for (const platform::InstanceRecord &record : core::valueOf(instances))
+            read.instances.insert(record.instance);
+        answer(std::move(read));
+    });
+}
+
+void FleetTask::perform(const Agent::WriteRecord &action)
+{
+    // Callers are given the addresses of all members, so a node joins when it can serve.
+    if (!agent_->freshness().mayServe(clock_.now()))
+        return;
+    fibers_.start([this, action] {
+        std::uint64_t version = 0;
+        replaceObject(memberKey(action.record.instance), serialiseMember(action.record), &version);
+        if (version != 0)
+            answer(MemberView::RecordWritten {version});
+    });
+}
+
+void FleetTask::replaceObject(const std::string &key, const std::string &value,
+                              std::uint64_t *version)
+{
+    const auto current = store_.read(key);
+    if (!core::isOk(current))
+        return;
+    std::optional<std::uint64_t> expected;
+    if (const auto &object = core::valueOf(current))
+        expected = object->version;
+    const auto result = store_.write(key, value, expected);
+    if (const auto *applied = std::get_if<platform::WriteApplied>(&result); applied && version)
+        *version = applied->version;
+}
+
+void FleetTask::perform(const MemberView::RemoveRecord &action)
+{
+    fibers_.start([this, action] { store_.remove(memberKey(action.instance), action.version); });
+}
+
+void FleetTask::perform(const MemberView::MembersChanged &)
+{
+    publishMembers();
+}
+
+void FleetTask::publishMembers()
+{
+    const MemberView &view = agent_->members();
+    const auto suspected = view.suspected();
+    Members members;
+    std::vector<decisions::MemberRecord> records;
+    for (const core::InstanceId &instance : view.ring()) {
+        const decisions::MemberRecord *record = view.find(instance);
+        if (!record)
+            continue;
+        members.members.push_back({*record, suspected.contains(instance)});
+        records.push_back(*record);
+    }
+    link_.updateMembers(records);
+    members_.set(std::move(members));
+}
+
+void FleetTask::perform(const Relay::ReadHead &)
+{
+    fibers_.start([this] {
+        const core::TimePoint requestedAt = clock_.now();
+        const auto object = store_.read(headKey());
+        if (!core::isOk(object)) {
+            answer(Relay::ReadFailed());
+            return;
+        }
+        Relay::HeadRead read {std::nullopt, requestedAt};
+        if (const auto &stored = core::valueOf(object)) {
+            const auto head = config::parseHead(stored->value);
+            if (!core::isOk(head)) {
+                answer(Relay::ReadFailed());
+                return;
+            }
+            read.stored = decisions::StoredHead {core::valueOf(head), stored->version};
+        }
+        answer(std::move(read));
+    });
+}
+
+void FleetTask::perform(const Relay::ReadPart &action)
+{
+    fibers_.start([this, action] {
+        const auto object = store_.read(partKey(action.digest));
+        if (!core::isOk(object) || !core::valueOf(object))
+            answer(Relay::ReadFailed());
+        else
+            answer(Relay::PartRead {action.digest, parsePartText(core::valueOf(object)->value)});
+    });
+}
+
+void FleetTask::perform(const Relay::CheckCandidate &action)
+{
+    Relay::CandidateChecked checked {action.check, {}, {}};
+    const auto result = config::checkLists(action.texts);
+    if (const auto *fault = std::get_if<config::ListFault>(&result)) {
+        checked.part = fault->part;
+        checked.message = fault->message;
+        runtime::logEvent(runtime::LogEvent::ConfigurationRejected,
+                          fault->part + ": " + fault->message);
+    }
+    answer(std::move(checked));
+}
+
+void FleetTask::perform(const Relay::WritePart &action)
+{
+    fibers_.start([this, action] {
+        const auto result =
+            store_.write(partKey(action.digest), serialisePartText(action.text), std::nullopt);
+        // The key names the content, so an object that exists already is the same.
+        answer(Relay::PartWritten {action.digest, !std::holds_alternative<core::Error>(result)});
+    });
+}
+
+void FleetTask::perform(const Relay::WriteHead &action)
+{
+    fibers_.start([this, action] {
+        const auto result =
+            store_.write(headKey(), config::serialiseHead(action.head), action.expectedVersion);
+        Relay::HeadWritten written {action.head.sequence, decisions::HeadWriteOutcome::Unknown, 0};
+        if (const auto *applied = std::get_if<platform::WriteApplied>(&result)) {
+            written.outcome = decisions::HeadWriteOutcome::Done;
+            written.platformVersion = applied->version;
+            runtime::logEvent(runtime::LogEvent::ConfigurationAccepted,
+                              "version " + std::to_string(action.head.version));
+        } else if (std::holds_alternative<platform::WriteConflict>(result)) {
+            written.outcome = decisions::HeadWriteOutcome::Conflict;
+        }
+        answer(written);
+    });
+}
+
+void FleetTask::perform(const Relay::WriteStatus &action)
+{
+    fibers_.start(
+        [this, action] { replaceObject("status/config", config::serialiseStatus(action.status)); });
+}
+
+void FleetTask::perform(const ConfigurationState::CheckLists &action)
+{
+    ConfigurationState::CheckFinished finished {action.configuration.head.version, {}};
+    const auto result = config::checkLists(action.configuration.texts);
+    if (const auto *fault = std::get_if<config::ListFault>(&result))
+        finished.fault = fault->part + ": " + fault->message;
+    answer(std::move(finished));
+}
+
+void FleetTask::perform(const ConfigurationState::ApplyConfiguration &action)
+{
+    auto result = config::checkLists(agent_->configuration().accepted().texts);
+    if (auto *catalogue = std::get_if<decisions::Catalogue>(&result)) {
+        configuration_.set({action.version, std::move(*catalogue)});
+        runtime::logEvent(runtime::LogEvent::ConfigurationInEffect,
+                          "version " + std::to_string(action.version));
+    }
+}
+
+void FleetTask::perform(const ConfigurationState::ReportFault &action)
+{
+    runtime::logEvent(runtime::LogEvent::ConfigurationRejected,
+                      "version " + std::to_string(action.version) + ": " + action.message);
+}
+
+void FleetTask::perform(const Freshness::StartServing &)
+{
+    listener_.onFreshnessChanged(true);
+}
+
+void FleetTask::perform(const Freshness::StopServing &)
+{
+    listener_.onFreshnessChanged(false);
+}
+
+void FleetTask::perform(const Freshness::ProbePlatform &)
+{
+    fibers_.start([this] {
+        const core::TimePoint startedAt = clock_.now();
+        const bool isReadable = core::isOk(store_.read(headKey()));
+        answer(Freshness::ProbeFinished {isReadable, startedAt});
+    });
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/FleetTask.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "ActiveConfiguration.h"
+#include "FleetLink.h"
+#include "Members.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/FleetAgent.h"
+#include "boragerack/platform/PlatformStore.h"
+#include "boragerack/runtime/FiberGroup.h"
+#include "boragerack/runtime/Mailbox.h"
+#include "boragerack/runtime/Published.h"
+#include "boragerack/runtime/Reply.h"
+
+namespace boragerack::node {
+
+/// Learns whether the configuration of this node is fresh enough to serve.
+class FreshnessListener
+{
+public:
+    FreshnessListener() = default;
+    FreshnessListener(const FreshnessListener &) = delete;
+    FreshnessListener &operator=(const FreshnessListener &) = delete;
+    virtual ~FreshnessListener() = default;
+
+    virtual void onFreshnessChanged(bool mayServe) = 0;
+};
+
+/// A node asks for the members. The answer goes back on the same stream, because a starting node
+/// may not be a member yet whose address is known.
+struct MembersAsked
+{
+    core::InstanceId from;
+    decisions::MemberFetch fetch;
+    runtime::Reply<decisions::MemberTable> reply;
+};
+
+using FleetTaskMessage = std::variant<decisions::FleetAgent::Event, MembersAsked>;
+
+/// Owns the fleet agent of this node: members, configuration and freshness. Carries out its calls
+/// to the platform and its messages.
+class FleetTask
+{
+public:
+    FleetTask(const decisions::FleetCharts &charts, platform::PlatformStore &store, FleetLink &link,
+              const core::Clock &clock, FreshnessListener &listener);
+    ~FleetTask();
+
+    /// `self` names the addresses that the node listens on.
+    void start(const decisions::MemberRecord &self);
+    void stop();
+    [[nodiscard]] bool trySend(FleetTaskMessage message);
+
+    const runtime::Published<Members> &members() const { return members_; }
+    const runtime::Published<ActiveConfiguration> &configuration() const { return configuration_; }
+
+private:
+    using Agent = decisions::FleetAgent;
+    using Relay = decisions::ConfigurationRelay;
+
+    void run();
+    void on(const Agent::Event &event);
+    void on(const MembersAsked &message);
+    void feed(const Agent::Event &event);
+    void answer(Agent::Event event);
+
+    void perform(const Agent::SendMessage &action);
+    void perform(const Agent::AskBootstrapPeers &action);
+    void perform(const Agent::ReadPrefix &action);
+    void perform(const Agent::WatchPrefix &action);
+    void perform(const Agent::ReadInstances &action);
+    void perform(const Agent::WriteRecord &action);
+    void perform(const decisions::MemberView::RemoveRecord &action);
+    void perform(const decisions::MemberView::MembersChanged &action);
+    void perform(const Relay::ReadHead &action);
+    void perform(const Relay::ReadPart &action);
+    void perform(const Relay::CheckCandidate &action);
+    void perform(const Relay::WritePart &action);
+    void perform(const Relay::WriteHead &action);
+    void perform(const Relay::WriteStatus &action);
+    void perform(const decisions::ConfigurationState::CheckLists &action);
+    void perform(const decisions::ConfigurationState::ApplyConfiguration &action);
+    void perform(const decisions::ConfigurationState::ReportFault &action);
+    void perform(const decisions::Freshness::StartServing &action);
+    void perform(const decisions::Freshness::StopServing &action);
+    void perform(const decisions::Freshness::ProbePlatform &action);
+
+    void publishMembers();
+    void replaceObject(const std::string &key, const std::string &value,
+                       std::uint64_t *version = nullptr);
+
+    platform::PlatformStore &store_;
+    FleetLink &link_;
+    const core::Clock &clock_;
+    FreshnessListener &listener_;
+    decisions::FleetCharts charts_;
+    std::optional<Agent> agent_;
+    runtime::Mailbox<FleetTaskMessage> mailbox_;
+    std::map<core::InstanceId, runtime::Reply<decisions::MemberTable>> membersAsked_;
+    bool isStopping_ = false;
+    core::TimePoint tickedAt_;
+    runtime::Published<Members> members_;
+    runtime::Published<ActiveConfiguration> configuration_;
+    runtime::FiberGroup fibers_;
+};
+
+} // namespace boragerack::node
--- a/packages/node/src/LifecycleTask.cpp
+++ b/packages/node/src/LifecycleTask.cpp
@@ -22,7 +22,7 @@
     : clock_(clock)
     , listener_(listener)
     , sequence_(std::move(chart), addressLifetime)
-    , admission_(Admission {sequence_.admit(), false})
+    , admission_(Admission {sequence_.admit(), true, false})
     , mailbox_(kMailboxCapacity)
 {
 }
@@ -54,7 +54,7 @@
 {
     for (const decisions::NodeStep step : sequence_.handle(event, clock_.now()))
         perform(step);
-    Admission admission {sequence_.admit(), mustEndStreams_};
+    Admission admission {sequence_.admit(), isWithdrawn_, mustEndStreams_};
     if (admission != *admission_.get())
         admission_.set(std::move(admission));
 }
@@ -63,18 +63,20 @@
 {
     switch (step) {
     case decisions::NodeStep::PublishAddress:
+        isWithdrawn_ = false;
         mustEndStreams_ = false;
         runtime::logEvent(runtime::LogEvent::NodeServing, "address is given to callers");
-        listener_.onAddressPublished(true);
         break;
     case decisions::NodeStep::WithdrawAddress:
-        runtime::logEvent(runtime::LogEvent::NodeDraining, "address is withdrawn");
-        listener_.onAddressPublished(false);
+        isWithdrawn_ = true;
+        if (sequence_.state() == decisions::NodeState::Withdrawn) {
+            runtime::logEvent(runtime::LogEvent::NodeDraining, "address is withdrawn");
+            listener_.onStopBegun();
+        }
         break;
     case decisions::NodeStep::EndStreams:
         mustEndStreams_ = true;
         runtime::logEvent(runtime::LogEvent::NodeIsolated, "no fresh configuration");
-        listener_.onAddressPublished(false);
         break;
     case decisions::NodeStep::ReleaseShares:
         listener_.onReleaseShares();
--- a/packages/node/src/LifecycleTask.h
+++ b/packages/node/src/LifecycleTask.h
@@ -18,6 +18,8 @@
 struct Admission
 {
     std::optional<core::Error> refusal;
+    /// Callers are not given the address any more, though requests are still taken.
+    bool isWithdrawn = false;
     /// Streams in progress end, because their keys may have been withdrawn.
     bool mustEndStreams = false;
 
@@ -33,7 +35,8 @@
     LifecycleListener &operator=(const LifecycleListener &) = delete;
     virtual ~LifecycleListener() = default;
 
-    virtual void onAddressPublished(bool isPublished) = 0;
+    /// A planned stop has begun; other nodes must not give out the address any more.
+    virtual void onStopBegun() = 0;
     virtual void onReleaseShares() = 0;
     virtual void onRemoveRecord() = 0;
     virtual void onStopped() = 0;
@@ -60,6 +63,7 @@
     const core::Clock &clock_;
     LifecycleListener &listener_;
     decisions::DrainSequence sequence_;
+    bool isWithdrawn_ = false;
     bool mustEndStreams_ = false;
     runtime::Published<Admission> admission_;
     runtime::Mailbox<decisions::drain::Event> mailbox_;
--- a/packages/node/src/Members.cpp
+++ b/packages/node/src/Members.cpp
@@ -4,31 +4,29 @@
 
 namespace boragerack::node {
 
-std::string serialiseMember(const Member &member)
+std::string serialiseMember(const decisions::MemberRecord &record)
 {
-    return boost::json::serialize(boost::json::object {{"instance", member.instance.value},
-                                                       {"incarnation", member.incarnation},
-                                                       {"callerAddress", member.callerAddress},
-                                                       {"peerAddress", member.peerAddress},
-                                                       {"dataCentre", member.dataCentre.value},
-                                                       {"region", member.region.value},
-                                                       {"serving", member.isServing}});
+    return boost::json::serialize(boost::json::object {{"instance", record.instance.value},
+                                                       {"incarnation", record.incarnation},
+                                                       {"callerAddress", record.callerAddress},
+                                                       {"peerAddress", record.peerAddress},
+                                                       {"dataCentre", record.dataCentre.value},
+                                                       {"region", record.region.value}});
 }
 
-core::Result<Member> parseMember(std::string_view text)
+core::Result<decisions::MemberRecord> parseMember(std::string_view text)
 {
-    const auto read = [](const boost::json::value &value) -> core::Result<Member> {
-        Member member;
-        member.instance.value = textMember(value, "instance");
-        member.incarnation = numberMember(value, "incarnation");
-        member.callerAddress = textMember(value, "callerAddress");
-        member.peerAddress = textMember(value, "peerAddress");
-        member.dataCentre.value = textMember(value, "dataCentre");
-        member.region.value = textMember(value, "region");
-        member.isServing = flagMember(value, "serving");
-        return member;
+    const auto read = [](const boost::json::value &value) -> core::Result<decisions::MemberRecord> {
+        decisions::MemberRecord record;
+        record.instance.value = textMember(value, "instance");
+        record.incarnation = numberMember(value, "incarnation");
+        record.callerAddress = textMember(value, "callerAddress");
+        record.peerAddress = textMember(value, "peerAddress");
+        record.dataCentre.value = textMember(value, "dataCentre");
+        record.region.value = textMember(value, "region");
+        return record;
     };
-    return parseJson<Member>("node record", text, read);
+    return parseJson<decisions::MemberRecord>("node record", text, read);
 }
 
 } // namespace boragerack::node
--- a/packages/node/src/Members.h
+++ b/packages/node/src/Members.h
@@ -1,26 +1,18 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "boragerack/core/Identifier.h"
 #include "boragerack/core/Result.h"
+#include "boragerack/decisions/FleetMessages.h"
 
 namespace boragerack::node {
 
-/// One node as its record `nodes/<instance>` describes it.
+/// A node as this one sees it.
 struct Member
 {
-    core::InstanceId instance;
-    std::uint64_t incarnation = 0;
-    std::string callerAddress;
-    std::string peerAddress;
-    core::DataCentreId dataCentre;
-    core::RegionId region;
-    /// Whether callers may be given its address.
-    bool isServing = false;
+    decisions::MemberRecord record;
     bool isSuspected = false;
 
     friend auto operator<=>(const Member &, const Member &) = default;
@@ -33,8 +25,8 @@
     friend auto operator<=>(const Members &, const Members &) = default;
 };
 
-// JSON of the platform object `nodes/<instance>`.
-std::string serialiseMember(const Member &member);
-core::Result<Member> parseMember(std::string_view text);
+/// JSON of the platform object `nodes/<instance>`; the version comes with the object.
+std::string serialiseMember(const decisions::MemberRecord &record);
+core::Result<decisions::MemberRecord> parseMember(std::string_view text);
 
 } // namespace boragerack::node
--- a/packages/node/src/ModelHandler.cpp
+++ b/packages/node/src/ModelHandler.cpp
@@ -1,5 +1,6 @@
 #include "ModelHandler.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "CallerError.h"
@@ -10,6 +11,17 @@
 
 namespace {
 
+/// Tokens that a request has used: those that reached the caller, or the engine's own count. A
+/// failed answer that was not streamed counts in full, because nobody knows how far it came.
+std::int64_t countTokens(const ModelRequest &request, const AttemptResult &result,
+                         const CallerSink &sink)
+{
+    if (request.isStream)
+        return request.promptTokens + static_cast<std::int64_t>(result.units);
+    const auto reported = parseCompletionTokens(sink.response().body);
+    return request.promptTokens + reported.value_or(request.maxTokens);
+}
+
 /// An engine sends nothing before the end of an answer that is not streamed.
 constexpr std::chrono::seconds kWholeAnswerSilence(120);
 
@@ -40,20 +52,46 @@
         return;
     }
 
-    const AttemptJob job = makeJob(request, core::valueOf(model), core::valueOf(artifact), context);
+    const ModelRequest &parsed = core::valueOf(model);
+    const std::int64_t tokens = parsed.promptTokens + parsed.maxTokens;
+    const auto reservation = reserve(tokens, context);
+    if (!core::isOk(reservation)) {
+        responder.send(makeErrorResponse(core::errorOf(reservation)));
+        return;
+    }
+
+    const AttemptJob job = makeJob(request, parsed, core::valueOf(artifact), context);
     CallerSink sink(responder, job.isEventStream, services_.clock);
     AttemptRunner runner(services_.charts, services_.client, services_.routing, services_.clock,
                          job, sink, [&] { return findCancelReason(context, services_); });
     const AttemptResult result = runner.run();
+    const std::int64_t used =
+        result.verdict == core::Verdict::NotRun ? 0 : countTokens(parsed, result, sink);
+    static_cast<void>(services_.budget.trySend(
+        decisions::ReservationSettled {core::valueOf(reservation), std::min(used, tokens)}));
     reportDeaths(fingerprint, result);
     if (sink.firstPartAt()) {
-        services_.metrics.observe("boragerack_first_token_seconds",
-                                  makeLabels({{"organisation", context.organisation.value}}),
-                                  *sink.firstPartAt() - context.receivedAt);
+        services_.metrics.observe(
+            "boragerack_first_token_seconds",
+            makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
+            *sink.firstPartAt() - context.receivedAt);
     }
     sink.finish(result);
 }
 
+core::Result<decisions::RequestNumber> ModelHandler::reserve(std::int64_t tokens,
+                                                             const CallerContext &context)
+{
+    const auto configuration = services_.configuration.get();
+    const auto *plan = configuration->catalogue.findPlan(context.organisation);
+    if (!plan || tokens > plan->burstTokens) {
+        return core::makeNotRunError(core::ErrorCode::RateLimited,
+                                     "the request may use " + std::to_string(tokens)
+                                         + " tokens, more than the burst of the plan");
+    }
+    return services_.budget.reserve(context.organisation, tokens, context.deadline);
+}
+
 core::Result<decisions::Artifact> ModelHandler::authorise(const ModelRequest &model,
                                                           const CallerContext &context) const
 {
@@ -102,10 +140,8 @@
 
 void ModelHandler::reportDeaths(const core::Digest &fingerprint, const AttemptResult &result)
 {
-    for (const decisions::AttemptId &attempt : result.deaths) {
-        static_cast<void>(services_.quarantine.trySend(
-            decisions::quarantine::CrashReport {fingerprint, attempt}));
-    }
+    for (const decisions::AttemptId &attempt : result.deaths)
+        services_.quarantineLink.report({fingerprint, attempt});
 }
 
 } // namespace boragerack::node
--- a/packages/node/src/ModelHandler.h
+++ b/packages/node/src/ModelHandler.h
@@ -19,6 +19,8 @@
 private:
     core::Result<decisions::Artifact> authorise(const ModelRequest &model,
                                                 const CallerContext &context) const;
+    core::Result<decisions::RequestNumber> reserve(std::int64_t tokens,
+                                                   const CallerContext &context);
     AttemptJob makeJob(const runtime::HttpRequest &request, const ModelRequest &model,
                        const decisions::Artifact &artifact, const CallerContext &context) const;
     void reportDeaths(const core::Digest &fingerprint, const AttemptResult &result);
--- a/packages/node/src/ModelRequest.cpp
+++ b/packages/node/src/ModelRequest.cpp
@@ -79,6 +79,17 @@
     return request;
 }
 
+std::optional<std::int64_t> parseCompletionTokens(std::string_view answer)
+{
+    boost::system::error_code error;
+    const json::value value = json::parse(answer, error);
+    const json::object *body = error ? nullptr : value.if_object();
+    const json::value *usage = body ? body->if_contains("usage") : nullptr;
+    if (!usage || !usage->is_object() || !usage->get_object().contains("completion_tokens"))
+        return std::nullopt;
+    return static_cast<std::int64_t>(numberMember(*usage, "completion_tokens"));
+}
+
 std::string makeEngineBody(std::string_view text, const decisions::Artifact &artifact)
 {
     json::value value = json::parse(text);
--- a/packages/node/src/ModelRequest.h
+++ b/packages/node/src/ModelRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,4 +30,7 @@
 /// The body with the model named as the engine knows it, "<model>[:<adapter>]".
 std::string makeEngineBody(std::string_view body, const decisions::Artifact &artifact);
 
+/// Output tokens that a whole answer reports under "usage".
+std::optional<std::int64_t> parseCompletionTokens(std::string_view answer);
+
 } // namespace boragerack::node
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -1,13 +1,18 @@
 #include "boragerack/node/Node.h"
 
 #include <chrono>
+#include <fstream>
+#include <iterator>
 #include <optional>
 #include <utility>
 
 #include "CallerHandler.h"
-#include "MembershipTask.h"
+#include "PeerDispatcher.h"
+#include "PeerLinks.h"
 #include "boragerack/config/NodeSettings.h"
 #include "boragerack/core/SystemRandomSource.h"
+#include "boragerack/peer/MessageAuthenticator.h"
+#include "boragerack/peer/PeerServer.h"
 #include "boragerack/platform/HttpPlatformStore.h"
 #include "boragerack/runtime/EventLog.h"
 #include "boragerack/runtime/FiberRuntime.h"
@@ -17,7 +22,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kMemberInterval(1000);
+constexpr std::chrono::milliseconds kFollowInterval(1000);
 
 std::string formatAddress(const config::SocketAddress &address)
 {
@@ -59,26 +64,36 @@
     return accepted;
 }
 
-/// Reaches no other node; a node without peers is its own planner.
-class LocalLinks final : public PlannerLink, public QuarantineLink
+std::map<core::OrganisationId, decisions::RateLimit>
+listLimits(const decisions::Catalogue &catalogue)
 {
-public:
-    core::Result<core::TargetId> wake(const core::InstanceId &planner,
-                                      const decisions::WakeRequested &) override
-    {
-        return core::makeNotRunError(core::ErrorCode::NoReadyReplica,
-                                     "planner " + planner.value + " cannot be reached",
-                                     std::chrono::seconds(1));
+    std::map<core::OrganisationId, decisions::RateLimit> limits;
+    for (const decisions::Organisation &organisation : catalogue.contents().organisations) {
+        if (const auto *plan = catalogue.findPlan(organisation.organisation))
+            limits[organisation.organisation] = {plan->tokensPerSecond, plan->burstTokens};
     }
-    void reportUse(const core::InstanceId &, const std::vector<decisions::ReplicaUsed> &) override
-    {
-    }
-    void announce(const decisions::quarantine::Notice &) override { }
-};
+    return limits;
+}
+
+std::vector<std::string> formatAddresses(const std::vector<config::SocketAddress> &addresses)
+{
+    std::vector<std::string> formatted;
+    for (const config::SocketAddress &address : addresses)
+        formatted.push_back(formatAddress(address));
+    return formatted;
+}
+
+core::Result<std::string> readSecret(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest, "cannot read " + path);
+    return std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+}
 
 } // namespace
 
-class Node::Implementation final : public LifecycleListener
+class Node::Implementation final : public LifecycleListener, public FreshnessListener
 {
 public:
     Implementation(runtime::FiberRuntime &fiberRuntime, const config::NodeSettings &settings)
@@ -96,21 +111,18 @@
         if (!core::isOk(charts))
             return core::errorOf(charts);
         charts_ = core::takeValue(std::move(charts));
+        if (const auto error = makeNetwork())
+            return *error;
         makeTasks();
-        // The server must exist before its address is known, and the members need the address.
-        membership_.emplace(store_,
-                            Member {identity_.instance, identity_.incarnation, "",
-                                    formatAddress(settings_.peerListen), identity_.dataCentre,
-                                    identity_.region},
-                            kMemberInterval);
-        handler_.emplace(*services_, membership_->members(), settings_.requestTimeout,
-                         settings_.addressLifetime);
-        server_.emplace(fiberRuntime_.ioContext(), *handler_, makeLimits(settings_));
-        auto address = server_->listen(formatAddress(settings_.callerListen));
-        if (!core::isOk(address))
-            return core::errorOf(address);
-        startTasks(core::valueOf(address));
-        return NodeAddresses {core::valueOf(address), formatAddress(settings_.peerListen)};
+        // Binding the peer address proves that no earlier process of this instance is alive.
+        const auto peerAddress = peerServer_->listen(formatAddress(settings_.peerListen));
+        if (!core::isOk(peerAddress))
+            return core::errorOf(peerAddress);
+        const auto callerAddress = server_->listen(formatAddress(settings_.callerListen));
+        if (!core::isOk(callerAddress))
+            return core::errorOf(callerAddress);
+        startTasks(core::valueOf(callerAddress), core::valueOf(peerAddress));
+        return NodeAddresses {core::valueOf(callerAddress), core::valueOf(peerAddress)};
     }
 
     void requestStop() { static_cast<void>(lifecycle_->send(decisions::drain::StopRequested())); }
@@ -119,86 +131,153 @@
     {
         isStopped_.waitUntil(core::TimePoint::max(), [](bool isStopped) { return isStopped; });
         server_->stopAccepting();
+        peerServer_->stopAccepting();
         isStopping_ = true;
-        membership_->stop();
-        configuration_->stop();
+        fleet_->stop();
         targets_->stop();
         routing_->stop();
         placement_->stop();
         quarantine_->stop();
+        budget_->stop();
     }
 
-    void onAddressPublished(bool isPublished) override { membership_->setServing(isPublished); }
-    void onReleaseShares() override { }
-    void onRemoveRecord() override { membership_->removeRecord(); }
+    void onStopBegun() override { requestRecordRemoval(); }
+    void onReleaseShares() override
+    {
+        static_cast<void>(budget_->trySend(decisions::ShareReleaseRequested()));
+    }
+    void onRemoveRecord() override { requestRecordRemoval(); }
     void onStopped() override { isStopped_.set(true); }
 
+    void onFreshnessChanged(bool mayServe) override
+    {
+        if (!mayServe) {
+            static_cast<void>(lifecycle_->send(decisions::drain::FreshnessLost()));
+            return;
+        }
+        // The chart of the node takes the one that fits its state.
+        static_cast<void>(lifecycle_->send(decisions::drain::ConfigurationLoaded()));
+        static_cast<void>(lifecycle_->send(decisions::drain::FreshnessRegained()));
+    }
+
 private:
+    void requestRecordRemoval()
+    {
+        static_cast<void>(
+            fleet_->trySend(decisions::FleetAgent::Event(decisions::FleetAgent::StopRequested())));
+    }
+
+    std::optional<core::Error> makeNetwork()
+    {
+        const auto secret = readSecret(settings_.fleetSecretFile);
+        if (!core::isOk(secret))
+            return core::errorOf(secret);
+        auto authenticator = peer::MessageAuthenticator::make(
+            core::valueOf(secret), identity_.instance, identity_.incarnation);
+        if (!core::isOk(authenticator))
+            return core::errorOf(authenticator);
+        authenticator_ = core::valueOf(authenticator);
+        auto charts = peer::loadPeerCharts(settings_.chartsDirectory);
+        if (!core::isOk(charts))
+            return core::errorOf(charts);
+        peerCharts_ = core::valueOf(charts);
+        network_.emplace(fiberRuntime_.ioContext(), authenticator_, peer::PeerLinkOptions(),
+                         peerCharts_, random_);
+        links_.emplace(identity_, *network_, formatAddresses(settings_.peers), clock_);
+        return std::nullopt;
+    }
+
     void makeTasks()
     {
         lifecycle_.emplace(charts_.node, settings_.addressLifetime, clock_, *this);
-        quarantine_.emplace(links_, clock_);
-        configuration_.emplace(store_, settings_.platformWatchWait);
+        quarantine_.emplace(*links_, clock_);
         targets_.emplace(store_, settings_.targetReportInterval, settings_.platformWatchWait);
         placement_.emplace(identity_, charts_, decisions::PlannerSettings(), store_, client_,
-                           links_, clock_, settings_.targetReportInterval);
+                           *links_, clock_, settings_.targetReportInterval);
+        budget_.emplace(identity_, charts_.share, store_, *links_, clock_,
+                        settings_.platformWatchWait);
         routing_.emplace(identity_, targets_->table(), *placement_, client_, random_, clock_);
-        services_.emplace(RequestServices {identity_, charts_, configuration_->active(),
-                                           *lifecycle_, *quarantine_, *routing_, store_, client_,
-                                           random_, clock_, metrics_});
+        fleet_.emplace(charts_.fleet, store_, *links_, clock_, *this);
+        links_->connect(*fleet_, *quarantine_);
+        services_.emplace(RequestServices {identity_, charts_, fleet_->configuration(), *lifecycle_,
+                                           *quarantine_, *links_, *budget_, *routing_, store_,
+                                           client_, random_, clock_, metrics_});
+        handler_.emplace(*services_, fleet_->members(), settings_.requestTimeout,
+                         settings_.addressLifetime);
+        server_.emplace(fiberRuntime_.ioContext(), *handler_, makeLimits(settings_));
+        dispatcher_.emplace(PeerReceivers {*fleet_, *budget_, *placement_, *quarantine_}, clock_);
+        peerServer_.emplace(fiberRuntime_.ioContext(), *dispatcher_, authenticator_,
+                            peer::PeerServerOptions(), peerCharts_);
     }
 
-    void startTasks(const std::string &callerAddress)
+    void startTasks(const std::string &callerAddress, const std::string &peerAddress)
     {
-        membership_->setCallerAddress(callerAddress);
+        decisions::MemberRecord self;
+        self.instance = identity_.instance;
+        self.callerAddress = callerAddress;
+        self.peerAddress = peerAddress;
+        self.dataCentre = identity_.dataCentre;
+        self.region = identity_.region;
+        self.incarnation = identity_.incarnation;
         targets_->addListener(*placement_);
+        targets_->addListener(*budget_);
         lifecycle_->start();
         quarantine_->start();
         placement_->start();
+        budget_->start();
         routing_->start();
         targets_->start();
-        configuration_->start();
-        membership_->start();
+        fleet_->start(self);
         fibers_.start([this] { followConfiguration(); });
         fibers_.start([this] { followMembers(); });
+        runtime::logEvent(runtime::LogEvent::NodeReady,
+                          identity_.instance.value + " for callers on " + callerAddress
+                              + ", for peers on " + peerAddress);
     }
 
     void followConfiguration()
     {
         std::uint64_t version = 0;
         while (!isStopping_) {
-            const auto limit = clock_.now() + kMemberInterval;
+            const auto limit = clock_.now() + kFollowInterval;
             const auto isNewer = [&](const ActiveConfiguration &active) {
                 return active.version > version;
             };
-            if (!configuration_->active().waitUntil(limit, isNewer))
+            if (!fleet_->configuration().waitUntil(limit, isNewer))
                 continue;
-            const auto active = configuration_->active().get();
+            const auto active = fleet_->configuration().get();
             version = active->version;
             static_cast<void>(placement_->trySend(listArtifacts(active->catalogue)));
-            static_cast<void>(lifecycle_->send(decisions::drain::ConfigurationLoaded()));
+            static_cast<void>(budget_->trySend(LimitsAccepted {listLimits(active->catalogue)}));
         }
     }
 
     void followMembers()
     {
-        std::vector<core::InstanceId> candidates;
+        std::shared_ptr<const Members> seen;
         while (!isStopping_) {
-            std::vector<core::InstanceId> current;
-            for (const Member &member : membership_->members().get()->members) {
-                if (member.region == identity_.region && !member.isSuspected)
-                    current.push_back(member.instance);
-            }
-            if (current != candidates) {
-                candidates = current;
-                static_cast<void>(placement_->trySend(PlannerCandidates {candidates}));
+            const auto current = fleet_->members().get();
+            if (current != seen) {
+                seen = current;
+                announceMembers(*current);
             }
-            membership_->members().waitUntil(
-                clock_.now() + kMemberInterval,
-                [seen = membership_->members().get()](const Members &members) {
-                    return members != *seen;
-                });
+            fleet_->members().waitUntil(clock_.now() + kFollowInterval, [&](const Members &) {
+                return fleet_->members().get() != seen;
+            });
+        }
+    }
+
+    void announceMembers(const Members &members)
+    {
+        PlannerCandidates candidates;
+        decisions::BudgetMembersChanged budgetMembers;
+        for (const Member &member : members.members) {
+            budgetMembers.members.push_back(member.record.instance);
+            if (member.record.region == identity_.region && !member.isSuspected)
+                candidates.instances.push_back(member.record.instance);
         }
+        static_cast<void>(placement_->trySend(std::move(candidates)));
+        static_cast<void>(budget_->trySend(std::move(budgetMembers)));
     }
 
     runtime::FiberRuntime &fiberRuntime_;
@@ -208,21 +287,26 @@
     core::SystemRandomSource random_;
     runtime::HttpClient client_;
     platform::HttpPlatformStore store_;
-    LocalLinks links_;
     Metrics metrics_;
     ChartSet charts_;
     bool isStopping_ = false;
     runtime::Published<bool> isStopped_;
+    std::shared_ptr<const peer::MessageAuthenticator> authenticator_;
+    std::shared_ptr<const peer::PeerCharts> peerCharts_;
+    std::optional<peer::PeerNetwork> network_;
+    std::optional<PeerLinks> links_;
     std::optional<LifecycleTask> lifecycle_;
     std::optional<QuarantineTask> quarantine_;
-    std::optional<ConfigurationTask> configuration_;
     std::optional<TargetWatchTask> targets_;
     std::optional<PlacementTask> placement_;
+    std::optional<BudgetTask> budget_;
     std::optional<RoutingTask> routing_;
+    std::optional<FleetTask> fleet_;
     std::optional<RequestServices> services_;
-    std::optional<MembershipTask> membership_;
     std::optional<CallerHandler> handler_;
     std::optional<runtime::HttpServer> server_;
+    std::optional<PeerDispatcher> dispatcher_;
+    std::optional<peer::PeerServer> peerServer_;
     runtime::FiberGroup fibers_;
 };
 
--- /dev/null
+++ b/packages/node/src/PeerDispatcher.cpp
@@ -0,0 +1,123 @@
+#include "PeerDispatcher.h"
+
+#include <type_traits>
+#include <utility>
+
+#include "boragerack/peer/Envelope.h"
+
+namespace boragerack::node {
+
+namespace {
+
+template<class Message>
+constexpr bool kIsFleetMessage = std::is_constructible_v<decisions::FleetMessage, Message>;
+
+template<class Message>
+constexpr bool kIsBudgetMessage =
+    std::is_same_v<
+        Message,
+        decisions::
+            BudgetAsk> || std::is_same_v<Message, decisions::BudgetGrant> || std::is_same_v<Message, decisions::BudgetReturn>;
+
+template<class Message>
+constexpr bool kIsQuarantineMessage =
+    std::is_same_v<Message,
+                   decisions::quarantine::
+                       CrashReport> || std::is_same_v<Message, decisions::quarantine::Notice>;
+
+constexpr std::chrono::milliseconds kMembersTimeout(500);
+
+core::Error makeFullError()
+{
+    return core::makeNotRunError(core::ErrorCode::QueueFull, "mailbox of the task is full",
+                                 std::chrono::seconds(1));
+}
+
+} // namespace
+
+PeerDispatcher::PeerDispatcher(const PeerReceivers &receivers, const core::Clock &clock)
+    : receivers_(receivers)
+    , clock_(clock)
+{
+}
+
+PeerDispatcher::~PeerDispatcher() = default;
+
+void PeerDispatcher::handle(const peer::Envelope &request, peer::PeerReply reply)
+{
+    std::visit([&](const auto &message) { dispatch(request, message, std::move(reply)); },
+               request.body);
+}
+
+template<class Message>
+void PeerDispatcher::dispatch(const peer::Envelope &request, const Message &message,
+                              peer::PeerReply reply)
+{
+    bool isTaken = false;
+    if constexpr (kIsFleetMessage<Message>) {
+        isTaken = receivers_.fleet.trySend(decisions::FleetAgent::Event(
+            decisions::FleetAgent::MessageReceived {request.sender, message}));
+    } else if constexpr (kIsBudgetMessage<Message>) {
+        isTaken = receivers_.budget.trySend(message);
+    } else if constexpr (kIsQuarantineMessage<Message>) {
+        isTaken = receivers_.quarantine.trySend(message);
+    } else {
+        reply.refuse(core::makeNotRunError(core::ErrorCode::ProtocolViolation,
+                                           "message is not expected here"));
+        return;
+    }
+    if (!isTaken)
+        reply.refuse(makeFullError());
+}
+
+void PeerDispatcher::dispatch(const peer::Envelope &request, const decisions::MemberFetch &message,
+                              peer::PeerReply reply)
+{
+    const MembersAsked asked {request.sender, message, {}};
+    if (!receivers_.fleet.trySend(asked)) {
+        reply.refuse(makeFullError());
+        return;
+    }
+    fibers_.start([this, asked, reply = std::move(reply)]() mutable {
+        if (const auto table = asked.reply.waitUntil(clock_.now() + kMembersTimeout))
+            reply.answer(*table);
+    });
+}
+
+void PeerDispatcher::dispatch(const peer::Envelope &request, const peer::WakeRequest &message,
+                              peer::PeerReply reply)
+{
+    const core::TimePoint deadline = clock_.now() + message.deadline;
+    const RemoteWake wake {request.sender, message.request, message.artifact, deadline, {}};
+    if (!receivers_.placement.trySend(wake)) {
+        reply.refuse(makeFullError());
+        return;
+    }
+    fibers_.start([wake, request = message, reply = std::move(reply)]() mutable {
+        const auto outcome = wake.reply.waitUntil(wake.deadline);
+        if (!outcome) {
+            reply.refuse(core::makeNotRunError(core::ErrorCode::DeadlineExceeded,
+                                               "no replica was ready before the deadline",
+                                               std::chrono::seconds(1)));
+        } else if (!core::isOk(*outcome)
+                   && core::errorOf(*outcome).code == core::ErrorCode::ConnectionFailed) {
+            reply.refuse(core::errorOf(*outcome));
+        } else {
+            reply.answer(peer::WakeReply {request.request, request.artifact, *outcome});
+        }
+    });
+}
+
+void PeerDispatcher::dispatch(const peer::Envelope &request, const peer::ReplicaUses &message,
+                              peer::PeerReply reply)
+{
+    for (const peer::ReplicaUse &use : message.uses) {
+        if (!receivers_.placement.trySend(
+                decisions::ReplicaUsed {request.sender, use.artifact, use.target, use.inFlight})) {
+            reply.refuse(makeFullError());
+            return;
+        }
+    }
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/PeerDispatcher.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "BudgetTask.h"
+#include "FleetTask.h"
+#include "PlacementTask.h"
+#include "QuarantineTask.h"
+#include "boragerack/peer/PeerHandler.h"
+#include "boragerack/peer/PeerReply.h"
+
+namespace boragerack::node {
+
+/// The tasks that receive messages of other nodes.
+struct PeerReceivers
+{
+    FleetTask &fleet;
+    BudgetTask &budget;
+    PlacementTask &placement;
+    QuarantineTask &quarantine;
+};
+
+/// Hands messages of other nodes to the task that they concern. A task whose mailbox is full
+/// refuses the message, and the sender repeats what still matters.
+class PeerDispatcher final : public peer::PeerHandler
+{
+public:
+    PeerDispatcher(const PeerReceivers &receivers, const core::Clock &clock);
+    ~PeerDispatcher() override;
+
+    void handle(const peer::Envelope &request, peer::PeerReply reply) override;
+
+private:
+    template<class Message>
+    void dispatch(const peer::Envelope &request, const Message &message, peer::PeerReply reply);
+    void dispatch(const peer::Envelope &request, const decisions::MemberFetch &message,
+                  peer::PeerReply reply);
+    void dispatch(const peer::Envelope &request, const peer::WakeRequest &message,
+                  peer::PeerReply reply);
+    void dispatch(const peer::Envelope &request, const peer::ReplicaUses &message,
+                  peer::PeerReply reply);
+
+    PeerReceivers receivers_;
+    const core::Clock &clock_;
+    runtime::FiberGroup fibers_;
+};
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/PeerLinks.cpp
@@ -0,0 +1,150 @@
+#include "PeerLinks.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "FleetTask.h"
+#include "boragerack/core/RendezvousHash.h"
+
+namespace boragerack::node {
+
+namespace {
+
+constexpr std::chrono::milliseconds kMembersTimeout(1000);
+/// A node that stops leaves the members first and grants tokens until its requests are finished.
+constexpr std::chrono::minutes kDepartedGrace(2);
+
+} // namespace
+
+PeerLinks::PeerLinks(const NodeIdentity &identity, peer::PeerNetwork &network,
+                     std::vector<std::string> bootstrapAddresses, const core::Clock &clock)
+    : identity_(identity)
+    , network_(network)
+    , bootstrapAddresses_(std::move(bootstrapAddresses))
+    , clock_(clock)
+{
+}
+
+PeerLinks::~PeerLinks() = default;
+
+void PeerLinks::connect(FleetTask &fleet, QuarantineTask &quarantine)
+{
+    fleet_ = &fleet;
+    quarantine_ = &quarantine;
+}
+
+void PeerLinks::send(const core::InstanceId &receiver, const decisions::FleetMessage &message)
+{
+    // Losses are part of the protocol; heartbeats and repeats make up for them.
+    std::visit([&](const auto &body) { static_cast<void>(network_.send(receiver, body)); },
+               message);
+}
+
+void PeerLinks::askBootstrapPeers(const decisions::MemberFetch &fetch)
+{
+    for (const std::string &address : bootstrapAddresses_)
+        fibers_.start([this, address, fetch] { askMembers(address, fetch); });
+}
+
+void PeerLinks::askMembers(const std::string &address, const decisions::MemberFetch &fetch)
+{
+    const auto answer = network_.callAddress(address, fetch, clock_.now() + kMembersTimeout);
+    if (!core::isOk(answer))
+        return;
+    const peer::Envelope &envelope = core::valueOf(answer);
+    if (const auto *table = std::get_if<decisions::MemberTable>(&envelope.body))
+        static_cast<void>(fleet_->trySend(decisions::FleetAgent::Event(
+            decisions::FleetAgent::MessageReceived {envelope.sender, *table})));
+}
+
+void PeerLinks::updateMembers(const std::vector<decisions::MemberRecord> &members)
+{
+    std::vector<core::InstanceId> current;
+    for (const decisions::MemberRecord &member : members) {
+        current.push_back(member.instance);
+        if (member.instance != identity_.instance)
+            network_.updatePeer(member.instance, member.peerAddress);
+    }
+    for (const core::InstanceId &known : members_) {
+        if (std::find(current.begin(), current.end(), known) == current.end())
+            departed_[known] = clock_.now();
+    }
+    for (const core::InstanceId &member : current)
+        departed_.erase(member);
+    std::erase_if(departed_, [this](const auto &entry) {
+        if (clock_.now() - entry.second < kDepartedGrace)
+            return false;
+        network_.removePeer(entry.first);
+        return true;
+    });
+    members_ = std::move(current);
+}
+
+void PeerLinks::sendAsk(const core::InstanceId &holder, const decisions::BudgetAsk &ask)
+{
+    static_cast<void>(network_.send(holder, ask));
+}
+
+void PeerLinks::sendGrant(const core::InstanceId &borrower, const decisions::BudgetGrant &grant)
+{
+    static_cast<void>(network_.send(borrower, grant));
+}
+
+void PeerLinks::sendReturn(const core::InstanceId &holder, const decisions::BudgetReturn &message)
+{
+    static_cast<void>(network_.send(holder, message));
+}
+
+core::Result<core::TargetId> PeerLinks::wake(const core::InstanceId &planner,
+                                             const decisions::WakeRequested &request)
+{
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - clock_.now());
+    const auto answer =
+        network_.call(planner, peer::WakeRequest {request.request, request.artifact, remaining},
+                      request.deadline);
+    if (!core::isOk(answer)) {
+        core::Error error = core::errorOf(answer);
+        // A wake runs no request, whatever became of the message.
+        error.verdict = core::Verdict::NotRun;
+        if (error.code != core::ErrorCode::DeadlineExceeded)
+            error.code = core::ErrorCode::ConnectionFailed;
+        return error;
+    }
+    const auto *reply = std::get_if<peer::WakeReply>(&core::valueOf(answer).body);
+    if (!reply) {
+        return core::makeNotRunError(core::ErrorCode::ConnectionFailed,
+                                     "planner sent another answer than a wake reply");
+    }
+    return reply->outcome;
+}
+
+void PeerLinks::reportUse(const core::InstanceId &planner,
+                          const std::vector<decisions::ReplicaUsed> &uses)
+{
+    peer::ReplicaUses message;
+    for (const decisions::ReplicaUsed &use : uses)
+        message.uses.push_back({use.artifact, use.target, use.inFlight});
+    static_cast<void>(network_.send(planner, std::move(message)));
+}
+
+void PeerLinks::report(const decisions::quarantine::CrashReport &report)
+{
+    const auto owners =
+        core::rendezvousOwners("fingerprint/" + core::toHex(report.fingerprint), members_, 1);
+    if (owners.empty() || owners.front() == identity_.instance)
+        static_cast<void>(quarantine_->trySend(report));
+    else
+        static_cast<void>(network_.send(owners.front(), report));
+}
+
+void PeerLinks::announce(const decisions::quarantine::Notice &notice)
+{
+    // Rare enough to be sent to every node directly.
+    for (const core::InstanceId &member : members_) {
+        if (member != identity_.instance)
+            static_cast<void>(network_.send(member, notice));
+    }
+}
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/PeerLinks.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "BudgetLink.h"
+#include "FleetLink.h"
+#include "NodeIdentity.h"
+#include "PlannerLink.h"
+#include "QuarantineTask.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/peer/PeerNetwork.h"
+#include "boragerack/runtime/FiberGroup.h"
+
+namespace boragerack::node {
+
+class FleetTask;
+
+/// Sends what the tasks of this node have to say to other nodes.
+class PeerLinks final : public FleetLink,
+                        public BudgetLink,
+                        public PlannerLink,
+                        public QuarantineLink
+{
+public:
+    PeerLinks(const NodeIdentity &identity, peer::PeerNetwork &network,
+              std::vector<std::string> bootstrapAddresses, const core::Clock &clock);
+    ~PeerLinks() override;
+
+    /// Tasks that get answers to what was sent, and crash reports whose owner is this node.
+    void connect(FleetTask &fleet, QuarantineTask &quarantine);
+
+    void send(const core::InstanceId &receiver, const decisions::FleetMessage &message) override;
+    void askBootstrapPeers(const decisions::MemberFetch &fetch) override;
+    void updateMembers(const std::vector<decisions::MemberRecord> &members) override;
+
+    void sendAsk(const core::InstanceId &holder, const decisions::BudgetAsk &ask) override;
+    void sendGrant(const core::InstanceId &borrower, const decisions::BudgetGrant &grant) override;
+    void sendReturn(const core::InstanceId &holder,
+                    const decisions::BudgetReturn &message) override;
+
+    core::Result<core::TargetId> wake(const core::InstanceId &planner,
+                                      const decisions::WakeRequested &request) override;
+    void reportUse(const core::InstanceId &planner,
+                   const std::vector<decisions::ReplicaUsed> &uses) override;
+
+    void report(const decisions::quarantine::CrashReport &report) override;
+    void announce(const decisions::quarantine::Notice &notice) override;
+
+private:
+    void askMembers(const std::string &address, const decisions::MemberFetch &fetch);
+
+    NodeIdentity identity_;
+    peer::PeerNetwork &network_;
+    std::vector<std::string> bootstrapAddresses_;
+    const core::Clock &clock_;
+    FleetTask *fleet_ = nullptr;
+    QuarantineTask *quarantine_ = nullptr;
+    std::vector<core::InstanceId> members_;
+    /// Former members whose addresses are kept for a while.
+    std::map<core::InstanceId, core::TimePoint> departed_;
+    runtime::FiberGroup fibers_;
+};
+
+} // namespace boragerack::node
--- a/packages/node/src/PlacementTask.cpp
+++ b/packages/node/src/PlacementTask.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/fiber/operations.hpp>
+
 #include "EngineJson.h"
 #include "RecordJson.h"
 #include "boragerack/core/RendezvousHash.h"
@@ -19,6 +21,7 @@
 constexpr std::chrono::milliseconds kBusyReportInterval(50);
 constexpr std::chrono::milliseconds kOrderTimeout(2000);
 constexpr std::chrono::milliseconds kUseInterval(1000);
+constexpr std::chrono::milliseconds kRewakePause(200);
 /// Time for the phase of a draining replica to reach all nodes, after which none chooses it.
 constexpr std::chrono::milliseconds kDrainGrace(5000);
 /// An instance that was listed and is then missing for this long is gone for good.
@@ -157,13 +160,28 @@
         feed(request);
         return;
     }
-    fibers_.start([this, planner = planner_, request, reply = message.reply] {
-        reply.set(link_.wake(planner, request));
+    fibers_.start([this, planner = planner_, request, message] {
+        const auto outcome = link_.wake(planner, request);
+        const bool isLost = !core::isOk(outcome)
+            && core::errorOf(outcome).code == core::ErrorCode::ConnectionFailed;
+        if (!isLost || clock_.now() + kRewakePause >= message.deadline) {
+            message.reply.set(outcome);
+            return;
+        }
+        // The planner died or has given up the role; by now another may hold it.
+        boost::this_fiber::sleep_for(kRewakePause);
+        if (!mailbox_.trySend(message))
+            message.reply.set(outcome);
     });
 }
 
 void PlacementTask::on(const RemoteWake &message)
 {
+    if (!isPlanner()) {
+        message.reply.set(core::makeNotRunError(core::ErrorCode::ConnectionFailed,
+                                                identity_.instance.value + " is not the planner"));
+        return;
+    }
     waiting_.insert_or_assign({message.node, message.request}, message.reply);
     feed(decisions::WakeRequested {message.node, message.request, message.artifact,
                                    message.deadline});
--- a/packages/node/src/QuarantineTask.h
+++ b/packages/node/src/QuarantineTask.h
@@ -33,6 +33,8 @@
     QuarantineLink &operator=(const QuarantineLink &) = delete;
     virtual ~QuarantineLink() = default;
 
+    /// Takes a report to the node that counts the deaths under its fingerprint.
+    virtual void report(const decisions::quarantine::CrashReport &report) = 0;
     virtual void announce(const decisions::quarantine::Notice &notice) = 0;
 };
 
--- a/packages/node/src/RequestServices.h
+++ b/packages/node/src/RequestServices.h
@@ -1,7 +1,8 @@
 #pragma once
 
+#include "ActiveConfiguration.h"
+#include "BudgetTask.h"
 #include "ChartSet.h"
-#include "ConfigurationTask.h"
 #include "LifecycleTask.h"
 #include "Metrics.h"
 #include "NodeIdentity.h"
@@ -18,6 +19,8 @@
     const runtime::Published<ActiveConfiguration> &configuration;
     LifecycleTask &lifecycle;
     QuarantineTask &quarantine;
+    QuarantineLink &quarantineLink;
+    BudgetTask &budget;
     RoutingTask &routing;
     platform::PlatformStore &store;
     runtime::HttpClient &client;
--- a/packages/node/src/ServiceHandler.cpp
+++ b/packages/node/src/ServiceHandler.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view kServicePrefix = "/services/";
+constexpr std::int64_t kServiceCallTokens = 1;
 /// A plain service may work this long before its first byte.
 constexpr std::chrono::seconds kServiceSilence(10);
 constexpr std::chrono::minutes kServiceWork(10);
@@ -62,6 +63,17 @@
         return;
     }
     const Call &call = core::valueOf(parsed);
+    if (context.hasKey) {
+        // The token counts as used whatever becomes of the call.
+        const auto reservation =
+            services_.budget.reserve(context.organisation, kServiceCallTokens, context.deadline);
+        if (!core::isOk(reservation)) {
+            responder.send(makeErrorResponse(core::errorOf(reservation)));
+            return;
+        }
+        static_cast<void>(services_.budget.trySend(
+            decisions::ReservationSettled {core::valueOf(reservation), kServiceCallTokens}));
+    }
     if (call.route.atMostOnce && !call.idempotencyKey.empty()) {
         runClaimed(request, call, context, responder);
         return;
--- a/packages/peer/include/boragerack/peer/MessageAuthenticator.h
+++ b/packages/peer/include/boragerack/peer/MessageAuthenticator.h
@@ -64,7 +64,7 @@
                               MessageBody body) const;
     SealedMessage sealAnswer(const RequestIdentity &request, MessageBody body) const;
 
-    /// Checks the tag and the receiver. A ConfigFetch may name no receiver, because a starting
+    /// Checks the tag and the receiver. A MemberFetch may name no receiver, because a starting
     /// node knows only addresses.
     core::Result<OpenedRequest> openRequest(std::string_view bytes) const;
 
--- a/packages/peer/include/boragerack/peer/PeerLink.h
+++ b/packages/peer/include/boragerack/peer/PeerLink.h
@@ -20,7 +20,7 @@
 /// The other end of a link.
 struct PeerLinkIdentity
 {
-    /// Empty while only the address is known; then only a ConfigFetch is answered.
+    /// Empty while only the address is known; then only a MemberFetch is answered.
     core::InstanceId instance;
     std::string address;
     /// Counter of the first message. It must exceed the counters that earlier links of this
--- a/packages/peer/include/boragerack/peer/PeerNetwork.h
+++ b/packages/peer/include/boragerack/peer/PeerNetwork.h
@@ -35,6 +35,11 @@
                                 core::TimePoint deadline) override;
     core::Result<core::Nothing> send(const core::InstanceId &receiver, MessageBody body) override;
 
+    /// Calls the process at an address of the settings, whose name is not known yet. Only a
+    /// MemberFetch is answered.
+    core::Result<Envelope> callAddress(const std::string &address, MessageBody body,
+                                       core::TimePoint deadline);
+
     std::size_t linkCount() const { return links_.size(); }
     /// Sum over all links, also those that were stopped.
     PeerLinkStatistics statistics() const;
@@ -50,6 +55,7 @@
     core::RandomSource &random_;
     std::unordered_map<core::InstanceId, std::string> addresses_;
     std::map<core::InstanceId, std::shared_ptr<PeerLink>> links_;
+    std::map<std::string, std::shared_ptr<PeerLink>> addressLinks_;
     /// Links that are stopping; their tasks end on their own.
     std::vector<std::shared_ptr<PeerLink>> retired_;
     PeerLinkStatistics retiredStatistics_;
--- a/packages/peer/src/MessageAuthenticator.cpp
+++ b/packages/peer/src/MessageAuthenticator.cpp
@@ -170,7 +170,7 @@
     if (!core::isOk(decoded))
         return core::errorOf(decoded);
     Envelope envelope = core::takeValue(std::move(decoded));
-    const bool needsNoReceiver = std::holds_alternative<decisions::ConfigFetch>(envelope.body);
+    const bool needsNoReceiver = std::holds_alternative<decisions::MemberFetch>(envelope.body);
     if (envelope.receiver != self_ && !(envelope.receiver.value.empty() && needsNoReceiver)) {
         return makeRejection("peer message is addressed to \"" + envelope.receiver.value
                              + "\", not to this instance");
--- a/packages/peer/src/PeerNetwork.cpp
+++ b/packages/peer/src/PeerNetwork.cpp
@@ -37,6 +37,8 @@
     // All links stop at the same time; the members are then waited for one after the other.
     for (const auto &[instance, link] : links_)
         link->stop();
+    for (const auto &[address, link] : addressLinks_)
+        link->stop();
 }
 
 void PeerNetwork::updatePeer(const core::InstanceId &instance, const std::string &address)
@@ -71,6 +73,21 @@
     return core::valueOf(link)->send(std::move(body));
 }
 
+core::Result<Envelope> PeerNetwork::callAddress(const std::string &address, MessageBody body,
+                                                core::TimePoint deadline)
+{
+    auto found = addressLinks_.find(address);
+    if (found == addressLinks_.end()) {
+        const auto link = PeerLink::make(ioContext_, {core::InstanceId(), address, 1},
+                                         authenticator_, options_, charts_, random_);
+        if (!core::isOk(link))
+            return core::errorOf(link);
+        found = addressLinks_.emplace(address, core::valueOf(link)).first;
+    }
+    const std::shared_ptr<PeerLink> link = found->second;
+    return link->call(std::move(body), deadline);
+}
+
 PeerLinkStatistics PeerNetwork::statistics() const
 {
     PeerLinkStatistics total = retiredStatistics_;
@@ -92,7 +109,8 @@
     }
     std::uint64_t &number = linkNumbers_[receiver];
     auto link =
-        PeerLink::make(ioContext_, {receiver, address->second, number * kCountersPerLink + 1},
+        // The first range belongs to links by address.
+        PeerLink::make(ioContext_, {receiver, address->second, (number + 1) * kCountersPerLink},
                        authenticator_, options_, charts_, random_);
     if (core::isOk(link)) {
         ++number;
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -123,7 +123,7 @@
     BOOST_TEST((core::errorOf(misdirected).verdict == core::Verdict::NotRun));
     BOOST_TEST(!core::isOk(peer::MessageAuthenticator::make("short", kSender, 1)));
 
-    const auto fetch = sender->sealRequest({}, 2, boragerack::decisions::ConfigFetch {});
+    const auto fetch = sender->sealRequest({}, 2, boragerack::decisions::MemberFetch {});
     BOOST_TEST(core::isOk(makeAuthenticator(kReceiver.value)->openRequest(fetch.bytes)));
     const auto anonymous = sender->sealRequest({}, 3, boragerack::decisions::Heartbeat {});
     BOOST_TEST(!core::isOk(makeAuthenticator(kReceiver.value)->openRequest(anonymous.bytes)));
