Shorten the tag and the answers of peer messages

Cause: control traffic must stay within 9 KB/s a node; a heartbeat with its reply took 220.6 B and an ask with its grant 237.1 B.

Ruled out: leaving the receiver out of requests as well, which would save 9 B more but turn a misdirected message into one with a wrong tag; leaving out the sender, which needs state for each connection.

Change: the tag on the wire is the first 16 bytes of HMAC-SHA256 (RFC 2104 section 5); answers are still bound to the whole digest of their request. An answer carries neither receiver nor counter.

--- a/packages/peer/include/boragerack/peer/Envelope.h
+++ b/packages/peer/include/boragerack/peer/Envelope.h
@@ -14,7 +14,7 @@
     core::InstanceId receiver;
     /// Incarnation of the sender's process; grows with each start on the same instance.
     std::uint64_t incarnation = 0;
-    /// Grows with each message of an incarnation; an answer carries the counter of its request.
+    /// Grows with each request of an incarnation; zero in an answer.
     std::uint64_t counter = 0;
     MessageBody body;
 
--- a/packages/peer/include/boragerack/peer/MessageAuthenticator.h
+++ b/packages/peer/include/boragerack/peer/MessageAuthenticator.h
@@ -24,7 +24,6 @@
 struct RequestIdentity
 {
     core::InstanceId sender;
-    std::uint64_t counter = 0;
     core::Digest tag;
 
     friend bool operator==(const RequestIdentity &, const RequestIdentity &) = default;
@@ -36,14 +35,14 @@
     Envelope envelope;
     core::Digest tag;
 
-    RequestIdentity identity() const { return {envelope.sender, envelope.counter, tag}; }
+    RequestIdentity identity() const { return {envelope.sender, tag}; }
 
     friend bool operator==(const OpenedRequest &, const OpenedRequest &) = default;
 };
 
-/// Seals and opens messages with HMAC-SHA256 under the fleet secret. The tag covers every byte of
-/// the envelope; the tag of an answer covers the tag of its request too, so an answer is valid for
-/// that request only. Not for use by two threads at once.
+/// Seals and opens messages with HMAC-SHA256 under the fleet secret, cut to 16 bytes on the wire.
+/// The tag covers every byte of the envelope; the tag of an answer covers the tag of its request
+/// too, so an answer is valid for that request only. Not for use by two threads at once.
 class MessageAuthenticator
 {
 public:
--- a/packages/peer/src/EnvelopeCodec.cpp
+++ b/packages/peer/src/EnvelopeCodec.cpp
@@ -8,7 +8,9 @@
 
 namespace boragerack::peer {
 
-std::string encodeEnvelope(const Envelope &envelope)
+namespace {
+
+wire::Envelope makeMessage(const Envelope &envelope)
 {
     wire::Envelope message;
     message.set_sender(envelope.sender.value);
@@ -16,10 +18,29 @@
     message.set_incarnation(envelope.incarnation);
     message.set_counter(envelope.counter);
     std::visit([&message](const auto &body) { toWire(body, message); }, envelope.body);
-    return message.SerializeAsString();
+    return message;
+}
+
+} // namespace
+
+std::string encodeEnvelope(const Envelope &envelope)
+{
+    return makeMessage(envelope).SerializeAsString();
 }
 
 core::Result<Envelope> decodeEnvelope(std::string_view bytes)
+{
+    return decodeAnswer(bytes, {});
+}
+
+std::string encodeAnswer(const Envelope &envelope)
+{
+    wire::Envelope message = makeMessage(envelope);
+    message.clear_receiver();
+    return message.SerializeAsString();
+}
+
+core::Result<Envelope> decodeAnswer(std::string_view bytes, const core::InstanceId &receiver)
 {
     wire::Envelope message;
     if (bytes.size() > static_cast<std::size_t>(std::numeric_limits<int>::max())
@@ -27,6 +48,8 @@
         return core::makeNotRunError(core::ErrorCode::ProtocolViolation,
                                      "peer message is not a valid envelope");
     }
+    if (message.receiver().empty())
+        message.set_receiver(receiver.value);
     std::optional<MessageBody> body = bodyFromWire(message);
     if (!body) {
         return core::makeNotRunError(core::ErrorCode::ProtocolViolation,
--- a/packages/peer/src/MessageAuthenticator.cpp
+++ b/packages/peer/src/MessageAuthenticator.cpp
@@ -1,11 +1,11 @@
 #include "boragerack/peer/MessageAuthenticator.h"
 
-#include <algorithm>
 #include <cstdlib>
 #include <optional>
 #include <utility>
 
 #include <openssl/core_names.h>
+#include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/params.h>
 
@@ -15,9 +15,12 @@
 
 namespace {
 
-// Key and length of the protobuf field `tag` (number 15, 32 bytes). The field is written after all
+// RFC 2104 section 5 allows half of the digest; each message saves 16 bytes of the traffic budget.
+constexpr std::size_t kTagBytes = 16;
+
+// Key and length of the protobuf field `tag` (number 15, 16 bytes). The field is written after all
 // others, so that the tag covers exactly the bytes before it.
-constexpr std::string_view kTagFieldHeader = "\x7a\x20";
+constexpr std::string_view kTagFieldHeader = "\x7a\x10";
 
 // Keeps the tag of a request from being valid for an answer and the reverse.
 constexpr std::string_view kRequestDomain = "boragerack peer request";
@@ -92,24 +95,28 @@
 
 namespace {
 
-/// Splits a sealed message; nothing when no tag stands at its end.
-std::optional<std::pair<std::string_view, core::Digest>> splitTag(std::string_view bytes)
+/// Splits a sealed message into content and tag; nothing when no tag stands at its end.
+std::optional<std::pair<std::string_view, std::string_view>> splitTag(std::string_view bytes)
 {
-    core::Digest tag;
-    const std::size_t tagFieldSize = kTagFieldHeader.size() + tag.bytes.size();
-    if (bytes.size() < tagFieldSize)
+    constexpr std::size_t kTagFieldBytes = kTagFieldHeader.size() + kTagBytes;
+    if (bytes.size() < kTagFieldBytes)
         return std::nullopt;
-    const std::string_view field = bytes.substr(bytes.size() - tagFieldSize);
-    if (field.substr(0, kTagFieldHeader.size()) != kTagFieldHeader)
+    const std::size_t contentBytes = bytes.size() - kTagFieldBytes;
+    if (bytes.substr(contentBytes, kTagFieldHeader.size()) != kTagFieldHeader)
         return std::nullopt;
-    std::copy(field.begin() + kTagFieldHeader.size(), field.end(), tag.bytes.begin());
-    return std::pair(bytes.substr(0, bytes.size() - tagFieldSize), tag);
+    return std::pair(bytes.substr(0, contentBytes), bytes.substr(bytes.size() - kTagBytes));
+}
+
+/// Takes the same time for every tag.
+bool matches(std::string_view tag, const core::Digest &digest)
+{
+    return CRYPTO_memcmp(tag.data(), digest.bytes.data(), kTagBytes) == 0;
 }
 
 void appendTag(std::string &bytes, const core::Digest &tag)
 {
     bytes += kTagFieldHeader;
-    bytes += viewOf(tag);
+    bytes += viewOf(tag).substr(0, kTagBytes);
 }
 
 } // namespace
@@ -154,8 +161,7 @@
                                                MessageBody body) const
 {
     SealedMessage message;
-    message.bytes =
-        encodeEnvelope({self_, request.sender, incarnation_, request.counter, std::move(body)});
+    message.bytes = encodeAnswer({self_, request.sender, incarnation_, 0, std::move(body)});
     message.tag = hmac_->compute(kAnswerDomain, viewOf(request.tag), message.bytes);
     appendTag(message.bytes, message.tag);
     return message;
@@ -164,7 +170,8 @@
 core::Result<OpenedRequest> MessageAuthenticator::openRequest(std::string_view bytes) const
 {
     const auto parts = splitTag(bytes);
-    if (!parts || hmac_->compute(kRequestDomain, {}, parts->first) != parts->second)
+    const core::Digest tag = hmac_->compute(kRequestDomain, {}, parts ? parts->first : bytes);
+    if (!parts || !matches(parts->second, tag))
         return makeRejection("peer message has a wrong authentication tag");
     auto decoded = decodeEnvelope(parts->first);
     if (!core::isOk(decoded))
@@ -175,16 +182,17 @@
         return makeRejection("peer message is addressed to \"" + envelope.receiver.value
                              + "\", not to this instance");
     }
-    return OpenedRequest {std::move(envelope), parts->second};
+    return OpenedRequest {std::move(envelope), tag};
 }
 
 core::Result<Envelope> MessageAuthenticator::openAnswer(std::string_view bytes,
                                                         const core::Digest &requestTag) const
 {
     const auto parts = splitTag(bytes);
-    if (!parts || hmac_->compute(kAnswerDomain, viewOf(requestTag), parts->first) != parts->second)
+    if (!parts
+        || !matches(parts->second, hmac_->compute(kAnswerDomain, viewOf(requestTag), parts->first)))
         return makeRejection("answer of a peer has a wrong authentication tag");
-    return decodeEnvelope(parts->first);
+    return decodeAnswer(parts->first, self_);
 }
 
 } // namespace boragerack::peer
--- a/packages/peer/src/PeerServer.cpp
+++ b/packages/peer/src/PeerServer.cpp
@@ -129,7 +129,7 @@
         while (auto request = inbox_->receive()) {
             const Envelope &envelope = request->envelope;
             PeerReply reply(std::move(request->sink), request->stream,
-                            {envelope.sender, envelope.counter, request->tag});
+                            {envelope.sender, request->tag});
             if (core::isOk(
                     replayGuard.admit(envelope.sender, envelope.incarnation, envelope.counter)))
                 handler_.handle(envelope, std::move(reply));
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -139,7 +139,10 @@
     const auto opened = receiver->openRequest(first.bytes);
     const auto answer = receiver->sealAnswer(core::valueOf(opened).identity(),
                                              boragerack::decisions::ProbeReport {});
-    BOOST_TEST(core::isOk(sender->openAnswer(answer.bytes, first.tag)));
+    const auto own = sender->openAnswer(answer.bytes, first.tag);
+    BOOST_REQUIRE(core::isOk(own));
+    BOOST_TEST((core::valueOf(own).sender == kReceiver));
+    BOOST_TEST((core::valueOf(own).receiver == kSender));
     BOOST_TEST(!core::isOk(sender->openAnswer(answer.bytes, second.tag)));
     BOOST_TEST(!core::isOk(sender->openRequest(answer.bytes)));
 }
