Copy the actions that tests look up

Cause: AddressSanitizer found a use after free in RequestAttemptTest: the lookup returned a pointer into the list of actions, which was a temporary in several cases. The cases passed by chance.

Change: findAction gives a copy; one header instead of two copies of it. The checks are the same.

--- a/packages/decisions/tests/ClaimProtocolTest.cpp
+++ b/packages/decisions/tests/ClaimProtocolTest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "ActionLookup.h"
 #include "ClaimHistory.h"
 #include "RequestCharts.h"
 
@@ -22,16 +23,6 @@
     return plan;
 }
 
-template<class T>
-const T *findAction(const Actions &actions)
-{
-    for (const auto &action : actions) {
-        if (const T *found = std::get_if<T>(&action))
-            return found;
-    }
-    return nullptr;
-}
-
 StoredClaim makeStored(const ClaimPlan &plan, ClaimPhase phase)
 {
     return StoredClaim {7, ClaimRecord {plan.writer, plan.request, phase, std::nullopt}};
@@ -73,14 +64,14 @@
     std::uint64_t call = 0;
     while (!protocol.isFinished()) {
         actions = protocol.handle(claim::CallFailed {++call, false}, now);
-        BOOST_TEST(!findAction<claim::Grant>(actions));
+        BOOST_TEST(!hasAction<claim::Grant>(actions));
         if (protocol.isFinished())
             break;
         now = *protocol.wakeAt();
         actions = protocol.handle(claim::TimerFired {}, now);
     }
-    const auto *refusal = findAction<claim::Refuse>(actions);
-    BOOST_TEST_REQUIRE(refusal);
+    const auto refusal = findAction<claim::Refuse>(actions);
+    BOOST_TEST_REQUIRE(refusal.has_value());
     BOOST_TEST((refusal->error.verdict == core::Verdict::NotRun));
     BOOST_TEST((refusal->error.code == core::ErrorCode::PlatformUnavailable));
     BOOST_TEST((now - kStart <= 200ms));
@@ -94,18 +85,18 @@
     protocol.handle(claim::Begin {}, kStart);
     auto actions = protocol.handle(claim::Cancel {}, kStart + 1ms);
     BOOST_TEST((findAction<claim::Refuse>(actions)->error.verdict == core::Verdict::NotRun));
-    const auto *read = findAction<claim::ReadClaim>(actions);
-    BOOST_TEST_REQUIRE(read);
+    const auto read = findAction<claim::ReadClaim>(actions);
+    BOOST_TEST_REQUIRE(read.has_value());
     // The create may be on its way still: a released record keeps it out.
     actions = protocol.handle(claim::Found {read->call, std::nullopt}, kStart + 2ms);
-    const auto *create = findAction<claim::CreateClaim>(actions);
-    BOOST_TEST_REQUIRE(create);
+    const auto create = findAction<claim::CreateClaim>(actions);
+    BOOST_TEST_REQUIRE(create.has_value());
     BOOST_TEST((create->record.phase == ClaimPhase::Released));
     // It was faster: the claim is there and is released.
     actions = protocol.handle(claim::Found {create->call, makeStored(makePlan(), ClaimPhase::Open)},
                               kStart + 3ms);
-    const auto *update = findAction<claim::UpdateClaim>(actions);
-    BOOST_TEST_REQUIRE(update);
+    const auto update = findAction<claim::UpdateClaim>(actions);
+    BOOST_TEST_REQUIRE(update.has_value());
     BOOST_TEST(update->version == 7U);
     BOOST_TEST((update->record.phase == ClaimPhase::Released));
     protocol.handle(claim::Written {update->call, 8}, kStart + 4ms);
@@ -115,10 +106,10 @@
     next.handle(claim::Begin {}, kStart);
     actions =
         next.handle(claim::Found {1, makeStored(makePlan(), ClaimPhase::Released)}, kStart + 1ms);
-    const auto *takeOver = findAction<claim::UpdateClaim>(actions);
-    BOOST_TEST_REQUIRE(takeOver);
+    const auto takeOver = findAction<claim::UpdateClaim>(actions);
+    BOOST_TEST_REQUIRE(takeOver.has_value());
     BOOST_TEST(
-        findAction<claim::Grant>(next.handle(claim::Written {takeOver->call, 9}, kStart + 2ms)));
+        hasAction<claim::Grant>(next.handle(claim::Written {takeOver->call, 9}, kStart + 2ms)));
 }
 
 // Guards against an outcome that is lost because the platform was away for a moment: repeats would
@@ -139,8 +130,8 @@
     protocol.handle(claim::TimerFired {}, now);
     const auto actions =
         protocol.handle(claim::Found {++call, makeStored(makePlan(), ClaimPhase::Open)}, now);
-    const auto *update = findAction<claim::UpdateClaim>(actions);
-    BOOST_TEST_REQUIRE(update);
+    const auto update = findAction<claim::UpdateClaim>(actions);
+    BOOST_TEST_REQUIRE(update.has_value());
     BOOST_TEST((update->record.outcome == finished.outcome));
 }
 
@@ -153,8 +144,8 @@
     protocol.handle(claim::Begin {}, kStart);
     const auto actions =
         protocol.handle(claim::Found {1, makeStored(other, ClaimPhase::Finished)}, kStart);
-    const auto *refusal = findAction<claim::Refuse>(actions);
-    BOOST_TEST_REQUIRE(refusal);
+    const auto refusal = findAction<claim::Refuse>(actions);
+    BOOST_TEST_REQUIRE(refusal.has_value());
     BOOST_TEST((refusal->error.code == core::ErrorCode::Conflict));
     BOOST_TEST((refusal->error.verdict == core::Verdict::NotRun));
 }
--- a/packages/decisions/tests/RequestAttemptTest.cpp
+++ b/packages/decisions/tests/RequestAttemptTest.cpp
@@ -6,6 +6,7 @@
 
 #include <rapidcheck.h>
 
+#include "ActionLookup.h"
 #include "RequestCharts.h"
 #include "boragerack/core/SeededRandomSource.h"
 #include "boragerack/decisions/RequestAttempt.h"
@@ -30,16 +31,6 @@
     return plan;
 }
 
-template<class T>
-const T *findAction(const Actions &actions)
-{
-    for (const auto &action : actions) {
-        if (const T *found = std::get_if<T>(&action))
-            return found;
-    }
-    return nullptr;
-}
-
 AttemptId id(std::uint32_t number)
 {
     return {"r", number};
@@ -50,7 +41,7 @@
 {
     request.handle(attempt::Dispatch {{target}}, now);
     const auto actions = request.handle(attempt::Connected {request.current()}, now);
-    BOOST_TEST(findAction<attempt::SendRequest>(actions));
+    BOOST_TEST(hasAction<attempt::SendRequest>(actions));
 }
 
 void start(RequestAttempt &request, core::TimePoint now = kStart)
@@ -120,8 +111,8 @@
         (findAction<attempt::ChooseTarget>(retry)->avoid == std::vector<core::TargetId> {{"a"}}));
     send(request, "b");
     const auto end = request.handle(attempt::ConnectionLost {id(2)}, kStart);
-    const auto *finish = findAction<attempt::Finish>(end);
-    BOOST_TEST_REQUIRE(finish);
+    const auto finish = findAction<attempt::Finish>(end);
+    BOOST_TEST_REQUIRE(finish.has_value());
     BOOST_TEST((finish->verdict == core::Verdict::MayHaveRun));
     BOOST_TEST((finish->error->verdict == core::Verdict::MayHaveRun));
 }
@@ -134,8 +125,8 @@
     send(request, "a");
     request.handle(attempt::ConnectionLost {id(1)}, kStart);
     const auto end = request.handle(attempt::Refuse {core::ErrorCode::NoReadyReplica, 2s}, kStart);
-    const auto *finish = findAction<attempt::Finish>(end);
-    BOOST_TEST_REQUIRE(finish);
+    const auto finish = findAction<attempt::Finish>(end);
+    BOOST_TEST_REQUIRE(finish.has_value());
     BOOST_TEST((finish->verdict == core::Verdict::MayHaveRun));
     BOOST_TEST((finish->error->retryAfter == 2s));
 }
@@ -159,11 +150,11 @@
     const auto crossed =
         request.handle(attempt::AnswerStarted {id(2), AttemptId {"other", 2}}, kStart);
     BOOST_TEST((crossed.front() == attempt::Action(attempt::DiscardAnswer {{"other", 2}})));
-    BOOST_TEST(findAction<attempt::CloseConnection>(crossed));
-    BOOST_TEST(!findAction<attempt::ForwardHead>(crossed));
+    BOOST_TEST(hasAction<attempt::CloseConnection>(crossed));
+    BOOST_TEST(!hasAction<attempt::ForwardHead>(crossed));
     send(request, "c");
     const auto silent = request.handle(attempt::AnswerStarted {id(3), std::nullopt}, kStart);
-    BOOST_TEST(!findAction<attempt::ForwardHead>(silent));
+    BOOST_TEST(!hasAction<attempt::ForwardHead>(silent));
     BOOST_TEST(
         (findAction<attempt::Finish>(silent)->error->code == core::ErrorCode::ProtocolViolation));
 }
@@ -178,8 +169,8 @@
         send(request, "a");
         start(request);
         request.handle(attempt::AnswerPart {id(1), 0, 2}, kStart);
-        const auto *finish = findAction<attempt::Finish>(request.handle(broken, kStart));
-        BOOST_TEST_REQUIRE(finish);
+        const auto finish = findAction<attempt::Finish>(request.handle(broken, kStart));
+        BOOST_TEST_REQUIRE(finish.has_value());
         BOOST_TEST((finish->verdict == core::Verdict::MayHaveRun));
     }
 }
@@ -214,7 +205,7 @@
     start(request);
     request.handle(attempt::AnswerPart {id(1), 0, 7}, kStart);
     const auto lost = request.handle(attempt::ConnectionLost {id(1)}, kStart + 60s);
-    BOOST_TEST(findAction<attempt::ChooseTarget>(lost));
+    BOOST_TEST(hasAction<attempt::ChooseTarget>(lost));
     BOOST_TEST((request.waitUntil() == kStart + 70s));
     send(request, "b", kStart + 60s);
     BOOST_TEST(request.handle(attempt::AnswerStarted {id(2), id(2)}, kStart + 61s).empty());
@@ -245,18 +236,18 @@
             BOOST_TEST((request.waitUntil() == late));
             BOOST_TEST(request.handle(attempt::TimerFired {}, late - 1ms).empty());
             const auto actions = request.handle(end, late);
-            const auto *finish = findAction<attempt::Finish>(actions);
-            BOOST_TEST_REQUIRE(finish);
+            const auto finish = findAction<attempt::Finish>(actions);
+            BOOST_TEST_REQUIRE(finish.has_value());
             BOOST_TEST((finish->error->code == code));
             BOOST_TEST((finish->verdict
                         == (reached == 2 ? core::Verdict::MayHaveRun : core::Verdict::NotRun)));
-            BOOST_TEST((findAction<attempt::CancelOnTarget>(actions) != nullptr) == (reached == 2));
+            BOOST_TEST(hasAction<attempt::CancelOnTarget>(actions) == (reached == 2));
         }
     }
     RequestAttempt request(makeAttemptBinding(), makePlan(SendPolicy::Repeatable));
     request.handle(attempt::Dispatch {{"a"}}, kStart);
     const auto actions = request.handle(attempt::Connected {id(1)}, late);
-    BOOST_TEST(!findAction<attempt::SendRequest>(actions));
+    BOOST_TEST(!hasAction<attempt::SendRequest>(actions));
     BOOST_TEST((findAction<attempt::Finish>(actions)->verdict == core::Verdict::NotRun));
 }
 
@@ -267,11 +258,11 @@
     plan.maxAttempts = 10;
     RequestAttempt request(makeAttemptBinding(), plan);
     send(request, "a");
-    BOOST_TEST(findAction<attempt::ChooseTarget>(
+    BOOST_TEST(hasAction<attempt::ChooseTarget>(
         request.handle(attempt::ConnectionLost {id(1), true}, kStart)));
     send(request, "b");
     BOOST_TEST(
-        findAction<attempt::Finish>(request.handle(attempt::ConnectionLost {id(2), true}, kStart)));
+        hasAction<attempt::Finish>(request.handle(attempt::ConnectionLost {id(2), true}, kStart)));
 }
 
 // Guards against an answer being matched to the wrong attempt through a malformed header.
