--- a/packages/peer/src/MessageAuthenticator.cpp
+++ b/packages/peer/src/MessageAuthenticator.cpp
@@ -150,11 +150,12 @@
     return message;
 }
 
-SealedMessage MessageAuthenticator::sealAnswer(const OpenedRequest &request, MessageBody body) const
+SealedMessage MessageAuthenticator::sealAnswer(const RequestIdentity &request,
+                                               MessageBody body) const
 {
     SealedMessage message;
-    message.bytes = encodeEnvelope(
-        {self_, request.envelope.sender, incarnation_, request.envelope.counter, std::move(body)});
+    message.bytes =
+        encodeEnvelope({self_, request.sender, incarnation_, request.counter, std::move(body)});
     message.tag = hmac_->compute(kAnswerDomain, viewOf(request.tag), message.bytes);
     appendTag(message.bytes, message.tag);
     return message;
@@ -169,7 +170,7 @@
     if (!core::isOk(decoded))
         return core::errorOf(decoded);
     Envelope envelope = core::takeValue(std::move(decoded));
-    const bool needsNoReceiver = std::holds_alternative<ConfigFetch>(envelope.body);
+    const bool needsNoReceiver = std::holds_alternative<decisions::ConfigFetch>(envelope.body);
     if (envelope.receiver != self_ && !(envelope.receiver.value.empty() && needsNoReceiver)) {
         return makeRejection("peer message is addressed to \"" + envelope.receiver.value
                              + "\", not to this instance");
