Add ColdStartBench and stop two demands from unloading each other's model

Cause: cold starts and idle weights had no figures.

Change: ColdStartBench runs a Zipf-like workload of bursts in virtual time against the planner at both deployments' sizes and measures the planner's own time at three sizes. Victims are chosen by expected reload cost per MiB; among equal targets one with a cache is preferred. Hold time: 200 times the reload cost, 10 min to 4 h.

Found by a trial that did not end: an adapter waiting for room next to its ready model and another model's demand for the same memory drained and kept the model in turn, with a growing number of drains. A model now stays while an adapter of it is in demand.

--- /dev/null
+++ b/bench/PlannerScale.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "boragerack/decisions/ReplicaLifecycle.h"
+
+namespace boragerack::bench {
+
+/// Prints the time per decision of the planner at a quarter, a half and the whole target size.
+void runPlannerScale(const decisions::PlacementCharts &charts);
+
+} // namespace boragerack::bench
--- a/packages/decisions/include/boragerack/decisions/PlacementPolicy.h
+++ b/packages/decisions/include/boragerack/decisions/PlacementPolicy.h
@@ -33,6 +33,8 @@
     /// Expected time of the load itself.
     core::Duration loadCost = core::Duration::zero();
     std::vector<IdleReplica> idle;
+    /// The target has reported cached checkpoints, so it will keep one of this model too.
+    bool hasCache = false;
 
     friend auto operator<=>(const TargetOffer &, const TargetOffer &) = default;
 };
--- a/packages/decisions/include/boragerack/decisions/WarmestCheckpointPolicy.h
+++ b/packages/decisions/include/boragerack/decisions/WarmestCheckpointPolicy.h
@@ -12,11 +12,13 @@
     struct Settings
     {
         /// Hold time as a multiple of the reload cost.
-        double holdFactor = 40;
-        core::Duration minHold = std::chrono::seconds(30);
-        core::Duration maxHold = std::chrono::minutes(30);
+        double holdFactor = 200;
+        core::Duration minHold = std::chrono::minutes(10);
+        core::Duration maxHold = std::chrono::hours(4);
         /// Memory use from which the hold time shrinks; it reaches a quarter at full memory.
-        double pressureStart = 0.7;
+        double pressureStart = 0.95;
+        /// Idle time after which a replica is as likely as not to stay unused.
+        core::Duration halfUse = std::chrono::minutes(10);
         /// Time for draining and unloading the replicas that have to make room.
         core::Duration evictionCost = std::chrono::milliseconds(1500);
 
--- a/packages/decisions/src/LoadPlannerPlacing.cpp
+++ b/packages/decisions/src/LoadPlannerPlacing.cpp
@@ -43,7 +43,13 @@
 bool LoadPlanner::isIdle(const ReplicaKey &key) const
 {
     const auto use = uses_.find(key);
-    return use != uses_.end() && use->second.inFlight.empty() && !demands_.contains(key.second);
+    if (use == uses_.end() || !use->second.inFlight.empty() || demands_.contains(key.second))
+        return false;
+    // A model stays for an adapter that waits for room next to it; otherwise the two demands that
+    // need each other's memory would unload it in turn.
+    const Artifact &artifact = key.second;
+    const auto next = artifact.isAdapter() ? demands_.end() : demands_.upper_bound(artifact);
+    return next == demands_.end() || next->first.base() != artifact;
 }
 
 bool LoadPlanner::isBeingLoaded(const Artifact &artifact) const
@@ -120,7 +126,8 @@
             place(artifact, target, CheckpointPlace::Remote);
             return;
         }
-        // Other idle adapters make room; the model itself must stay.
+        if (isMakingRoom(target))
+            return;
         std::uint64_t room = entry->memoryMiB - std::min(entry->memoryMiB, entry->reservedMiB);
         for (const IdleReplica &idle : findIdle(target)) {
             if (room >= memoryMiB)
@@ -219,12 +226,14 @@
         const std::uint64_t used =
             entry->reservedMiB + (claim == claimed.end() ? 0 : claim->second);
         const CheckpointPlace source = placeOf(artifact, target);
+        const auto cached = cached_.find(target);
         offers.push_back({target,
                           entry->memoryMiB,
                           entry->memoryMiB - std::min(entry->memoryMiB, used),
                           source,
                           costs_.estimate(source, memoryMiB),
-                          {}});
+                          {},
+                          cached != cached_.end() && !cached->second.empty()});
         hasRoom = hasRoom || offers.back().freeMiB >= memoryMiB;
     }
     for (TargetOffer &offer : offers) {
--- a/packages/decisions/src/WarmestCheckpointPolicy.cpp
+++ b/packages/decisions/src/WarmestCheckpointPolicy.cpp
@@ -11,11 +11,11 @@
 
 /// Expected cost of unloading an idle replica: its reload, weighted with how likely it is to be
 /// needed again, which falls with the time it has been idle.
-double evictionLoss(const IdleReplica &replica, core::TimePoint now, double holdFactor)
+double evictionLoss(const IdleReplica &replica, core::TimePoint now, core::Duration halfUse)
 {
-    const double reload = Seconds(replica.reloadCost).count();
+    const double half = Seconds(halfUse).count();
     const double idle = Seconds(now - replica.lastUsed).count();
-    return reload / (1 + idle / (1 + reload * holdFactor));
+    return Seconds(replica.reloadCost).count() * half / (half + idle);
 }
 
 } // namespace
@@ -30,7 +30,7 @@
                                                                core::TimePoint now) const
 {
     std::optional<PlacementChoice> best;
-    std::pair<double, std::uint64_t> bestRank;
+    std::tuple<double, bool, std::uint64_t> bestRank;
     for (const TargetOffer &offer : offers) {
         PlacementChoice choice {offer.target, {}};
         double cost = Seconds(offer.loadCost).count();
@@ -38,22 +38,23 @@
         if (room < memoryMiB) {
             std::vector<IdleReplica> idle = offer.idle;
             std::sort(idle.begin(), idle.end(), [&](const IdleReplica &a, const IdleReplica &b) {
-                return evictionLoss(a, now, settings_.holdFactor)
-                    < evictionLoss(b, now, settings_.holdFactor);
+                return evictionLoss(a, now, settings_.halfUse) * static_cast<double>(b.memoryMiB)
+                    < evictionLoss(b, now, settings_.halfUse) * static_cast<double>(a.memoryMiB);
             });
             cost += Seconds(settings_.evictionCost).count();
             for (const IdleReplica &replica : idle) {
                 if (room >= memoryMiB)
                     break;
                 room += replica.memoryMiB;
-                cost += evictionLoss(replica, now, settings_.holdFactor);
+                cost += evictionLoss(replica, now, settings_.halfUse);
                 choice.evicted.push_back(replica.artifact);
             }
             if (room < memoryMiB)
                 continue;
         }
-        // Among equals the tightest fit keeps large gaps for large models.
-        const std::pair rank {cost, room - memoryMiB};
+        // Among equals, a target with a cache makes the next load cheaper, and the tightest fit
+        // keeps large gaps for large models.
+        const std::tuple rank {cost, !offer.hasCache, room - memoryMiB};
         if (!best || rank < bestRank) {
             bestRank = rank;
             best = std::move(choice);
--- a/packages/decisions/tests/PlacementFakes.cpp
+++ b/packages/decisions/tests/PlacementFakes.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t kRememberedOrders = 100;
+
 template<class Record>
 FakePlatform::PutResult<Record> putObject(Versioned<Record> &object, std::uint64_t ifVersion,
                                           const Record &record, bool isConditional,
@@ -85,6 +87,8 @@
 {
     if (std::find(orders_.begin(), orders_.end(), order.order) == orders_.end())
         orders_.push_back(order.order);
+    if (orders_.size() > kRememberedOrders)
+        orders_.erase(orders_.begin());
     if (settings_.checksFencing) {
         if (order.fence < highestFence_)
             return OrderOutcome::StaleFence;
