Remove linear searches from the ledger and number the drains

Change: intents are found by binary search over their orders, pending writes and sent orders by their stamps; the memory use of a target is computed once a tick. ReplicaMoved carries the number of the drain and ReplicaDrained must repeat it.

Ruled out: keeping a running sum of reserved memory, because the sum of a target's intents is no longer visible in the tick.

--- a/bench/PlannerScale.cpp
+++ b/bench/PlannerScale.cpp
@@ -119,7 +119,7 @@
     void answer(const ReplicaMoved &moved, std::deque<PlannerEvent> &events)
     {
         if (moved.state == ReplicaState::Draining)
-            events.push_back(ReplicaDrained {moved.artifact, moved.target});
+            events.push_back(ReplicaDrained {moved.artifact, moved.target, moved.drain});
     }
     void answer(const WakeAnswered &answered, std::deque<PlannerEvent> &)
     {
--- a/packages/decisions/include/boragerack/decisions/PlacementLedger.h
+++ b/packages/decisions/include/boragerack/decisions/PlacementLedger.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "boragerack/core/Clock.h"
@@ -104,6 +105,9 @@
     void matchTracks(const core::TargetId &target);
     void followPhase(const TrackKey &key, IntentPhase phase);
     void adoptIntents(const core::TargetId &target);
+    void answerModel(const Artifact &artifact, const WriteAnswered &event);
+    void answerTarget(const core::TargetId &target, const WriteAnswered &event);
+    void repeatUncertainWrites();
     void reconcile();
     void writeModel(const Artifact &artifact);
     void writeTarget(const core::TargetId &target);
@@ -125,6 +129,9 @@
     std::map<TrackKey, Track> tracks_;
     std::map<Artifact, ModelEntry> models_;
     std::map<core::TargetId, TargetEntry> targets_;
+    /// Objects of the writes without a final answer.
+    std::map<Stamp, std::variant<Artifact, core::TargetId>> writes_;
+    std::map<Stamp, core::TargetId> sentOrders_;
     std::set<core::InstanceId> gone_;
     /// Decisions of other planners without an intent, and when they were first seen.
     std::map<TrackKey, core::TimePoint> orphans_;
--- a/packages/decisions/include/boragerack/decisions/PlacementMessages.h
+++ b/packages/decisions/include/boragerack/decisions/PlacementMessages.h
@@ -42,11 +42,13 @@
     friend auto operator<=>(const CancelDrain &, const CancelDrain &) = default;
 };
 
-/// No node sends new requests to the replica and none is in flight.
+/// No node sends new requests to the replica and none is in flight. An answer to an earlier drain
+/// that was cancelled is ignored.
 struct ReplicaDrained
 {
     Artifact artifact;
     core::TargetId target;
+    std::uint64_t drain = 0; ///< From ReplicaMoved.
 
     friend auto operator<=>(const ReplicaDrained &, const ReplicaDrained &) = default;
 };
@@ -213,6 +215,7 @@
     Artifact artifact;
     core::TargetId target;
     ReplicaState state = ReplicaState::Absent;
+    std::uint64_t drain = 0; ///< Counts the drains of this replica.
 
     friend auto operator<=>(const ReplicaMoved &, const ReplicaMoved &) = default;
 };
--- a/packages/decisions/src/LoadPlannerPlacing.cpp
+++ b/packages/decisions/src/LoadPlannerPlacing.cpp
@@ -300,15 +300,20 @@
     if (!ledger_.isActive() || !isPlatformReachable_)
         return;
     std::vector<ReplicaKey> expired;
+    std::optional<core::TargetId> current;
+    double used = 0;
     for (const auto &[key, use] : uses_) {
         const auto &[target, artifact] = key;
         if (!isIdle(key) || evictions_.contains(key)
             || (!artifact.isAdapter() && ledger_.hasAdapters(artifact, target)))
             continue;
-        const auto entry = ledger_.findTarget(target);
-        const double used = entry && entry->memoryMiB > 0
-            ? static_cast<double>(entry->reservedMiB) / static_cast<double>(entry->memoryMiB)
-            : 0;
+        if (current != target) {
+            current = target;
+            const auto entry = ledger_.findTarget(target);
+            used = entry && entry->memoryMiB > 0
+                ? static_cast<double>(entry->reservedMiB) / static_cast<double>(entry->memoryMiB)
+                : 0;
+        }
         if (!catalogue_.contains(artifact)
             || now_ - use.lastUsed
                 >= policy_->holdTime({reloadCost(key), used, artifact.isAdapter()}))
--- a/packages/decisions/src/PlacementLedger.cpp
+++ b/packages/decisions/src/PlacementLedger.cpp
@@ -58,8 +58,10 @@
     Track &track = found->second;
     const ReplicaState before = track.life.state();
     const std::vector<ReplicaEffect> effects = track.life.fire(event);
-    if (track.life.state() != before)
+    if (track.life.state() != before) {
         track.since = now_;
+        track.drains += track.life.state() == ReplicaState::Draining ? 1 : 0;
+    }
     for (const ReplicaEffect effect : effects) {
         switch (effect) {
         case ReplicaEffect::UpdateModel:
@@ -76,7 +78,8 @@
             sendUnload(key);
             break;
         case ReplicaEffect::Announce:
-            actions_.emplace_back(ReplicaMoved {key.second, key.first, track.life.state()});
+            actions_.emplace_back(
+                ReplicaMoved {key.second, key.first, track.life.state(), track.drains});
             break;
         }
     }
@@ -126,45 +129,51 @@
 
 void PlacementLedger::on(const ReplicaDrained &event)
 {
-    fire({event.target, event.artifact}, ReplicaEvent::Drained);
+    const TrackKey key {event.target, event.artifact};
+    if (const auto track = tracks_.find(key);
+        track != tracks_.end() && track->second.drains == event.drain)
+        fire(key, ReplicaEvent::Drained);
 }
 
 void PlacementLedger::on(const OrderAnswered &event)
 {
-    for (auto &[target, entry] : targets_) {
-        if (!entry.outstanding || entry.outstanding->order != event.order)
-            continue;
-        const TargetEntry::QueuedOrder answered = *entry.outstanding;
-        entry.outstanding.reset();
-        dirtyTargets_.insert(target);
-        const TrackKey key {target, answered.artifact};
-        const auto track = tracks_.find(key);
-        if (track == tracks_.end())
-            return;
-        if (answered.kind == OrderKind::Unload) {
-            // A refused unload must be repeated with a current fencing number.
-            if (event.outcome == OrderOutcome::StaleFence && track->second.unload == event.order)
-                track->second.unload.reset();
-            return;
-        }
-        if (track->second.order != event.order)
-            return;
-        switch (event.outcome) {
-        case OrderOutcome::Accepted:
-            fire(key, OrderEvent::EngineSaw);
-            break;
-        case OrderOutcome::StaleFence:
-        case OrderOutcome::DoesNotFit:
-            fire(key, OrderEvent::EngineRefused);
-            break;
-        case OrderOutcome::NotSent:
-            fire(key, OrderEvent::Abandon);
-            break;
-        case OrderOutcome::Unknown:
-            break;
-        }
+    const auto sent = sentOrders_.find(event.order);
+    if (sent == sentOrders_.end())
+        return;
+    const core::TargetId target = sent->second;
+    sentOrders_.erase(sent);
+    TargetEntry &entry = targets_.at(target);
+    if (!entry.outstanding || entry.outstanding->order != event.order)
+        return;
+    const TargetEntry::QueuedOrder answered = *entry.outstanding;
+    entry.outstanding.reset();
+    dirtyTargets_.insert(target);
+    const TrackKey key {target, answered.artifact};
+    const auto track = tracks_.find(key);
+    if (track == tracks_.end())
+        return;
+    if (answered.kind == OrderKind::Unload) {
+        // A refused unload must be repeated with a current fencing number.
+        if (event.outcome == OrderOutcome::StaleFence && track->second.unload == event.order)
+            track->second.unload.reset();
         return;
     }
+    if (track->second.order != event.order)
+        return;
+    switch (event.outcome) {
+    case OrderOutcome::Accepted:
+        fire(key, OrderEvent::EngineSaw);
+        break;
+    case OrderOutcome::StaleFence:
+    case OrderOutcome::DoesNotFit:
+        fire(key, OrderEvent::EngineRefused);
+        break;
+    case OrderOutcome::NotSent:
+        fire(key, OrderEvent::Abandon);
+        break;
+    case OrderOutcome::Unknown:
+        break;
+    }
 }
 
 void PlacementLedger::on(const EngineReported &event)
@@ -240,6 +249,7 @@
             fire(key, OrderEvent::Send);
         }
         entry.outstanding = next;
+        sentOrders_.emplace(next.order, target);
         actions_.emplace_back(std::move(order));
     }
 }
@@ -305,18 +315,7 @@
 
 void PlacementLedger::on(const PlacementTick &)
 {
-    for (auto &[artifact, entry] : models_) {
-        if (entry.isUncertain) {
-            entry.isUncertain = false;
-            actions_.emplace_back(*entry.pending);
-        }
-    }
-    for (auto &[target, entry] : targets_) {
-        if (entry.isUncertain) {
-            entry.isUncertain = false;
-            actions_.emplace_back(*entry.pending);
-        }
-    }
+    repeatUncertainWrites();
     if (!isActive())
         return;
     std::vector<TrackKey> keys;
--- a/packages/decisions/src/PlacementLedgerRecords.cpp
+++ b/packages/decisions/src/PlacementLedgerRecords.cpp
@@ -36,9 +36,11 @@
 
 const Intent *findIntent(const TargetRecord &record, const Stamp &order)
 {
-    const auto found = std::find_if(record.intents.begin(), record.intents.end(),
-                                    [&order](const Intent &each) { return each.order == order; });
-    return found == record.intents.end() ? nullptr : &*found;
+    // Intents are sorted by their order.
+    const auto found =
+        std::lower_bound(record.intents.begin(), record.intents.end(), order,
+                         [](const Intent &each, const Stamp &key) { return each.order < key; });
+    return found == record.intents.end() || found->order != order ? nullptr : &*found;
 }
 
 void PlacementLedger::on(const PlatformSnapshot &event)
@@ -101,6 +103,7 @@
     if (object.version <= entry.object.version)
         return;
     entry.object = object;
+    std::sort(entry.object.record.intents.begin(), entry.object.record.intents.end());
     if (entry.pending && entry.pending->record.writer == object.record.writer) {
         entry.pending.reset();
         entry.isUncertain = false;
@@ -112,45 +115,77 @@
 
 void PlacementLedger::on(const WriteAnswered &event)
 {
-    for (auto &[artifact, entry] : models_) {
-        if (!entry.pending || entry.pending->record.writer != event.write)
-            continue;
-        if (event.outcome == WriteOutcome::Unknown) {
-            entry.isUncertain = true;
-            return;
-        }
-        if (event.outcome == WriteOutcome::Applied) {
-            acceptModel({event.version, entry.pending->record});
-        } else if (event.model && event.model->version != 0) {
-            acceptModel(*event.model);
-        } else {
-            entry.object = {};
-        }
-        entry.pending.reset();
-        entry.isUncertain = false;
-        dirtyModels_.insert(artifact);
+    const auto write = writes_.find(event.write);
+    if (write == writes_.end())
+        return;
+    const auto key = write->second;
+    if (event.outcome != WriteOutcome::Unknown)
+        writes_.erase(write);
+    if (const auto *artifact = std::get_if<Artifact>(&key))
+        answerModel(*artifact, event);
+    else
+        answerTarget(std::get<core::TargetId>(key), event);
+}
+
+void PlacementLedger::answerModel(const Artifact &artifact, const WriteAnswered &event)
+{
+    ModelEntry &entry = models_[artifact];
+    if (!entry.pending || entry.pending->record.writer != event.write)
+        return;
+    if (event.outcome == WriteOutcome::Unknown) {
+        entry.isUncertain = true;
         return;
     }
-    for (auto &[target, entry] : targets_) {
-        if (!entry.pending || entry.pending->record.writer != event.write)
-            continue;
-        if (event.outcome == WriteOutcome::Unknown) {
-            entry.isUncertain = true;
-            return;
-        }
-        if (event.outcome == WriteOutcome::Applied) {
-            acceptTarget({event.version, entry.pending->record});
-        } else if (event.target && event.target->version != 0) {
-            acceptTarget(*event.target);
-        } else {
-            entry.object = {};
-            ++entry.epoch;
-        }
-        entry.pending.reset();
-        entry.isUncertain = false;
-        dirtyTargets_.insert(target);
+    if (event.outcome == WriteOutcome::Applied)
+        acceptModel({event.version, entry.pending->record});
+    else if (event.model && event.model->version != 0)
+        acceptModel(*event.model);
+    else
+        entry.object = {};
+    entry.pending.reset();
+    entry.isUncertain = false;
+    dirtyModels_.insert(artifact);
+}
+
+void PlacementLedger::answerTarget(const core::TargetId &target, const WriteAnswered &event)
+{
+    TargetEntry &entry = targets_[target];
+    if (!entry.pending || entry.pending->record.writer != event.write)
+        return;
+    if (event.outcome == WriteOutcome::Unknown) {
+        entry.isUncertain = true;
         return;
     }
+    if (event.outcome == WriteOutcome::Applied) {
+        acceptTarget({event.version, entry.pending->record});
+    } else if (event.target && event.target->version != 0) {
+        acceptTarget(*event.target);
+    } else {
+        entry.object = {};
+        ++entry.epoch;
+    }
+    entry.pending.reset();
+    entry.isUncertain = false;
+    dirtyTargets_.insert(target);
+}
+
+void PlacementLedger::repeatUncertainWrites()
+{
+    // The same write under the same condition and identity; a copy that was applied shows itself
+    // in the answer. Entries without a pending write were recognised in a read meanwhile.
+    std::erase_if(writes_, [this](const auto &write) {
+        const auto repeat = [this, &write](auto &entry) {
+            if (!entry.pending || entry.pending->record.writer != write.first)
+                return true;
+            if (entry.isUncertain)
+                actions_.emplace_back(*entry.pending);
+            entry.isUncertain = false;
+            return false;
+        };
+        const auto *artifact = std::get_if<Artifact>(&write.second);
+        return artifact ? repeat(models_[*artifact])
+                        : repeat(targets_[std::get<core::TargetId>(write.second)]);
+    });
 }
 
 void PlacementLedger::reconcile()
@@ -228,6 +263,7 @@
         return;
     std::sort(record.replicas.begin(), record.replicas.end());
     record.writer = nextStamp();
+    writes_.emplace(record.writer, artifact);
     entry.pending = WriteModel {entry.object.version, std::move(record)};
     actions_.emplace_back(*entry.pending);
 }
@@ -328,9 +364,7 @@
     for (const Artifact &artifact : artifacts) {
         const TrackKey key {target, artifact};
         const Track &track = tracks_.at(key);
-        const auto intent =
-            std::find_if(record.intents.begin(), record.intents.end(),
-                         [&track](const Intent &each) { return each.order == track.order; });
+        const Intent *intent = findIntent(entry.object.record, track.order);
         const std::optional<IntentPhase> phase = phaseOf(track.life.state());
         if (track.life.state() == ReplicaState::Reserving) {
             // After a foreign change the decision may have been revoked, so it must be repeated.
@@ -352,9 +386,11 @@
         } else if (track.life.state() == ReplicaState::Revoking) {
             revoked.push_back(key);
             isChanged = true;
-        } else if (isActive() && phase && intent != record.intents.end()
-                   && intent->phase != *phase) {
-            intent->phase = *phase;
+        } else if (isActive() && phase && intent && intent->phase != *phase) {
+            for (Intent &each : record.intents) {
+                if (each.order == track.order)
+                    each.phase = *phase;
+            }
             isChanged = true;
         }
     }
@@ -364,6 +400,7 @@
     record.writer = nextStamp();
     for (const TrackKey &key : revoked)
         tracks_.at(key).revocation = record.writer;
+    writes_.emplace(record.writer, target);
     entry.pending = WriteTarget {entry.object.version, std::move(record)};
     actions_.emplace_back(*entry.pending);
 }
@@ -414,9 +451,9 @@
     std::uint64_t reserved = reservedMiB(entry.object.record);
     for (const Artifact &artifact : entry.tracks) {
         const Track &track = tracks_.at({target, artifact});
-        if (!findIntent(entry.object.record, track.order)
-            && (track.life.state() == ReplicaState::Deciding
-                || track.life.state() == ReplicaState::Reserving))
+        if ((track.life.state() == ReplicaState::Deciding
+             || track.life.state() == ReplicaState::Reserving)
+            && !findIntent(entry.object.record, track.order))
             reserved += track.memoryMiB;
     }
     return Target {entry.listedMiB, reserved,        entry.checksFencing,
--- a/packages/decisions/src/PlacementLedgerState.h
+++ b/packages/decisions/src/PlacementLedgerState.h
@@ -10,6 +10,7 @@
     std::uint64_t memoryMiB = 0;
     ReplicaLifecycle life;
     core::TimePoint since = {};
+    std::uint64_t drains = 0;
     bool isDecisionAttempted = false;
     /// Epoch of the target's record when the decision was written.
     std::uint64_t targetEpoch = 0;
--- a/packages/decisions/tests/LoadPlannerTest.cpp
+++ b/packages/decisions/tests/LoadPlannerTest.cpp
@@ -163,7 +163,8 @@
         BOOST_TEST(record.record.replicas.empty());
 }
 
-// Guards against an unload that is ordered while requests are in flight on the replica.
+// Guards against an unload that is ordered while requests are in flight on the replica, also when
+// the answer to a cancelled drain comes late.
 BOOST_AUTO_TEST_CASE(drainWaitsForRequestsInFlight)
 {
     Run run;
@@ -175,8 +176,14 @@
     run.fleet.onOrder = [&isUnloadOrdered](std::size_t, const SendOrder &order) {
         isUnloadOrdered = isUnloadOrdered || order.kind == OrderKind::Unload;
     };
-    run.fleet.onMoved = [&isDrained](std::size_t, const ReplicaMoved &moved) {
-        isDrained = isDrained || moved.state == ReplicaState::Draining;
+    run.fleet.onMoved = [&](std::size_t, const ReplicaMoved &moved) {
+        if (moved.state != ReplicaState::Draining)
+            return;
+        isDrained = true;
+        // The late answer to an earlier drain says nothing about this one.
+        run.fleet.at(run.fleet.now(), [&run, moved] {
+            run.fleet.send(0, ReplicaDrained {moved.artifact, moved.target, moved.drain - 1});
+        });
     };
     run.fleet.wake(0, model(1), seconds(30));
     run.fleet.runUntil(core::TimePoint(std::chrono::hours(3)));
--- a/packages/decisions/tests/PlacementFleet.cpp
+++ b/packages/decisions/tests/PlacementFleet.cpp
@@ -386,7 +386,7 @@
         if (isBusy(moved.artifact, moved.target))
             drain(index, moved);
         else
-            deliver(index, ReplicaDrained {moved.artifact, moved.target});
+            deliver(index, ReplicaDrained {moved.artifact, moved.target, moved.drain});
     });
 }
 
