--- a/packages/decisions/tests/PlacementFleet.cpp
+++ b/packages/decisions/tests/PlacementFleet.cpp
@@ -166,8 +166,9 @@
 
 void PlacementFleet::wake(std::size_t index, const Artifact &artifact, core::Duration patience)
 {
-    deliver(index,
-            WakeRequested {core::InstanceId {"caller"}, ++requests_, artifact, now_ + patience});
+    const std::uint64_t request = deadlines_.size() + 1;
+    deadlines_.emplace(request, now_ + patience);
+    deliver(index, WakeRequested {core::InstanceId {"caller"}, request, artifact, now_ + patience});
 }
 
 void PlacementFleet::setPlanner(std::size_t index, bool isPlanner)
@@ -386,7 +387,7 @@
         if (isBusy(moved.artifact, moved.target))
             drain(index, moved);
         else
-            deliver(index, ReplicaDrained {moved.artifact, moved.target});
+            deliver(index, ReplicaDrained {moved.artifact, moved.target, moved.drain});
     });
 }
 
