--- a/packages/decisions/src/PlacementLedgerRecords.cpp
+++ b/packages/decisions/src/PlacementLedgerRecords.cpp
@@ -299,6 +299,9 @@
         addTrack(key, intent.order, intent.memoryMiB);
         orphans_.erase(key);
         fire(key, kFoundEvents.at(static_cast<std::size_t>(intent.phase)));
+        // These phases are written only after the engine has reported the weights as ready.
+        if (intent.phase == IntentPhase::Ready || intent.phase == IntentPhase::Draining)
+            fire(key, OrderEvent::EngineSaw);
         if (targets_[target].hasLeft)
             fire(key, ReplicaEvent::TargetLeft);
         else if (gone_.contains(intent.order.instance))
@@ -420,6 +423,17 @@
                    entry.isListed,  entry.isLeaving, entry.object.version != 0};
 }
 
+bool PlacementLedger::hasUnknownDecision(const Artifact &artifact) const
+{
+    const auto model = models_.find(artifact);
+    if (model == models_.end())
+        return false;
+    const auto &replicas = model->second.object.record.replicas;
+    return std::any_of(replicas.begin(), replicas.end(), [&](const ReplicaEntry &entry) {
+        return !tracks_.contains({entry.target, artifact});
+    });
+}
+
 bool PlacementLedger::hasAdapters(const Artifact &base, const core::TargetId &target) const
 {
     const auto entry = targets_.find(target);
--- /dev/null
+++ b/packages/node/src/Members.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/FleetMessages.h"
+
+namespace boragerack::node {
+
+/// A node as this one sees it.
+struct Member
+{
+    decisions::MemberRecord record;
+    bool isSuspected = false;
+
+    friend auto operator<=>(const Member &, const Member &) = default;
+};
+
+struct Members
+{
+    std::vector<Member> members;
+
+    friend auto operator<=>(const Members &, const Members &) = default;
+};
+
+/// JSON of the platform object `nodes/<instance>`; the version comes with the object.
+std::string serialiseMember(const decisions::MemberRecord &record);
+core::Result<decisions::MemberRecord> parseMember(std::string_view text);
+
+} // namespace boragerack::node
--- /dev/null
+++ b/packages/node/src/ModelHandler.cpp
@@ -0,0 +1,147 @@
+#include "ModelHandler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "CallerError.h"
+#include "CallerSink.h"
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::node {
+
+namespace {
+
+/// Tokens that a request has used: those that reached the caller, or the engine's own count. A
+/// failed answer that was not streamed counts in full, because nobody knows how far it came.
+std::int64_t countTokens(const ModelRequest &request, const AttemptResult &result,
+                         const CallerSink &sink)
+{
+    if (request.isStream)
+        return request.promptTokens + static_cast<std::int64_t>(result.units);
+    const auto reported = parseCompletionTokens(sink.response().body);
+    return request.promptTokens + reported.value_or(request.maxTokens);
+}
+
+/// An engine sends nothing before the end of an answer that is not streamed.
+constexpr std::chrono::seconds kWholeAnswerSilence(120);
+
+} // namespace
+
+ModelHandler::ModelHandler(const RequestServices &services)
+    : services_(services)
+{
+}
+
+void ModelHandler::handle(const runtime::HttpRequest &request, const CallerContext &context,
+                          runtime::HttpResponder &responder)
+{
+    const auto model = parseModelRequest(request.body);
+    if (!core::isOk(model)) {
+        responder.send(makeErrorResponse(core::errorOf(model)));
+        return;
+    }
+    const auto artifact = authorise(core::valueOf(model), context);
+    if (!core::isOk(artifact)) {
+        responder.send(makeErrorResponse(core::errorOf(artifact)));
+        return;
+    }
+    const core::Digest fingerprint =
+        decisions::makeFingerprint(context.organisation, runtime::pathOf(request), request.body);
+    if (const auto refusal = services_.quarantine.check(fingerprint, context.deadline)) {
+        responder.send(makeErrorResponse(*refusal));
+        return;
+    }
+
+    const ModelRequest &parsed = core::valueOf(model);
+    const std::int64_t tokens = parsed.promptTokens + parsed.maxTokens;
+    const auto reservation = reserve(tokens, context);
+    if (!core::isOk(reservation)) {
+        responder.send(makeErrorResponse(core::errorOf(reservation)));
+        return;
+    }
+
+    const AttemptJob job = makeJob(request, parsed, core::valueOf(artifact), context);
+    CallerSink sink(responder, job.isEventStream, services_.clock);
+    AttemptRunner runner(services_.charts, services_.client, services_.routing, services_.clock,
+                         job, sink, [&] { return findCancelReason(context, services_); });
+    const AttemptResult result = runner.run();
+    const std::int64_t used =
+        result.verdict == core::Verdict::NotRun ? 0 : countTokens(parsed, result, sink);
+    static_cast<void>(services_.budget.trySend(
+        decisions::ReservationSettled {core::valueOf(reservation), std::min(used, tokens)}));
+    reportDeaths(fingerprint, result);
+    if (sink.firstPartAt()) {
+        services_.metrics.observe(
+            "boragerack_first_token_seconds",
+            makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
+            *sink.firstPartAt() - context.receivedAt);
+    }
+    sink.finish(result);
+}
+
+core::Result<decisions::RequestNumber> ModelHandler::reserve(std::int64_t tokens,
+                                                             const CallerContext &context)
+{
+    const auto configuration = services_.configuration.get();
+    const auto *plan = configuration->catalogue.findPlan(context.organisation);
+    if (!plan || tokens > plan->burstTokens) {
+        return core::makeNotRunError(core::ErrorCode::RateLimited,
+                                     "the request may use " + std::to_string(tokens)
+                                         + " tokens, more than the burst of the plan");
+    }
+    return services_.budget.reserve(context.organisation, tokens, context.deadline);
+}
+
+core::Result<decisions::Artifact> ModelHandler::authorise(const ModelRequest &model,
+                                                          const CallerContext &context) const
+{
+    const auto configuration = services_.configuration.get();
+    const auto &catalogue = configuration->catalogue;
+    const auto *permission =
+        catalogue.findModel(context.organisation, {model.model}, model.version);
+    if (!permission) {
+        return core::makeNotRunError(core::ErrorCode::NotPermitted,
+                                     "the plan does not include model " + model.model
+                                         + (model.version.empty() ? "" : "@" + model.version));
+    }
+    if (!model.adapter.empty()
+        && !catalogue.findAdapter(context.organisation, {model.model}, permission->version,
+                                  {model.adapter})) {
+        return core::makeNotRunError(core::ErrorCode::NotPermitted,
+                                     "the plan does not include adapter " + model.adapter
+                                         + " of model " + model.model);
+    }
+    return decisions::Artifact {permission->model, permission->version, {model.adapter}};
+}
+
+AttemptJob ModelHandler::makeJob(const runtime::HttpRequest &request, const ModelRequest &model,
+                                 const decisions::Artifact &artifact,
+                                 const CallerContext &context) const
+{
+    AttemptJob job;
+    job.plan.request = makeRequestId(services_.identity, services_.random);
+    job.plan.policy = decisions::SendPolicy::Repeatable;
+    job.plan.canResume = model.isStream;
+    job.plan.echoesAttempt = model.isStream;
+    job.plan.deadline = context.deadline;
+    job.destination = artifact;
+    job.isEventStream = model.isStream;
+    if (!model.isStream)
+        job.limits.silenceWhileWorking = kWholeAnswerSilence;
+    // Only what the engine needs is passed on, so that no key can reach it.
+    job.request = {"POST",
+                   std::string(runtime::pathOf(request)),
+                   {{"Content-Type", "application/json"},
+                    {"X-Model-Version", artifact.version},
+                    {"X-Organisation", context.organisation.value}},
+                   makeEngineBody(request.body, artifact)};
+    return job;
+}
+
+void ModelHandler::reportDeaths(const core::Digest &fingerprint, const AttemptResult &result)
+{
+    for (const decisions::AttemptId &attempt : result.deaths)
+        services_.quarantineLink.report({fingerprint, attempt});
+}
+
+} // namespace boragerack::node
--- a/packages/peer/include/boragerack/peer/MessageAuthenticator.h
+++ b/packages/peer/include/boragerack/peer/MessageAuthenticator.h
@@ -20,18 +20,29 @@
     friend bool operator==(const SealedMessage &, const SealedMessage &) = default;
 };
 
+/// What an answer needs to know of its request.
+struct RequestIdentity
+{
+    core::InstanceId sender;
+    core::Digest tag;
+
+    friend bool operator==(const RequestIdentity &, const RequestIdentity &) = default;
+};
+
 /// A request whose tag and receiver are right.
 struct OpenedRequest
 {
     Envelope envelope;
     core::Digest tag;
 
+    RequestIdentity identity() const { return {envelope.sender, tag}; }
+
     friend bool operator==(const OpenedRequest &, const OpenedRequest &) = default;
 };
 
-/// Seals and opens messages with HMAC-SHA256 under the fleet secret. The tag covers every byte of
-/// the envelope; the tag of an answer covers the tag of its request too, so an answer is valid for
-/// that request only. Not for use by two threads at once.
+/// Seals and opens messages with HMAC-SHA256 under the fleet secret, cut to 16 bytes on the wire.
+/// The tag covers every byte of the envelope; the tag of an answer covers the tag of its request
+/// too, so an answer is valid for that request only. Not for use by two threads at once.
 class MessageAuthenticator
 {
 public:
@@ -50,9 +61,9 @@
 
     SealedMessage sealRequest(const core::InstanceId &receiver, std::uint64_t counter,
                               MessageBody body) const;
-    SealedMessage sealAnswer(const OpenedRequest &request, MessageBody body) const;
+    SealedMessage sealAnswer(const RequestIdentity &request, MessageBody body) const;
 
-    /// Checks the tag and the receiver. A ConfigFetch may name no receiver, because a starting
+    /// Checks the tag and the receiver. A MemberFetch may name no receiver, because a starting
     /// node knows only addresses.
     core::Result<OpenedRequest> openRequest(std::string_view bytes) const;
 
