Let small used portions expire without a return

Cause: at 360 nodes most messages come from nodes with little demand for each organisation. Each of their requests cost an ask, a grant, a return of the used portion and a return of the refund.

Ruled out: leaving every used portion to expire. Accrual stops while portions and level fill the bucket, so a busy node would lose up to two seconds of rate.

Change: a used portion below 1/64 of its share's bucket is kept open until its end, unless grants fell short in the last 2 s. Refunds meanwhile go back into it, and it needs no return if nothing is left.

--- a/packages/decisions/include/boragerack/decisions/BudgetBorrower.h
+++ b/packages/decisions/include/boragerack/decisions/BudgetBorrower.h
@@ -125,6 +125,7 @@
         std::uint64_t holderIncarnation = 0;
         TimePoint end;
         bool isOpen = true;
+        std::int64_t tokens = 0;
         std::int64_t remaining = 0;
         std::int64_t returned = 0;
         std::size_t reservations = 0;
@@ -155,6 +156,7 @@
         std::int64_t available = 0;
         std::map<std::uint64_t, PendingAsk> asks;
         std::optional<std::uint64_t> openAsk;
+        std::optional<TimePoint> lastShortGrant;
         std::map<std::uint32_t, ShareView> shares;
     };
 
@@ -187,6 +189,8 @@
     void refuseLate(Account &account, TimePoint now, Actions &actions);
     void serve(const core::OrganisationId &organisation, Account &account, TimePoint now,
                Actions &actions);
+    bool isLeftToExpire(const core::OrganisationId &organisation, const Account &account,
+                        const Portion &portion, TimePoint now) const;
     void ask(const core::OrganisationId &organisation, Account &account, TimePoint now,
              Actions &actions);
     std::int64_t wantedTokens(const core::OrganisationId &organisation, const Account &account,
--- a/packages/decisions/src/BudgetBorrower.cpp
+++ b/packages/decisions/src/BudgetBorrower.cpp
@@ -21,6 +21,10 @@
 /// stops while portions and level fill the bucket.
 constexpr std::int64_t kBurstFraction = 4;
 
+/// A used portion below this part of its share's bucket is left to expire at the holder, which
+/// saves a message. Many nodes with little demand each would otherwise double their traffic.
+constexpr std::int64_t kSmallPortionFraction = 64;
+
 constexpr std::size_t kMaxWaiting = 1024;
 
 } // namespace
@@ -154,6 +158,7 @@
         portion.share = pending.share;
         portion.holderIncarnation = grant.holderIncarnation;
         portion.end = end;
+        portion.tokens = grant.tokens;
         portion.remaining += grant.tokens;
         account.available += grant.tokens;
     }
@@ -162,6 +167,7 @@
         view.notBefore = now + kSilentHolderPause;
     } else if (grant.tokens < pending.wanted) {
         view.notBefore = now + grant.retryAfter;
+        account.lastShortGrant = now;
     }
     advance(grant.organisation, account, now, actions);
 }
@@ -264,6 +270,9 @@
     portion.returned = portion.remaining;
     account.available -= portion.remaining;
     portion.remaining = 0;
+    // At its end a portion without unused tokens expires at the holder by itself.
+    if (portion.returned == 0 && portion.end <= sendAt)
+        return;
     ShareView &view = account.shares[portion.share];
     view.unsentReturns.insert(sequence);
     if (!view.sendReturnsAt || *view.sendReturnsAt > sendAt)
@@ -301,7 +310,7 @@
             ++portion.reservations;
             needed -= taken;
             account.available -= taken;
-            if (portion.remaining == 0)
+            if (portion.remaining == 0 && !isLeftToExpire(organisation, account, portion, now))
                 endPortion(account, sequence, now + kReturnDelay);
         }
         reservations_.emplace(request.request, std::move(reservation));
@@ -309,6 +318,20 @@
     }
 }
 
+/// While grants fall short, outstanding portions may be what stops accrual.
+bool BudgetBorrower::isLeftToExpire(const core::OrganisationId &organisation,
+                                    const Account &account, const Portion &portion,
+                                    TimePoint now) const
+{
+    const auto limit = limits_.find(organisation);
+    if (limit == limits_.end())
+        return false;
+    const std::int64_t parts = kSmallPortionFraction * policy_.sharesPerOrganisation();
+    const bool isScarce =
+        account.lastShortGrant && now < *account.lastShortGrant + kPortionLifetime;
+    return !isScarce && portion.tokens * parts < limit->second.burstTokens;
+}
+
 void BudgetBorrower::ask(const core::OrganisationId &organisation, Account &account, TimePoint now,
                          Actions &actions)
 {
