Spread the claims of the nodes at a start of the fleet

Cause: all shares are in one platform object, and every node rewrote it as soon as another node's write made its own fail.

Change: claims wait for a time drawn from the instance's hash within 20 ms for each member; after a failed write they are repeated within 20 ms.

--- a/packages/decisions/include/boragerack/decisions/ShareTable.h
+++ b/packages/decisions/include/boragerack/decisions/ShareTable.h
@@ -148,6 +148,8 @@
     void adopt(std::uint64_t version, ShareOwners owners, TimePoint now, Actions &actions);
     void decide(TimePoint now, Actions &actions);
     std::set<std::uint32_t> releasingShards() const;
+    void claim(const ShareKey &key, TimePoint now, Actions &actions);
+    void postponeClaims(std::chrono::milliseconds spread, TimePoint now);
     bool mayClaim(const ShareKey &key, TimePoint now) const;
     bool isGoneForGood(const core::InstanceId &instance, TimePoint now) const;
     void write(Actions &actions);
@@ -160,6 +162,8 @@
     bool hasRead_ = false;
     bool needsWrite_ = false;
     bool isOutcomeUnknown_ = false;
+    bool hasPostponedClaims_ = false;
+    TimePoint claimsAt_;
     std::uint64_t version_ = 0;
     ShareOwners owners_;
     std::optional<WriteShareTable> pending_;
--- a/packages/decisions/src/ShareTable.cpp
+++ b/packages/decisions/src/ShareTable.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "boragerack/core/RendezvousHash.h"
+
 namespace boragerack::decisions {
 
 namespace {
@@ -14,6 +16,13 @@
 /// when the preference has lasted.
 constexpr std::chrono::seconds kHandoverDelay(30);
 
+/// Claims of all members are spread over this time for each member, a few times that of a write.
+/// All shares are in one object, so concurrent writes would make each other fail.
+constexpr std::chrono::milliseconds kClaimSpacing(20);
+
+/// A failed write brings the present version, so its repetition soon after has a good chance.
+constexpr std::chrono::milliseconds kClaimRetrySpread(20);
+
 } // namespace
 
 ShareTable::ShareTable(ShareOwner self, std::shared_ptr<const ShareChart> chart,
@@ -56,6 +65,8 @@
         if (!next || time < *next)
             next = time;
     };
+    if (hasPostponedClaims_)
+        consider(claimsAt_);
     // The next handover of a shard waits for the end of the present one, which is no timer event.
     const std::set<std::uint32_t> moving = releasingShards();
     for (const auto &[key, share] : shares_) {
@@ -110,6 +121,7 @@
 
 void ShareTable::on(const BudgetMembersChanged &event, TimePoint now, Actions & /*actions*/)
 {
+    postponeClaims(kClaimSpacing * event.members.size(), now);
     preferred_.clear();
     for (std::uint32_t shard = 0; shard < policy_.shardCount(); ++shard) {
         const auto owners = policy_.preferredOwners(shard, event.members);
@@ -177,8 +189,11 @@
 /// beyond what this version shows.
 void ShareTable::adopt(std::uint64_t version, ShareOwners owners, TimePoint now, Actions &actions)
 {
+    const bool hasLost = pending_ && pending_->owners != owners;
     version_ = version;
     owners_ = std::move(owners);
+    if (hasLost)
+        postponeClaims(kClaimRetrySpread, now);
     pending_.reset();
     needsWrite_ = false;
     for (const auto &[key, owner] : owners_) {
@@ -199,6 +214,7 @@
 
 void ShareTable::decide(TimePoint now, Actions &actions)
 {
+    hasPostponedClaims_ = false;
     if (!hasRead_)
         return;
     if (isStopping_) {
@@ -208,12 +224,12 @@
         return;
     }
     for (const auto &entry : owners_) {
-        if (entry.second.instance == self_.instance && mayClaim(entry.first, now))
-            fire(entry.first, ShareEvent::ClaimDecided, now, actions);
+        if (entry.second.instance == self_.instance)
+            claim(entry.first, now, actions);
     }
     for (const auto &[key, owner] : preferred_) {
-        if (owner == self_.instance && mayClaim(key, now))
-            fire(key, ShareEvent::ClaimDecided, now, actions);
+        if (owner == self_.instance)
+            claim(key, now, actions);
     }
     // One share of a shard at a time: each move stops a part of the shard's rate for a warm-up.
     std::set<std::uint32_t> moving = releasingShards();
@@ -225,6 +241,22 @@
     }
 }
 
+void ShareTable::claim(const ShareKey &key, TimePoint now, Actions &actions)
+{
+    if (stateOf(key) != chart_->initial() || !mayClaim(key, now))
+        return;
+    if (now < claimsAt_)
+        hasPostponedClaims_ = true;
+    else
+        fire(key, ShareEvent::ClaimDecided, now, actions);
+}
+
+void ShareTable::postponeClaims(std::chrono::milliseconds spread, TimePoint now)
+{
+    const std::uint64_t draw = core::stableHash(self_.instance.value, version_);
+    claimsAt_ = now + std::chrono::milliseconds(draw % (1 + spread.count()));
+}
+
 std::set<std::uint32_t> ShareTable::releasingShards() const
 {
     std::set<std::uint32_t> shards;
--- a/packages/decisions/tests/BudgetFleetTest.cpp
+++ b/packages/decisions/tests/BudgetFleetTest.cpp
@@ -64,3 +64,17 @@
 {
     BOOST_TEST(countFailures({.acceptRepeatedGrants = true}) > 0);
 }
+
+// Guards against a start at which every node writes the table again after every write of another.
+BOOST_AUTO_TEST_CASE(startNeedsFewTableWrites)
+{
+    const decisions::SharedHoldersPolicy policy;
+    FleetOptions options;
+    options.nodes = 60;
+    options.ownersAtStart = false;
+    BudgetFleet fleet(options, policy, loadShareChart());
+    fleet.time.runUntil(10 * kSecond);
+    BOOST_TEST_MESSAGE(fleet.platform.writes << " table writes");
+    BOOST_TEST(fleet.platform.owners.size() == 512U);
+    BOOST_TEST(fleet.platform.writes < 5 * options.nodes);
+}
--- a/packages/decisions/tests/FakeSharePlatform.h
+++ b/packages/decisions/tests/FakeSharePlatform.h
@@ -21,6 +21,7 @@
     }
 
     std::uint64_t version = 0;
+    std::uint64_t writes = 0;
     ShareOwners owners;
     std::set<core::InstanceId> instances;
     std::int64_t outageUntil = 0;
@@ -37,6 +38,7 @@
             static_cast<std::int64_t>(random_.next() % static_cast<std::uint64_t>(slowestWrite));
         time_.after(delay, [this, update, answer = std::move(answer)] {
             ShareTableEvent event = ShareTableWriteUnknown {};
+            ++writes;
             if (!isDown()) {
                 const bool succeeds = update.expectedVersion == version;
                 if (succeeds) {
