Ask for smaller portions and report used ones at once when short

Cause: with a burst of one second of rate, outstanding portions filled the bucket and stopped accrual, so requests waited and were refused within the rate.

Change: while grants fall short a used portion is reported without delay, and an ask takes at most a sixteenth of the burst beyond what its first request needs.

--- a/packages/decisions/include/boragerack/decisions/BudgetBorrower.h
+++ b/packages/decisions/include/boragerack/decisions/BudgetBorrower.h
@@ -189,6 +189,7 @@
     void refuseLate(Account &account, TimePoint now, Actions &actions);
     void serve(const core::OrganisationId &organisation, Account &account, TimePoint now,
                Actions &actions);
+    static bool isScarce(const Account &account, TimePoint now);
     bool isLeftToExpire(const core::OrganisationId &organisation, const Account &account,
                         const Portion &portion, TimePoint now) const;
     void ask(const core::OrganisationId &organisation, Account &account, TimePoint now,
--- a/packages/decisions/src/BudgetBorrower.cpp
+++ b/packages/decisions/src/BudgetBorrower.cpp
@@ -18,8 +18,9 @@
 constexpr std::chrono::milliseconds kReturnDelay(250);
 
 /// An ask takes at most this part of the burst beyond what its first request needs, since accrual
-/// stops while portions and level fill the bucket.
-constexpr std::int64_t kBurstFraction = 4;
+/// stops while portions and level fill the bucket. With a quarter, a burst of one second of rate
+/// made requests wait within the rate.
+constexpr std::int64_t kBurstFraction = 16;
 
 /// A used portion below this part of its share's bucket is left to expire at the holder, which
 /// saves a message. Many nodes with little demand each would otherwise double their traffic.
@@ -311,7 +312,7 @@
             needed -= taken;
             account.available -= taken;
             if (portion.remaining == 0 && !isLeftToExpire(organisation, account, portion, now))
-                endPortion(account, sequence, now + kReturnDelay);
+                endPortion(account, sequence, isScarce(account, now) ? now : now + kReturnDelay);
         }
         reservations_.emplace(request.request, std::move(reservation));
         actions.emplace_back(TokensReserved {request.request});
@@ -319,6 +320,11 @@
 }
 
 /// While grants fall short, outstanding portions may be what stops accrual.
+bool BudgetBorrower::isScarce(const Account &account, TimePoint now)
+{
+    return account.lastShortGrant && now < *account.lastShortGrant + kPortionLifetime;
+}
+
 bool BudgetBorrower::isLeftToExpire(const core::OrganisationId &organisation,
                                     const Account &account, const Portion &portion,
                                     TimePoint now) const
@@ -327,9 +333,7 @@
     if (limit == limits_.end())
         return false;
     const std::int64_t parts = kSmallPortionFraction * policy_.sharesPerOrganisation();
-    const bool isScarce =
-        account.lastShortGrant && now < *account.lastShortGrant + kPortionLifetime;
-    return !isScarce && portion.tokens * parts < limit->second.burstTokens;
+    return !isScarce(account, now) && portion.tokens * parts < limit->second.burstTokens;
 }
 
 void BudgetBorrower::ask(const core::OrganisationId &organisation, Account &account, TimePoint now,
