Add the operators' binary with check, apply, status and key

Cause: operators edit the lists through the platform's object API by hand, where a wrong part is noticed only after it was written and an edit of two people ends with the last writer. Ruled out: a read-back after a lost answer. Repeating the update with the same condition needs one call less and gives the same evidence, because the conflict carries the current value; a part whose value equals the wanted one is this writer's own. Change: package cli with one class per subcommand behind the interface Command. apply checks the held and the edited parts together, orders the writes so that the lists stay valid after each one where possible, and shows a conflict as the two sets of changes relative to the version it had read. Exit codes: 0, 1 condition, 2 usage, 4 platform, 5 conflict.

--- /dev/null
+++ b/packages/cli/src/FleetStatus.cpp
@@ -0,0 +1,166 @@
+#include "FleetStatus.h"
+
+#include <map>
+#include <sstream>
+
+#include "StatusRecords.h"
+#include "boragerack/config/ConfigurationJson.h"
+
+namespace boragerack::cli {
+
+namespace {
+
+std::string_view kindName(platform::InstanceKind kind)
+{
+    switch (kind) {
+    case platform::InstanceKind::Engine:
+        return "engine";
+    case platform::InstanceKind::Service:
+        return "service";
+    case platform::InstanceKind::Entry:
+        return "entry";
+    }
+    return "unknown";
+}
+
+/// Reads one object with its parser; an object that is not understood is noted.
+template<class T, class Parser>
+std::optional<core::Error> readInto(platform::PlatformStore &store, const std::string &key,
+                                    Parser parse, std::optional<T> &target,
+                                    std::vector<std::string> &unreadable)
+{
+    const auto object = store.read(key);
+    if (!core::isOk(object))
+        return core::errorOf(object);
+    if (!core::valueOf(object))
+        return std::nullopt;
+    const auto value = parse(core::valueOf(object)->value);
+    if (core::isOk(value))
+        target = core::valueOf(value);
+    else
+        unreadable.push_back(core::errorOf(value).message);
+    return std::nullopt;
+}
+
+std::optional<core::Error> readMembers(platform::PlatformStore &store, FleetStatus &status)
+{
+    const auto list = store.list("nodes/");
+    if (!core::isOk(list))
+        return core::errorOf(list);
+    for (const platform::PlatformObject &object : core::valueOf(list).objects) {
+        if (const auto member = parseMemberLine(object.value))
+            status.members.push_back(*member);
+        else
+            status.unreadable.push_back(object.key + ": not a node record");
+    }
+    return std::nullopt;
+}
+
+std::optional<core::Error> readTargets(platform::PlatformStore &store, FleetStatus &status)
+{
+    const auto instances = store.listInstances();
+    if (!core::isOk(instances))
+        return core::errorOf(instances);
+    const auto records = store.list("targets/");
+    if (!core::isOk(records))
+        return core::errorOf(records);
+    std::map<std::string, TargetLine> targets;
+    for (const platform::InstanceRecord &instance : core::valueOf(instances)) {
+        if (instance.kind == platform::InstanceKind::Entry)
+            continue;
+        TargetLine &line = targets[instance.instance.value];
+        line.target = instance.instance.value;
+        line.kind = kindName(instance.kind);
+        line.state = instance.state == platform::InstanceState::Leaving ? "leaving" : "live";
+        line.memoryMiB = instance.memoryMiB;
+    }
+    for (const platform::PlatformObject &object : core::valueOf(records).objects) {
+        const auto reserved = parseReservedMemory(object.value);
+        if (!reserved) {
+            status.unreadable.push_back(object.key + ": not a target record");
+            continue;
+        }
+        const std::string target = object.key.substr(std::string_view("targets/").size());
+        TargetLine &line = targets[target];
+        if (line.target.empty()) {
+            line.target = target;
+            line.kind = "engine";
+            line.state = "not in the instance list";
+            line.memoryMiB = reserved->memoryMiB;
+        }
+        line.reservedMiB = reserved->reservedMiB;
+        line.intents = reserved->intents;
+    }
+    for (const auto &[target, line] : targets)
+        status.targets.push_back(line);
+    return std::nullopt;
+}
+
+void formatConfiguration(const FleetStatus &status, std::ostream &stream)
+{
+    if (!status.accepted) {
+        stream << "accepted: none\n";
+    } else {
+        stream << "accepted: version " << status.accepted->version << ", lists of revision "
+               << status.accepted->listRevision << ", written by " << status.accepted->writer
+               << '\n';
+        for (const decisions::HeadPart &part : status.accepted->parts)
+            stream << "  " << part.name << "  " << core::toHex(part.digest) << '\n';
+    }
+    const std::size_t rejected = status.configuration ? status.configuration->rejected.size() : 0;
+    stream << "rejected: " << rejected << '\n';
+    for (std::size_t i = 0; i < rejected; ++i) {
+        const decisions::RejectedPart &part = status.configuration->rejected[i];
+        stream << "  " << part.name << "  version " << part.version << "  " << part.reason << '\n';
+    }
+}
+
+} // namespace
+
+core::Result<FleetStatus> readFleetStatus(platform::PlatformStore &store)
+{
+    FleetStatus status;
+    if (const auto error = readInto(store, "config/accepted", config::parseHead, status.accepted,
+                                    status.unreadable))
+        return *error;
+    if (const auto error = readInto(store, "status/config", config::parseStatus,
+                                    status.configuration, status.unreadable))
+        return *error;
+    if (const auto error = readMembers(store, status))
+        return *error;
+    if (const auto error = readTargets(store, status))
+        return *error;
+    return status;
+}
+
+bool isHealthy(const FleetStatus &status)
+{
+    return status.accepted && status.unreadable.empty()
+        && (!status.configuration || status.configuration->rejected.empty());
+}
+
+std::string formatStatus(const FleetStatus &status)
+{
+    std::ostringstream stream;
+    formatConfiguration(status, stream);
+    stream << "members: " << status.members.size() << '\n';
+    for (const MemberLine &member : status.members) {
+        stream << "  " << member.instance << "  " << member.dataCentre << "  "
+               << member.callerAddress << "  " << (member.isServing ? "serving" : "not serving")
+               << '\n';
+    }
+    stream << "targets: " << status.targets.size() << '\n';
+    for (const TargetLine &target : status.targets) {
+        stream << "  " << target.target << "  " << target.kind << "  " << target.state;
+        if (target.kind == "engine") {
+            stream << "  reserved " << target.reservedMiB << " of " << target.memoryMiB
+                   << " MiB, intents " << target.intents;
+        }
+        stream << '\n';
+    }
+    for (const std::string &line : status.unreadable)
+        stream << "unreadable: " << line << '\n';
+    return stream.str();
+}
+
+} // namespace boragerack::cli
--- /dev/null
+++ b/packages/cli/src/PlatformSession.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include <boost/program_options.hpp>
+
+#include "CommandLine.h"
+#include "boragerack/platform/HttpPlatformStore.h"
+#include "boragerack/runtime/FiberRuntime.h"
+#include "boragerack/runtime/HttpClient.h"
+
+namespace boragerack::cli {
+
+/// Connection to the platform for the time of one subcommand.
+class PlatformSession
+{
+public:
+    PlatformSession(std::string address, std::chrono::milliseconds callTimeout);
+
+    platform::PlatformStore &store() { return store_; }
+
+private:
+    runtime::FiberRuntime fiberRuntime_;
+    runtime::HttpClient client_;
+    platform::HttpPlatformStore store_;
+};
+
+/// Adds the options --platform and --timeout-ms.
+void addPlatformOptions(boost::program_options::options_description &description);
+
+/// What the platform options say.
+struct PlatformOptions
+{
+    std::string address;
+    std::chrono::milliseconds timeout;
+
+    friend auto operator<=>(const PlatformOptions &, const PlatformOptions &) = default;
+};
+
+core::Result<PlatformOptions>
+readPlatformOptions(const boost::program_options::variables_map &values);
+
+} // namespace boragerack::cli
--- /dev/null
+++ b/packages/cli/src/StatusCommand.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "boragerack/cli/Command.h"
+
+namespace boragerack::cli {
+
+/// Prints what the platform says about configuration, members and targets.
+class StatusCommand final : public Command
+{
+public:
+    std::string_view name() const override { return "status"; }
+    std::string_view summary() const override
+    {
+        return "show accepted and rejected lists, members and targets";
+    }
+    int run(const std::vector<std::string> &arguments, const Streams &streams) override;
+};
+
+} // namespace boragerack::cli
--- /dev/null
+++ b/packages/cli/src/StatusRecords.cpp
@@ -0,0 +1,49 @@
+#include "StatusRecords.h"
+
+#include <exception>
+
+#include <boost/json.hpp>
+
+namespace boragerack::cli {
+
+namespace json = boost::json;
+
+namespace {
+
+/// Boost.JSON reports a missing member or a wrong type by an exception.
+template<class Reader>
+auto readWith(std::string_view text, Reader read) -> std::optional<decltype(read(json::value()))>
+{
+    try {
+        return read(json::parse(text));
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::optional<MemberLine> parseMemberLine(std::string_view text)
+{
+    return readWith(text, [](const json::value &value) {
+        return MemberLine {json::value_to<std::string>(value.at("instance")),
+                           json::value_to<std::string>(value.at("dataCentre")),
+                           json::value_to<std::string>(value.at("callerAddress")),
+                           value.at("serving").as_bool()};
+    });
+}
+
+std::optional<ReservedMemory> parseReservedMemory(std::string_view text)
+{
+    return readWith(text, [](const json::value &value) {
+        ReservedMemory memory;
+        memory.memoryMiB = value.at("memoryMiB").to_number<std::uint64_t>();
+        for (const json::value &intent : value.at("intents").as_array()) {
+            memory.reservedMiB += intent.at("memoryMiB").to_number<std::uint64_t>();
+            ++memory.intents;
+        }
+        return memory;
+    });
+}
+
+} // namespace boragerack::cli
--- /dev/null
+++ b/packages/cli/tests/ApplyTest.cpp
@@ -0,0 +1,158 @@
+#include <boost/test/unit_test.hpp>
+
+#include "ApplyPlan.h"
+#include "CliFixture.h"
+#include "FleetStatus.h"
+#include "JsonDifference.h"
+#include "PartWriter.h"
+#include "boragerack/platform/HttpPlatformStore.h"
+#include "boragerack/runtime/FiberRuntime.h"
+#include "boragerack/runtime/HttpClient.h"
+#include "boragerack/runtime/HttpServer.h"
+#include "boragerack/standins/PlatformStandin.h"
+
+namespace cli = boragerack::cli;
+namespace config = boragerack::config;
+namespace core = boragerack::core;
+namespace platform = boragerack::platform;
+namespace runtime = boragerack::runtime;
+using cli::test::entitlementsText;
+using cli::test::plansText;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct StoreFixture
+{
+    runtime::FiberRuntime fiberRuntime;
+    boragerack::standins::PlatformStandin standin;
+    runtime::HttpServer server {fiberRuntime.ioContext(), standin, {}};
+    runtime::HttpClient client {fiberRuntime.ioContext(), {}};
+    std::string address = core::takeValue(server.listen("127.0.0.1:0"));
+    platform::HttpPlatformStore store {client, address, 500ms};
+
+    void control(const std::string &path, const std::string &body)
+    {
+        const auto deadline = std::chrono::steady_clock::now() + 5s;
+        BOOST_REQUIRE(core::isOk(client.call(address, {"POST", path, {}, body}, deadline)));
+    }
+
+    cli::EditResult write(const cli::PartEdit &edit) { return cli::writePart(store, edit, 1ms); }
+};
+
+std::vector<std::string> partsOf(const std::vector<cli::PartEdit> &edits)
+{
+    std::vector<std::string> parts;
+    for (const cli::PartEdit &edit : edits)
+        parts.push_back(edit.part);
+    return parts;
+}
+
+} // namespace
+
+// Guards against lists that are invalid between two writes when another order avoids it: a plan
+// must exist before an organisation uses it and must not vanish before the last user has left.
+BOOST_AUTO_TEST_CASE(editsAreOrderedSoThatListsStayValid)
+{
+    const cli::HeldParts held = {{"entitlements/a", {1, entitlementsText("gold")}},
+                                 {"plans/m", {2, plansText("gold")}}};
+    const auto plan = cli::planApply(held,
+                                     {{"entitlements/a", R"({"plans":[],"services":[]})"},
+                                      {"entitlements/b", entitlementsText("silver")},
+                                      {"plans/m", plansText("silver")}});
+    const auto *edits = std::get_if<std::vector<cli::PartEdit>>(&plan);
+    BOOST_REQUIRE(edits);
+    const std::vector<std::string> expected = {"entitlements/b", "plans/m", "entitlements/a"};
+    BOOST_TEST(partsOf(*edits) == expected, boost::test_tools::per_element());
+    BOOST_TEST(edits->at(1).base->version == 2U);
+}
+
+// Guards against a write of a part whose value did not change, and against an edit that breaks a
+// part which was not edited.
+BOOST_AUTO_TEST_CASE(unchangedPartsAreLeftOutAndHeldPartsAreChecked)
+{
+    const cli::HeldParts held = {{"entitlements/a", {1, entitlementsText("gold")}},
+                                 {"plans/m", {2, plansText("gold")}}};
+    const auto same = cli::planApply(held, {{"plans/m", " " + plansText("gold") + "\n"}});
+    BOOST_TEST(std::get<std::vector<cli::PartEdit>>(same).empty());
+    const auto broken = cli::planApply(held, {{"entitlements/a", entitlementsText("silver")}});
+    BOOST_REQUIRE(std::holds_alternative<config::ListFault>(broken));
+    BOOST_TEST(std::get<config::ListFault>(broken).part == "plans/m");
+}
+
+// Guards against an own write that is shown to the operator as somebody else's.
+BOOST_FIXTURE_TEST_CASE(lostAnswerIsRecognised, StoreFixture)
+{
+    control("/control/faults", "{\"loseAnswers\":1}");
+    const auto created = write({"plans/m", plansText("gold"), std::nullopt});
+    BOOST_REQUIRE(std::holds_alternative<cli::EditApplied>(created));
+    BOOST_TEST(std::get<cli::EditApplied>(created).wasRecognised);
+    const auto object = core::takeValue(store.read("lists/plans/m"));
+    BOOST_TEST(object->version == std::get<cli::EditApplied>(created).version);
+}
+
+// Guards against an edit that overwrites a change which its author has not seen.
+BOOST_FIXTURE_TEST_CASE(changeOfAnotherWriterIsAConflict, StoreFixture)
+{
+    const auto first = std::get<platform::WriteApplied>(
+        store.write("lists/plans/m", plansText("gold"), std::nullopt));
+    const auto other = std::get<platform::WriteApplied>(
+        store.write("lists/plans/m", plansText("iron"), first.version));
+    const auto result =
+        write({"plans/m", plansText("silver"), cli::HeldPart {first.version, plansText("gold")}});
+    BOOST_REQUIRE(std::holds_alternative<cli::EditConflicted>(result));
+    BOOST_TEST(std::get<cli::EditConflicted>(result).current->version == other.version);
+    BOOST_TEST(core::valueOf(store.read("lists/plans/m"))->value == plansText("iron"));
+}
+
+// Guards against a refused write that is reported as possibly done.
+BOOST_FIXTURE_TEST_CASE(outageIsReportedAsNotWritten, StoreFixture)
+{
+    control("/control/faults", "{\"outage\":true}");
+    const auto result = write({"plans/m", plansText("gold"), std::nullopt});
+    BOOST_REQUIRE(std::holds_alternative<core::Error>(result));
+    BOOST_TEST((std::get<core::Error>(result).verdict == core::Verdict::NotRun));
+}
+
+// Guards against a comparison that reports a change where only the layout differs.
+BOOST_AUTO_TEST_CASE(differencesNameThePlace)
+{
+    BOOST_TEST(cli::isSameJson(R"({"a":1,"b":[2]})", R"({ "b": [2], "a": 1 })"));
+    const auto lines =
+        cli::describeDifferences(R"({"a":[{"w":4}],"b":1})", R"({"a":[{"w":8},5]})", 2);
+    const std::vector<std::string> expected = {"a[0].w: 4 -> 8", "a[1]: nothing -> 5",
+                                               "and 1 more differences"};
+    BOOST_TEST(lines == expected, boost::test_tools::per_element());
+}
+
+// Guards against reserved memory that is summed wrongly, and against a target that left the
+// instance list while memory is still reserved on it and is not shown.
+BOOST_FIXTURE_TEST_CASE(statusShowsMembersTargetsAndRejections, StoreFixture)
+{
+    control("/control/instances",
+            R"({"instance":"gpu-1","address":"127.0.0.1:9","kind":"engine","state":"leaving",
+                "memoryMiB":1000})");
+    store.write("targets/gpu-1", R"({"memoryMiB":1000,"intents":[{"memoryMiB":30},
+                {"memoryMiB":12}],"more":1})",
+                std::nullopt);
+    store.write("targets/gpu-0", R"({"memoryMiB":500,"intents":[{"memoryMiB":7}]})", std::nullopt);
+    store.write("nodes/n1", R"({"instance":"n1","dataCentre":"a","callerAddress":"127.0.0.1:5",
+                "serving":true})",
+                std::nullopt);
+    store.write("nodes/n2", "{}", std::nullopt);
+    store.write("status/config", R"({"acceptedVersion":1,"listRevision":9,"rejected":[
+                {"name":"plans/m","version":8,"reason":"no plan"}]})",
+                std::nullopt);
+    const auto status = core::takeValue(cli::readFleetStatus(store));
+    BOOST_TEST(!cli::isHealthy(status));
+    BOOST_TEST(cli::formatStatus(status)
+               == "accepted: none\n"
+                  "rejected: 1\n"
+                  "  plans/m  version 8  no plan\n"
+                  "members: 1\n"
+                  "  n1  a  127.0.0.1:5  serving\n"
+                  "targets: 2\n"
+                  "  gpu-0  engine  not in the instance list  reserved 7 of 500 MiB, intents 1\n"
+                  "  gpu-1  engine  leaving  reserved 42 of 1000 MiB, intents 2\n"
+                  "unreadable: nodes/n2: not a node record\n");
+}
--- /dev/null
+++ b/packages/cli/tests/CheckCommandTest.cpp
@@ -0,0 +1,60 @@
+#include <boost/test/unit_test.hpp>
+
+#include "CliFixture.h"
+#include "boragerack/cli/ExitCode.h"
+
+namespace cli = boragerack::cli;
+using cli::test::CliFixture;
+using cli::test::entitlementsText;
+using cli::test::plansText;
+
+// Guards against a fault that does not say which file and field to correct.
+BOOST_FIXTURE_TEST_CASE(faultNamesFileFieldValueAndExpectation, CliFixture)
+{
+    const std::string plans = file("main.json", plansText("gold"));
+    const std::string entitlements = file("base.json", entitlementsText("gold", 0));
+    BOOST_TEST(run({"check", "--plans", plans, "--entitlements", entitlements})
+               == cli::ConditionFailed);
+    BOOST_TEST(err.str()
+               == "boragerack check: " + entitlements
+                   + ": plans[0].burstTokens: found 0, expected an integer from 1 to "
+                     "1000000000000\n");
+    const std::string settings = file("node.json", "{\"instance\":7}");
+    BOOST_TEST(run({"check", "--settings", settings}) == cli::ConditionFailed);
+    BOOST_TEST(err.str().find(settings + ": instance: found 7, expected") != std::string::npos);
+}
+
+// Guards against references between the lists that are not checked, or that are demanded of a
+// file that is checked alone.
+BOOST_FIXTURE_TEST_CASE(referencesAreCheckedWhenBothListsAreGiven, CliFixture)
+{
+    const std::string plans = file("main.json", plansText("silver"));
+    const std::string entitlements = file("base.json", entitlementsText("gold"));
+    BOOST_TEST(run({"check", "--plans", plans}) == cli::Succeeded);
+    BOOST_TEST(run({"check", "--plans", plans, "--entitlements", entitlements})
+               == cli::ConditionFailed);
+    BOOST_TEST(err.str().find(plans + ": organisations[0].plan: found \"silver\"")
+               != std::string::npos);
+}
+
+// Guards against a script that takes a wrong call for a failed check.
+BOOST_FIXTURE_TEST_CASE(wrongUseHasItsOwnExitCode, CliFixture)
+{
+    BOOST_TEST(run({}) == cli::UsageError);
+    BOOST_TEST(run({"chekc"}) == cli::UsageError);
+    BOOST_TEST(run({"check"}) == cli::UsageError);
+    BOOST_TEST(run({"check", "--plans", "/nonexistent/main.json"}) == cli::UsageError);
+    BOOST_TEST(run({"check", "--help"}) == cli::Succeeded);
+}
+
+// Guards against a digest of the line end, which no caller sends.
+BOOST_FIXTURE_TEST_CASE(keyDigestLeavesOutTheLineEnd, CliFixture)
+{
+    const std::string digest = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad\n";
+    BOOST_TEST(run({"key"}, "abc") == cli::Succeeded);
+    BOOST_TEST(out.str() == digest);
+    BOOST_TEST(run({"key"}, "abc\n") == cli::Succeeded);
+    BOOST_TEST(out.str() == digest);
+    BOOST_TEST(run({"key"}, "\n") == cli::UsageError);
+    BOOST_TEST(run({"key"}, "a b") == cli::ConditionFailed);
+}
