Add the service-level burn report

Cause: operators need to see how fast an organisation or a model uses up its error budget, and the four measures, from what the nodes expose. Ruled out: a growth that is attributed to the later of two samples as a whole; with samples further apart than the window it counts hours into five minutes. The growth is spread evenly over the time between the samples. Change: `boragerack burn` reads /metrics of the nodes at several times or saved samples, computes burn rates for 5 min, 1 h, 6 h and 3 d in a pure function, and prints text and one HTML page with inline SVG. Counters that no node exposes are reported as such, not as zero. `check` also takes the settings of load and burn. status shows the node records as they are now, without the serving flag that they no longer hold.

--- /dev/null
+++ b/packages/cli/src/BurnCommand.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "boragerack/cli/Command.h"
+
+namespace boragerack::cli {
+
+/// Reports how fast organisations and models use up their error budgets.
+class BurnCommand final : public Command
+{
+public:
+    std::string_view name() const override { return "burn"; }
+    std::string_view summary() const override { return "report burn rates of the objectives"; }
+    int run(const std::vector<std::string> &arguments, const Streams &streams) override;
+};
+
+} // namespace boragerack::cli
--- /dev/null
+++ b/packages/cli/src/BurnText.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "BurnReport.h"
+
+namespace boragerack::cli {
+
+/// Table of the report for a terminal.
+std::string formatBurnText(const BurnReport &report);
+
+// Parts of the report that the text and the page share.
+std::string formatWindowName(std::chrono::milliseconds length);
+/// Rate with two digits, "-" without requests, "*" appended if the window is not fully covered.
+std::string formatBurnRate(const BurnWindow &window);
+/// One line for each of the four measures.
+std::vector<std::string> formatMeasures(const FleetMeasures &measures);
+
+} // namespace boragerack::cli
--- a/packages/cli/src/CheckCommand.cpp
+++ b/packages/cli/src/CheckCommand.cpp
@@ -5,7 +5,9 @@
 #include "CommandLine.h"
 #include "InputFile.h"
 #include "ListFiles.h"
+#include "boragerack/config/LoadSettings.h"
 #include "boragerack/config/NodeSettings.h"
+#include "boragerack/config/ServiceObjectives.h"
 
 namespace boragerack::cli {
 
@@ -13,19 +15,19 @@
 
 namespace {
 
-/// Reports the first wrong settings file.
-ExitCode checkSettings(const std::vector<std::string> &paths, std::string_view command,
-                       const Streams &streams)
+/// Checks settings files with their parser and reports the first that is wrong.
+template<class Parser>
+ExitCode checkSettings(const std::vector<std::string> &paths, Parser parse,
+                       std::string_view command, const Streams &streams)
 {
     for (const std::string &path : paths) {
         const auto text = readInputFile(path);
         if (!core::isOk(text))
             return fail(streams, command, core::errorOf(text).message, UsageError);
-        const auto settings = config::parseNodeSettings(path, core::valueOf(text));
+        const auto settings = parse(path, core::valueOf(text));
         if (!core::isOk(settings))
             return fail(streams, command, core::errorOf(settings).message, ConditionFailed);
-        streams.out << path << ": ok, settings of node " << core::valueOf(settings).instance.value
-                    << '\n';
+        streams.out << path << ": ok\n";
     }
     return Succeeded;
 }
@@ -38,7 +40,11 @@
     addListOptions(description);
     description.add_options()("settings",
                               options::value<std::vector<std::string>>()->value_name("FILE"),
-                              "settings of a node; may be repeated")("help", "print this text");
+                              "settings of a node; may be repeated")(
+        "load", options::value<std::vector<std::string>>()->value_name("FILE"),
+        "settings of boragerack load; may be repeated")(
+        "objectives", options::value<std::vector<std::string>>()->value_name("FILE"),
+        "settings of boragerack burn; may be repeated")("help", "print this text");
     const auto parsed = parseOptions(name(), description, arguments, streams);
     if (const ExitCode *code = std::get_if<ExitCode>(&parsed))
         return *code;
@@ -48,13 +54,21 @@
     if (!core::isOk(files))
         return fail(streams, name(), core::errorOf(files).message, UsageError);
     const auto settings = valuesOf(values, "settings");
-    if (core::valueOf(files).empty() && settings.empty())
+    const auto load = valuesOf(values, "load");
+    const auto objectives = valuesOf(values, "objectives");
+    if (core::valueOf(files).empty() && settings.empty() && load.empty() && objectives.empty())
         return fail(streams, name(), "no file named; see --help", UsageError);
     if (const auto fault = findFault(core::valueOf(files)))
         return fail(streams, name(), *fault, ConditionFailed);
     for (const auto &[part, file] : core::valueOf(files))
         streams.out << file.path << ": ok, part " << part << '\n';
-    return checkSettings(settings, name(), streams);
+    if (const auto code = checkSettings(settings, config::parseNodeSettings, name(), streams);
+        code != Succeeded)
+        return code;
+    if (const auto code = checkSettings(load, config::parseLoadSettings, name(), streams);
+        code != Succeeded)
+        return code;
+    return checkSettings(objectives, config::parseServiceObjectives, name(), streams);
 }
 
 } // namespace boragerack::cli
--- a/packages/cli/src/CommandSet.cpp
+++ b/packages/cli/src/CommandSet.cpp
@@ -3,6 +3,7 @@
 #include <ostream>
 
 #include "ApplyCommand.h"
+#include "BurnCommand.h"
 #include "CheckCommand.h"
 #include "KeyCommand.h"
 #include "LoadCommand.h"
@@ -31,6 +32,7 @@
     commands.push_back(std::make_unique<StatusCommand>());
     commands.push_back(std::make_unique<KeyCommand>());
     commands.push_back(std::make_unique<LoadCommand>());
+    commands.push_back(std::make_unique<BurnCommand>());
     return commands;
 }
 
--- a/packages/cli/src/FleetStatus.cpp
+++ b/packages/cli/src/FleetStatus.cpp
@@ -145,9 +145,9 @@
     formatConfiguration(status, stream);
     stream << "members: " << status.members.size() << '\n';
     for (const MemberLine &member : status.members) {
-        stream << "  " << member.instance << "  " << member.dataCentre << "  "
-               << member.callerAddress << "  " << (member.isServing ? "serving" : "not serving")
-               << '\n';
+        stream << "  " << member.instance << "  " << member.dataCentre << "  callers "
+               << member.callerAddress << "  peers " << member.peerAddress << "  incarnation "
+               << member.incarnation << '\n';
     }
     stream << "targets: " << status.targets.size() << '\n';
     for (const TargetLine &target : status.targets) {
--- a/packages/cli/src/FleetStatus.h
+++ b/packages/cli/src/FleetStatus.h
@@ -18,7 +18,8 @@
     std::string instance;
     std::string dataCentre;
     std::string callerAddress;
-    bool isServing = false;
+    std::string peerAddress;
+    std::uint64_t incarnation = 0;
 
     friend auto operator<=>(const MemberLine &, const MemberLine &) = default;
 };
--- /dev/null
+++ b/packages/cli/src/RequestOutcome.cpp
@@ -0,0 +1,21 @@
+#include "RequestOutcome.h"
+
+#include <algorithm>
+#include <array>
+
+namespace boragerack::cli {
+
+OutcomeKind classifyOutcome(std::string_view outcome)
+{
+    constexpr std::array<std::string_view, 10> kCallerFaults = {
+        "invalid_request", "unauthenticated", "not_permitted", "not_found",         "conflict",
+        "too_large",       "rate_limited",    "quarantined",   "duplicate_request", "cancelled",
+    };
+    if (outcome == "completed")
+        return OutcomeKind::Served;
+    return std::find(kCallerFaults.begin(), kCallerFaults.end(), outcome) != kCallerFaults.end()
+        ? OutcomeKind::CallerFault
+        : OutcomeKind::FleetFault;
+}
+
+} // namespace boragerack::cli
--- a/packages/cli/src/StatusRecords.cpp
+++ b/packages/cli/src/StatusRecords.cpp
@@ -29,7 +29,8 @@
         return MemberLine {json::value_to<std::string>(value.at("instance")),
                            json::value_to<std::string>(value.at("dataCentre")),
                            json::value_to<std::string>(value.at("callerAddress")),
-                           value.at("serving").as_bool()};
+                           json::value_to<std::string>(value.at("peerAddress")),
+                           value.at("incarnation").to_number<std::uint64_t>()};
     });
 }
 
--- a/packages/cli/tests/CheckCommandTest.cpp
+++ b/packages/cli/tests/CheckCommandTest.cpp
@@ -22,6 +22,16 @@
     const std::string settings = file("node.json", "{\"instance\":7}");
     BOOST_TEST(run({"check", "--settings", settings}) == cli::ConditionFailed);
     BOOST_TEST(err.str().find(settings + ": instance: found 7, expected") != std::string::npos);
+    const std::string load = file("load.json", R"({"organisations":[],"models":[]})");
+    BOOST_TEST(run({"check", "--load", load}) == cli::ConditionFailed);
+    BOOST_TEST(err.str().find(load + ": organisations: found [], expected at least one")
+               != std::string::npos);
+    const std::string objectives =
+        file("objectives.json",
+             R"({"objectives":[{"name":"a","indicator":"refusals","goodPerMille":1000}]})");
+    BOOST_TEST(run({"check", "--objectives", objectives}) == cli::ConditionFailed);
+    BOOST_TEST(err.str().find(objectives + ": objectives[0].goodPerMille: found 1000, expected")
+               != std::string::npos);
 }
 
 // Guards against references between the lists that are not checked, or that are demanded of a
