--- a/packages/cli/src/BurnCommand.cpp
+++ b/packages/cli/src/BurnCommand.cpp
@@ -104,7 +104,7 @@
         const auto texts = parseMetricTexts(path, core::valueOf(text));
         if (!core::isOk(texts))
             return core::errorOf(texts);
-        if (const auto added = addSamples(core::valueOf(texts), samples); !core::isOk(added))
+        if (auto added = addSamples(core::valueOf(texts), samples); !core::isOk(added))
             return added;
     }
     return core::Nothing();
@@ -132,7 +132,7 @@
         answers += texts.size();
         for (const MetricText &text : texts)
             file << serialiseMetricText(text) << std::endl;
-        if (const auto added = addSamples(texts, samples); !core::isOk(added))
+        if (auto added = addSamples(texts, samples); !core::isOk(added))
             return added;
     }
     if (answers == 0) {
--- a/packages/cli/src/BurnReport.cpp
+++ b/packages/cli/src/BurnReport.cpp
@@ -124,6 +124,8 @@
     Time length = {};
     double coverage = 0;
     MetricValues values;
+    /// Values at the end of the span; only set in the timeline.
+    MetricValues gauges;
 };
 
 std::vector<Span> makeWindows(const MetricHistory &history)
@@ -133,7 +135,8 @@
         const Time covered = std::min(length, history.end() - history.begin());
         spans.push_back({length,
                          static_cast<double>(covered.count()) / static_cast<double>(length.count()),
-                         history.increase(history.end() - length, history.end())});
+                         history.increase(history.end() - length, history.end()),
+                         {}});
     }
     return spans;
 }
@@ -145,7 +148,7 @@
     for (std::size_t i = 0; i < kTimelinePoints && whole.count() > 0; ++i) {
         const Time from = history.begin() + whole * i / kTimelinePoints;
         const Time to = history.begin() + whole * (i + 1) / kTimelinePoints;
-        spans.push_back({to - from, 1, history.increase(from, to)});
+        spans.push_back({to - from, 1, history.increase(from, to), history.latest(to)});
     }
     return spans;
 }
@@ -196,6 +199,12 @@
                              < std::tie(right.organisation, right.model);
                      });
     report.measures = computeMeasures(history.increase(history.begin(), history.end()));
+    for (const Span &span : timeline) {
+        if (const auto count = countRefusalsWithinRate(span.values, span.gauges, span.length)) {
+            report.measures.refusalsWithinRate =
+                report.measures.refusalsWithinRate.value_or(0) + *count;
+        }
+    }
     for (const BurnRow &row : report.rows) {
         // The longest window; the history may be shorter.
         const auto &burnRate = row.windows.back().burnRate;
--- a/packages/cli/src/BurnReport.h
+++ b/packages/cli/src/BurnReport.h
@@ -51,7 +51,10 @@
     std::string worstOrganisation;
     std::string worstObjective;
     double worstBurnRate = 0;
+    /// Requests refused as not run through a fault of the fleet.
     std::optional<double> wrongfulRefusals;
+    /// Requests refused for their rate while the organisation stayed within it (docs/metrics.md).
+    std::optional<double> refusalsWithinRate;
 
     friend auto operator<=>(const FleetMeasures &, const FleetMeasures &) = default;
 };
--- a/packages/cli/src/BurnText.cpp
+++ b/packages/cli/src/BurnText.cpp
@@ -67,6 +67,7 @@
                             + ", objective " + measures.worstObjective + ", burn rate "
                             + formatNumber(measures.worstBurnRate, 2));
     lines.push_back("wrongful refusals: " + formatCount(measures.wrongfulRefusals, 0));
+    lines.push_back("refusals within the rate: " + formatCount(measures.refusalsWithinRate, 0));
     return lines;
 }
 
--- a/packages/cli/src/FleetMeasures.cpp
+++ b/packages/cli/src/FleetMeasures.cpp
@@ -66,4 +66,35 @@
     return measures;
 }
 
+std::optional<double> countRefusalsWithinRate(const MetricValues &growth,
+                                              const MetricValues &gauges,
+                                              std::chrono::milliseconds length)
+{
+    std::map<std::string, double> permitted;
+    for (const auto &[series, value] : gauges) {
+        if (series.name == "boragerack_plan_tokens_per_second")
+            permitted[labelOf(series, "organisation")] =
+                value * std::chrono::duration<double>(length).count();
+    }
+    if (permitted.empty())
+        return std::nullopt;
+    std::map<std::string, double> demand;
+    std::map<std::string, double> refused;
+    for (const auto &[series, value] : growth) {
+        const std::string organisation = labelOf(series, "organisation");
+        if (series.name == "boragerack_tokens_admitted_total"
+            || series.name == "boragerack_tokens_refused_total")
+            demand[organisation] += value;
+        else if (series.name == kRequestsMetric && labelOf(series, "outcome") == "rate_limited")
+            refused[organisation] += value;
+    }
+    double sum = 0;
+    for (const auto &[organisation, requests] : refused) {
+        const auto limit = permitted.find(organisation);
+        if (limit != permitted.end() && demand[organisation] <= limit->second)
+            sum += requests;
+    }
+    return sum;
+}
+
 } // namespace boragerack::cli
--- a/packages/cli/src/FleetMeasures.h
+++ b/packages/cli/src/FleetMeasures.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string_view>
 
@@ -14,4 +15,11 @@
 /// found from the burn rates.
 FleetMeasures computeMeasures(const MetricValues &growth);
 
+/// Requests with the outcome "rate_limited" of organisations whose demand in a span of time stayed
+/// within the rate of their plan; nothing if no node exposes the rates. `growth` is that of the
+/// counters in the span, `gauges` their values at its end.
+std::optional<double> countRefusalsWithinRate(const MetricValues &growth,
+                                              const MetricValues &gauges,
+                                              std::chrono::milliseconds length);
+
 } // namespace boragerack::cli
--- a/packages/cli/src/MetricHistory.cpp
+++ b/packages/cli/src/MetricHistory.cpp
@@ -1,6 +1,7 @@
 #include "MetricHistory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -60,4 +61,21 @@
     return sum;
 }
 
+MetricValues MetricHistory::latest(Time time) const
+{
+    MetricValues highest;
+    for (const auto &[node, samples] : samplesByNode_) {
+        const auto after = std::find_if(samples.begin(), samples.end(),
+                                        [&](const auto &sample) { return sample.time > time; });
+        if (after == samples.begin())
+            continue;
+        for (const auto &[series, value] : std::prev(after)->values) {
+            const auto [entry, isNew] = highest.emplace(series, value);
+            if (!isNew)
+                entry->second = std::max(entry->second, value);
+        }
+    }
+    return highest;
+}
+
 } // namespace boragerack::cli
--- a/packages/cli/src/MetricHistory.h
+++ b/packages/cli/src/MetricHistory.h
@@ -22,6 +22,9 @@
     /// sample is left out, because it is not known when that was.
     MetricValues increase(std::chrono::milliseconds from, std::chrono::milliseconds to) const;
 
+    /// Highest value of each series among the nodes' last samples up to a time; for gauges.
+    MetricValues latest(std::chrono::milliseconds time) const;
+
     /// Times of the first and the last sample; zero without samples.
     std::chrono::milliseconds begin() const { return begin_; }
     std::chrono::milliseconds end() const { return end_; }
--- a/packages/cli/tests/ApplyTest.cpp
+++ b/packages/cli/tests/ApplyTest.cpp
@@ -2,9 +2,11 @@
 
 #include "ApplyPlan.h"
 #include "CliFixture.h"
+#include "EditRun.h"
 #include "FleetStatus.h"
 #include "JsonDifference.h"
 #include "PartWriter.h"
+#include "boragerack/cli/ExitCode.h"
 #include "boragerack/platform/HttpPlatformStore.h"
 #include "boragerack/runtime/FiberRuntime.h"
 #include "boragerack/runtime/HttpClient.h"
@@ -105,6 +107,35 @@
     BOOST_TEST(core::valueOf(store.read("lists/plans/m"))->value == plansText("iron"));
 }
 
+// Guards against a conflict that does not show what either side changed, and against writes that go
+// on after it.
+BOOST_FIXTURE_TEST_CASE(conflictShowsBothChangesAndStops, StoreFixture)
+{
+    const auto first = std::get<platform::WriteApplied>(
+        store.write("lists/entitlements/a", entitlementsText("gold", 60), std::nullopt));
+    store.write("lists/entitlements/a", entitlementsText("gold", 70), first.version);
+    std::istringstream in;
+    std::ostringstream out;
+    std::ostringstream err;
+    const cli::HeldPart base {first.version, entitlementsText("gold", 60)};
+    BOOST_TEST(cli::writeEdits(store,
+                               {{"plans/m", plansText("gold"), std::nullopt},
+                                {"entitlements/a", entitlementsText("gold", 90), base},
+                                {"plans/n", plansText("gold", "mills"), std::nullopt}},
+                               {in, out, err})
+               == cli::EditConflict);
+    BOOST_TEST(out.str() == "plans/m: no such part -> version 3\n");
+    BOOST_TEST(err.str()
+               == "boragerack apply: conflict on entitlements/a: read version 1, the platform now "
+                  "holds version 2\n"
+                  "  platform, version 2, changed:\n"
+                  "    plans[0].burstTokens: 60 -> 70\n"
+                  "  this edit of version 1 changes:\n"
+                  "    plans[0].burstTokens: 60 -> 90\n"
+                  "boragerack apply: 1 of 3 changed parts written\n");
+    BOOST_TEST(!core::valueOf(store.read("lists/plans/n")).has_value());
+}
+
 // Guards against a refused write that is reported as possibly done.
 BOOST_FIXTURE_TEST_CASE(outageIsReportedAsNotWritten, StoreFixture)
 {
--- a/packages/cli/tests/BurnReportTest.cpp
+++ b/packages/cli/tests/BurnReportTest.cpp
@@ -119,6 +119,28 @@
     BOOST_TEST(measures.idleAcceleratorHours.value() == 1.5);
 }
 
+// Guards against rightful refusals that count as wrongful and the reverse. The plan permits 1
+// token/s. In the first 24 minutes (1440 tokens) 900 + 100 tokens are asked for and 5 requests
+// refused; in the second 24 minutes 2000 + 1000 tokens and 7 requests.
+BOOST_AUTO_TEST_CASE(refusalsWithinTheRateAreCounted)
+{
+    const auto text = [](int admitted, int refused, int requests) {
+        return "boragerack_plan_tokens_per_second{organisation=\"a\"} 1\n"
+               "boragerack_tokens_admitted_total{organisation=\"a\"} "
+            + std::to_string(admitted) + "\nboragerack_tokens_refused_total{organisation=\"a\"} "
+            + std::to_string(refused)
+            + "\nboragerack_requests_total{organisation=\"a\",model=\"m\","
+              "outcome=\"rate_limited\",verdict=\"not_run\"} "
+            + std::to_string(requests) + "\n";
+    };
+    const auto history = cli::MetricHistory::make({sampleAt(0min, "n", text(0, 0, 0)),
+                                                   sampleAt(24min, "n", text(900, 100, 5)),
+                                                   sampleAt(48min, "n", text(2900, 1100, 12))});
+    const cli::FleetMeasures measures = cli::computeBurn(history, makeObjectives()).measures;
+    BOOST_TEST(measures.refusalsWithinRate.value() == 5.0, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(measures.wrongfulRefusals.value() == 0.0);
+}
+
 // Guards against label values that break the reader or the page.
 BOOST_AUTO_TEST_CASE(labelsAreReadAndEscaped)
 {
