Bound the number of checks that order an edit

Cause: apply checks all lists once for each try of an order, which grows with the square of the edited parts where no valid order exists. Ruled out: a fixed order of entitlements before plans; it is wrong for a plan that is withdrawn. Change: at most 64 tries; the edits that are left keep their order.

--- a/packages/cli/src/ApplyPlan.cpp
+++ b/packages/cli/src/ApplyPlan.cpp
@@ -1,6 +1,7 @@
 #include "ApplyPlan.h"
 
-#include <algorithm>
+#include <cstddef>
+#include <utility>
 
 #include "JsonDifference.h"
 
@@ -10,22 +11,52 @@
 
 using TextByPart = std::map<std::string, std::string>;
 
+constexpr std::size_t kMaxChecks = 64;
+
 bool isValid(const TextByPart &texts)
 {
     return std::holds_alternative<decisions::Catalogue>(config::checkLists(texts));
 }
 
-/// Position of an edit after which the lists are valid; the first one if there is none.
-std::size_t findNext(const TextByPart &texts, const std::vector<PartEdit> &edits)
+/// Orders edits so that the lists stay valid after each one. Each try checks all lists, so their
+/// number is bounded; the edits that are left keep their order.
+class EditOrder
 {
-    for (std::size_t i = 0; i < edits.size(); ++i) {
-        TextByPart changed = texts;
-        changed[edits[i].part] = edits[i].text;
-        if (isValid(changed))
-            return i;
+public:
+    explicit EditOrder(TextByPart texts)
+        : texts_(std::move(texts))
+    {
+    }
+
+    std::vector<PartEdit> arrange(std::vector<PartEdit> open)
+    {
+        std::vector<PartEdit> ordered;
+        while (!open.empty()) {
+            const auto next = open.begin() + static_cast<std::ptrdiff_t>(findNext(open));
+            texts_[next->part] = next->text;
+            ordered.push_back(std::move(*next));
+            open.erase(next);
+        }
+        return ordered;
     }
-    return 0;
-}
+
+private:
+    /// Position of an edit after which the lists are valid; the first one if none is found.
+    std::size_t findNext(const std::vector<PartEdit> &open)
+    {
+        for (std::size_t i = 0; open.size() > 1 && i < open.size() && checks_ < kMaxChecks; ++i) {
+            ++checks_;
+            TextByPart changed = texts_;
+            changed[open[i].part] = open[i].text;
+            if (isValid(changed))
+                return i;
+        }
+        return 0;
+    }
+
+    TextByPart texts_;
+    std::size_t checks_ = 0;
+};
 
 } // namespace
 
@@ -49,14 +80,7 @@
     if (const auto *fault = std::get_if<config::ListFault>(&checked))
         return *fault;
 
-    std::vector<PartEdit> ordered;
-    while (!open.empty()) {
-        const auto next = open.begin() + static_cast<std::ptrdiff_t>(findNext(current, open));
-        current[next->part] = next->text;
-        ordered.push_back(*next);
-        open.erase(next);
-    }
-    return ordered;
+    return EditOrder(std::move(current)).arrange(std::move(open));
 }
 
 } // namespace boragerack::cli
