--- /dev/null
+++ b/packages/cli/src/ApplyCommand.cpp
@@ -0,0 +1,75 @@
+#include "ApplyCommand.h"
+
+#include <ostream>
+
+#include "EditRun.h"
+#include "ListFiles.h"
+#include "PlatformSession.h"
+
+namespace boragerack::cli {
+
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr std::string_view kListsPrefix = "lists/";
+
+core::Result<HeldParts> readHeldParts(platform::PlatformStore &store)
+{
+    const auto list = store.list(std::string(kListsPrefix));
+    if (!core::isOk(list))
+        return core::errorOf(list);
+    HeldParts held;
+    for (const platform::PlatformObject &object : core::valueOf(list).objects)
+        held[object.key.substr(kListsPrefix.size())] = {object.version, object.value};
+    return held;
+}
+
+} // namespace
+
+int ApplyCommand::run(const std::vector<std::string> &arguments, const Streams &streams)
+{
+    options::options_description description("Options");
+    addListOptions(description);
+    addPlatformOptions(description);
+    description.add_options()("dry-run", "check and show the changes, write nothing")(
+        "help", "print this text");
+    const auto parsed = parseOptions(name(), description, arguments, streams);
+    if (const ExitCode *code = std::get_if<ExitCode>(&parsed))
+        return *code;
+    const auto &values = std::get<options::variables_map>(parsed);
+
+    const auto platformOptions = readPlatformOptions(values);
+    if (!core::isOk(platformOptions))
+        return fail(streams, name(), core::errorOf(platformOptions).message, UsageError);
+    const auto files = readListFiles(values);
+    if (!core::isOk(files))
+        return fail(streams, name(), core::errorOf(files).message, UsageError);
+    if (core::valueOf(files).empty())
+        return fail(streams, name(), "no file named; see --help", UsageError);
+
+    PlatformSession session(core::valueOf(platformOptions).address,
+                            core::valueOf(platformOptions).timeout);
+    const auto held = readHeldParts(session.store());
+    if (!core::isOk(held))
+        return fail(streams, name(), core::errorOf(held).message, PlatformUnreachable);
+    std::map<std::string, std::string> wanted;
+    for (const auto &[part, file] : core::valueOf(files))
+        wanted[part] = file.text;
+    const auto plan = planApply(core::valueOf(held), wanted);
+    if (const auto *fault = std::get_if<config::ListFault>(&plan)) {
+        return fail(streams, name(),
+                    describeFault(*fault, core::valueOf(files)) + "; nothing was written",
+                    ConditionFailed);
+    }
+    const auto &edits = std::get<std::vector<PartEdit>>(plan);
+    if (edits.empty())
+        streams.out << "no part differs from what the platform holds\n";
+    if (values.count("dry-run") > 0) {
+        showEdits(edits, streams);
+        return Succeeded;
+    }
+    return writeEdits(session.store(), edits, streams);
+}
+
+} // namespace boragerack::cli
