Retry at another target only when the planner knows the dead one

Cause: after a target died, demand was answered with the same replica until the planner's next reports, so all attempts of a request were used up within milliseconds; a first node that starts alone claimed every budget share, which its death took away; request metrics were missing.

Change: a node tells the planner which target does not answer and asks again after 200 ms while the answer names that target; the share table learns of members once they have been unchanged for 1.5 s; requests and tokens are counted, gauges are set when metrics are read.

--- a/packages/node/src/BudgetTask.cpp
+++ b/packages/node/src/BudgetTask.cpp
@@ -16,6 +16,10 @@
 constexpr std::size_t kMailboxCapacity = 8192;
 constexpr std::chrono::milliseconds kMaxWait(1000);
 constexpr std::chrono::milliseconds kRetryPause(500);
+/// The first node of a starting fleet would claim all shares, which its death then takes away.
+constexpr std::chrono::milliseconds kMemberSettleTime(1500);
+/// Interval of dropping full buckets that nobody uses.
+constexpr std::chrono::minutes kDropInterval(1);
 constexpr std::chrono::seconds kRetryAfter(1);
 
 std::string tableKey()
@@ -111,8 +115,13 @@
     while (isRunning_) {
         if (auto message = mailbox_.receiveUntil(nextTimer()))
             std::visit([this](const auto &body) { on(body); }, *message);
+        feedSettledMembers();
         feedBorrower(decisions::BorrowerTimer());
         feedTable(decisions::ShareTimer());
+        if (clock_.now() - droppedAt_ >= kDropInterval) {
+            droppedAt_ = clock_.now();
+            holder_.dropUntouched(droppedAt_);
+        }
     }
     mailbox_.close();
 }
@@ -124,6 +133,8 @@
         next = std::min(next, *timer);
     if (const auto timer = table_.nextTimer())
         next = std::min(next, *timer);
+    if (settlingMembers_)
+        next = std::min(next, membersChangedAt_ + kMemberSettleTime);
     return next;
 }
 
@@ -210,6 +221,20 @@
     feedHolder(message);
 }
 
+void BudgetTask::on(const decisions::BudgetMembersChanged &message)
+{
+    settlingMembers_ = message;
+    membersChangedAt_ = clock_.now();
+}
+
+void BudgetTask::feedSettledMembers()
+{
+    if (!settlingMembers_ || clock_.now() < membersChangedAt_ + kMemberSettleTime)
+        return;
+    feedTable(*settlingMembers_);
+    settlingMembers_.reset();
+}
+
 void BudgetTask::on(const StopBudget &)
 {
     isRunning_ = false;
--- a/packages/node/src/BudgetTask.h
+++ b/packages/node/src/BudgetTask.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "BudgetLink.h"
 #include "BudgetMessage.h"
@@ -41,6 +42,7 @@
     void on(const decisions::BudgetAsk &message);
     void on(const decisions::BudgetGrant &message);
     void on(const decisions::BudgetReturn &message);
+    void on(const decisions::BudgetMembersChanged &message);
     void on(const StopBudget &message);
     template<class TableEvent>
     void on(const TableEvent &event);
@@ -57,6 +59,7 @@
     void perform(const decisions::SendReturn &action);
     void perform(const decisions::TokensReserved &action);
     void perform(const decisions::ReservationRefused &action);
+    void feedSettledMembers();
     void readTable();
     core::TimePoint nextTimer() const;
 
@@ -75,6 +78,10 @@
         waiting_;
     std::map<core::OrganisationId, decisions::RateLimit> limits_;
     decisions::ShareOwners knownOwners_;
+    /// Members that the share table does not know yet, and when they last changed.
+    std::optional<decisions::BudgetMembersChanged> settlingMembers_;
+    core::TimePoint membersChangedAt_;
+    core::TimePoint droppedAt_;
     bool isRunning_ = true;
     runtime::FiberGroup fibers_;
 };
--- a/packages/node/src/CallerHandler.cpp
+++ b/packages/node/src/CallerHandler.cpp
@@ -99,6 +99,7 @@
             refusal ? makeErrorResponse(*refusal)
                     : runtime::HttpResponse {200, {{"Content-Type", "text/plain"}}, "ready\n"});
     } else if (path == "/metrics") {
+        setGauges();
         responder.send(
             {200, {{"Content-Type", "text/plain; version=0.0.4"}}, services_.metrics.expose()});
     } else if (path == "/v1/addresses") {
@@ -109,6 +110,28 @@
     return true;
 }
 
+void CallerHandler::setGauges()
+{
+    const auto configuration = services_.configuration.get();
+    services_.metrics.set("boragerack_configuration_version", "",
+                          static_cast<std::int64_t>(configuration->version));
+    std::int64_t alive = 0;
+    std::int64_t suspected = 0;
+    const auto members = members_.get();
+    for (const Member &member : members->members)
+        ++(member.isSuspected ? suspected : alive);
+    services_.metrics.set("boragerack_members", makeLabels({{"state", "alive"}}), alive);
+    services_.metrics.set("boragerack_members", makeLabels({{"state", "suspected"}}), suspected);
+    for (const decisions::Organisation &organisation :
+         configuration->catalogue.contents().organisations) {
+        if (const auto *plan = configuration->catalogue.findPlan(organisation.organisation)) {
+            services_.metrics.set("boragerack_plan_tokens_per_second",
+                                  makeLabels({{"organisation", organisation.organisation.value}}),
+                                  plan->tokensPerSecond);
+        }
+    }
+}
+
 runtime::HttpResponse CallerHandler::listAddresses() const
 {
     json::array addresses;
--- a/packages/node/src/CallerHandler.h
+++ b/packages/node/src/CallerHandler.h
@@ -22,6 +22,8 @@
 private:
     void handleAdmitted(const runtime::HttpRequest &request, runtime::HttpResponder &responder);
     bool handleStatus(const runtime::HttpRequest &request, runtime::HttpResponder &responder);
+    /// Sets the metrics that describe a state and not events.
+    void setGauges();
     runtime::HttpResponse listAddresses() const;
     runtime::HttpResponse listModels(const CallerContext &context) const;
 
--- a/packages/node/src/FleetTask.cpp
+++ b/packages/node/src/FleetTask.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t kMailboxCapacity = 4096;
 constexpr std::chrono::milliseconds kTickInterval(100);
 /// The start of a watch counts as the time of its evidence, so a watch must be short.
-constexpr std::chrono::milliseconds kWatchWait(1000);
+constexpr std::chrono::milliseconds kWatchWait(500);
 
 std::string prefixOf(decisions::FleetAgent::Prefix prefix)
 {
--- a/packages/node/src/ModelHandler.cpp
+++ b/packages/node/src/ModelHandler.cpp
@@ -5,6 +5,7 @@
 
 #include "CallerError.h"
 #include "CallerSink.h"
+#include "RequestMetrics.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::node {
@@ -48,7 +49,7 @@
     const core::Digest fingerprint =
         decisions::makeFingerprint(context.organisation, runtime::pathOf(request), request.body);
     if (const auto refusal = services_.quarantine.check(fingerprint, context.deadline)) {
-        responder.send(makeErrorResponse(*refusal));
+        refuse(*refusal, context, core::valueOf(model), responder);
         return;
     }
 
@@ -56,7 +57,12 @@
     const std::int64_t tokens = parsed.promptTokens + parsed.maxTokens;
     const auto reservation = reserve(tokens, context);
     if (!core::isOk(reservation)) {
-        responder.send(makeErrorResponse(core::errorOf(reservation)));
+        if (core::errorOf(reservation).code == core::ErrorCode::RateLimited) {
+            services_.metrics.add("boragerack_tokens_refused_total",
+                                  makeLabels({{"organisation", context.organisation.value}}),
+                                  static_cast<std::uint64_t>(tokens));
+        }
+        refuse(core::errorOf(reservation), context, parsed, responder);
         return;
     }
 
@@ -70,6 +76,11 @@
     static_cast<void>(services_.budget.trySend(
         decisions::ReservationSettled {core::valueOf(reservation), std::min(used, tokens)}));
     reportDeaths(fingerprint, result);
+    countRequest(services_.metrics, context.organisation, parsed.model, result.verdict,
+                 result.error);
+    services_.metrics.add("boragerack_tokens_admitted_total",
+                          makeLabels({{"organisation", context.organisation.value}}),
+                          static_cast<std::uint64_t>(std::min(used, tokens)));
     if (sink.firstPartAt()) {
         services_.metrics.observe(
             "boragerack_first_token_seconds",
@@ -79,6 +90,13 @@
     sink.finish(result);
 }
 
+void ModelHandler::refuse(const core::Error &error, const CallerContext &context,
+                          const ModelRequest &model, runtime::HttpResponder &responder)
+{
+    countRequest(services_.metrics, context.organisation, model.model, error.verdict, error);
+    responder.send(makeErrorResponse(error));
+}
+
 core::Result<decisions::RequestNumber> ModelHandler::reserve(std::int64_t tokens,
                                                              const CallerContext &context)
 {
--- a/packages/node/src/ModelHandler.h
+++ b/packages/node/src/ModelHandler.h
@@ -19,6 +19,8 @@
 private:
     core::Result<decisions::Artifact> authorise(const ModelRequest &model,
                                                 const CallerContext &context) const;
+    void refuse(const core::Error &error, const CallerContext &context, const ModelRequest &model,
+                runtime::HttpResponder &responder);
     core::Result<decisions::RequestNumber> reserve(std::int64_t tokens,
                                                    const CallerContext &context);
     AttemptJob makeJob(const runtime::HttpRequest &request, const ModelRequest &model,
--- a/packages/node/src/PlacementTask.cpp
+++ b/packages/node/src/PlacementTask.cpp
@@ -329,7 +329,7 @@
     const ReplicaKey key(action.target, action.artifact);
     drains_.erase(key);
     if (action.state == decisions::ReplicaState::Draining)
-        drains_[key] = Drain {clock_.now() + kDrainGrace};
+        drains_[key] = Drain {action.drain, clock_.now() + kDrainGrace};
     if (action.state == decisions::ReplicaState::Ready) {
         runtime::logEvent(runtime::LogEvent::LoadFinished,
                           decisions::modelKey(action.artifact) + " on " + action.target.value);
@@ -384,6 +384,15 @@
     });
 }
 
+void PlacementTask::on(const decisions::TargetReachable &message)
+{
+    // Only the planner asks for reports, which take the mark back.
+    if (!isPlanner())
+        return;
+    missedReports_[message.target] = kMissedReports;
+    feed(message);
+}
+
 void PlacementTask::on(const ReportEnded &message)
 {
     reportsInProgress_.erase(message.target);
@@ -408,8 +417,9 @@
             ++drain;
             continue;
         }
-        drain = drains_.erase(drain);
-        feed(decisions::ReplicaDrained {key.second, key.first});
+        const std::uint64_t number = drain->second.number;
+        drains_.erase(drain);
+        feed(decisions::ReplicaDrained {key.second, key.first, number});
         // The event may have changed the map; start again at the next turn.
         break;
     }
--- a/packages/node/src/PlacementTask.h
+++ b/packages/node/src/PlacementTask.h
@@ -41,6 +41,7 @@
 private:
     struct Drain
     {
+        std::uint64_t number = 0;
         core::TimePoint notBefore;
     };
     using ReplicaKey = std::pair<core::TargetId, decisions::Artifact>;
@@ -53,6 +54,7 @@
     void on(const StopPlacement &message);
     void on(const TargetChanges &message);
     void on(const ReportEnded &message);
+    void on(const decisions::TargetReachable &message);
     void on(const decisions::ReplicaUsed &message);
     template<class Event>
     void on(const Event &event);
--- a/packages/node/src/RoutingTask.cpp
+++ b/packages/node/src/RoutingTask.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/fiber/operations.hpp>
+
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::node {
@@ -13,6 +15,7 @@
 constexpr std::chrono::seconds kMissingDuration(2);
 constexpr std::chrono::seconds kRetryAfter(1);
 constexpr std::chrono::milliseconds kCancelTimeout(500);
+constexpr std::chrono::milliseconds kRewakePause(200);
 
 } // namespace
 
@@ -147,10 +150,22 @@
 
 void RoutingTask::on(const WakeFinished &message)
 {
-    if (core::isOk(message.outcome))
-        give(message.request, core::valueOf(message.outcome));
-    else
-        message.request.reply.set(core::errorOf(message.outcome));
+    const ChooseRoute &request = message.request;
+    if (!core::isOk(message.outcome)) {
+        request.reply.set(core::errorOf(message.outcome));
+        return;
+    }
+    const core::TargetId &target = core::valueOf(message.outcome);
+    if (!health_.isSilent(target, clock_.now())
+        || clock_.now() + kRewakePause >= request.deadline) {
+        give(request, target);
+        return;
+    }
+    // The planner does not know yet that the target does not answer; its next reports show it.
+    fibers_.start([this, request] {
+        boost::this_fiber::sleep_for(kRewakePause);
+        static_cast<void>(mailbox_.send(request));
+    });
 }
 
 void RoutingTask::on(const RouteReleased &message)
@@ -182,6 +197,7 @@
 void RoutingTask::on(const TargetUnreachable &message)
 {
     health_.handle(decisions::health::Unreachable {message.target}, clock_.now());
+    static_cast<void>(placement_.trySend(decisions::TargetReachable {message.target, false}));
     runtime::logEvent(runtime::LogEvent::ConnectionSilent, message.target.value);
 }
 
--- a/packages/node/src/ServiceHandler.cpp
+++ b/packages/node/src/ServiceHandler.cpp
@@ -5,6 +5,7 @@
 #include "CallerError.h"
 #include "CallerSink.h"
 #include "ClaimRunner.h"
+#include "RequestMetrics.h"
 
 namespace boragerack::node {
 
@@ -82,7 +83,10 @@
     AttemptRunner runner(services_.charts, services_.client, services_.routing, services_.clock,
                          makeJob(request, call, context), sink,
                          [&] { return findCancelReason(context, services_); });
-    sink.finish(runner.run());
+    const AttemptResult result = runner.run();
+    countRequest(services_.metrics, context.organisation, "service:" + call.service.value,
+                 result.verdict, result.error);
+    sink.finish(result);
 }
 
 void ServiceHandler::runClaimed(const runtime::HttpRequest &request, const Call &call,
@@ -111,6 +115,8 @@
                          makeJob(request, call, context), sink,
                          [&] { return findCancelReason(context, services_); });
     const AttemptResult result = runner.run();
+    countRequest(services_.metrics, context.organisation, "service:" + call.service.value,
+                 result.verdict, result.error);
     const runtime::HttpResponse &response = sink.response();
     // The outcome is recorded before the caller gets it, so that a repeat after the answer finds
     // it.
