--- a/packages/node/src/PlacementTask.cpp
+++ b/packages/node/src/PlacementTask.cpp
@@ -65,6 +65,20 @@
     return {conflict.current->version, core::valueOf(record)};
 }
 
+/// The answer without the current object, which follows after a conflict.
+decisions::WriteAnswered makeAnswer(const decisions::Stamp &write,
+                                    const platform::WriteResult &result)
+{
+    decisions::WriteAnswered answer {write};
+    if (const auto *applied = std::get_if<platform::WriteApplied>(&result)) {
+        answer.outcome = decisions::WriteOutcome::Applied;
+        answer.version = applied->version;
+    } else if (std::holds_alternative<platform::WriteConflict>(result)) {
+        answer.outcome = decisions::WriteOutcome::Conflict;
+    }
+    return answer;
+}
+
 std::optional<std::uint64_t> writeCondition(std::uint64_t version)
 {
     return version == 0 ? std::nullopt : std::optional(version);
@@ -269,14 +283,9 @@
         const auto result =
             store_.write(decisions::modelKey(action.record.artifact),
                          serialiseModelRecord(action.record), writeCondition(action.ifVersion));
-        decisions::WriteAnswered answer {action.record.writer};
-        if (const auto *applied = std::get_if<platform::WriteApplied>(&result)) {
-            answer.outcome = decisions::WriteOutcome::Applied;
-            answer.version = applied->version;
-        } else if (const auto *conflict = std::get_if<platform::WriteConflict>(&result)) {
-            answer.outcome = decisions::WriteOutcome::Conflict;
+        decisions::WriteAnswered answer = makeAnswer(action.record.writer, result);
+        if (const auto *conflict = std::get_if<platform::WriteConflict>(&result))
             answer.model = readCurrent<decisions::ModelRecord>(*conflict, parseModelRecord);
-        }
         static_cast<void>(mailbox_.send(answer));
     });
 }
@@ -287,14 +296,9 @@
         const auto result =
             store_.write(decisions::targetKey(action.record.target),
                          serialiseTargetRecord(action.record), writeCondition(action.ifVersion));
-        decisions::WriteAnswered answer {action.record.writer};
-        if (const auto *applied = std::get_if<platform::WriteApplied>(&result)) {
-            answer.outcome = decisions::WriteOutcome::Applied;
-            answer.version = applied->version;
-        } else if (const auto *conflict = std::get_if<platform::WriteConflict>(&result)) {
-            answer.outcome = decisions::WriteOutcome::Conflict;
+        decisions::WriteAnswered answer = makeAnswer(action.record.writer, result);
+        if (const auto *conflict = std::get_if<platform::WriteConflict>(&result))
             answer.target = readCurrent<decisions::TargetRecord>(*conflict, parseTargetRecord);
-        }
         static_cast<void>(mailbox_.send(answer));
     });
 }
