End with exit code 4 when neither platform nor peers answer at the start

Ruled out: ending whenever the platform is out, since a restarted node takes its configuration from its peers. Change: before its tasks start, a node reads the instance list and, if that fails, asks the peers of its settings. No automatic test of the exit codes yet.

--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kFollowInterval(1000);
+constexpr std::chrono::milliseconds kPeerTimeout(1000);
 
 std::string formatAddress(const config::SocketAddress &address)
 {
@@ -121,6 +122,8 @@
         const auto callerAddress = server_->listen(formatAddress(settings_.callerListen));
         if (!core::isOk(callerAddress))
             return core::errorOf(callerAddress);
+        if (const auto error = findUnreachable())
+            return *error;
         startTasks(core::valueOf(callerAddress), core::valueOf(peerAddress));
         return NodeAddresses {core::valueOf(callerAddress), core::valueOf(peerAddress)};
     }
@@ -167,6 +170,23 @@
             fleet_->trySend(decisions::FleetAgent::Event(decisions::FleetAgent::StopRequested())));
     }
 
+    /// The error of a node that can reach neither the platform nor any peer: it could not learn
+    /// what to serve.
+    std::optional<core::Error> findUnreachable()
+    {
+        if (core::isOk(store_.listInstances()))
+            return std::nullopt;
+        for (const std::string &address : formatAddresses(settings_.peers)) {
+            const auto answer = network_->callAddress(address, decisions::MemberFetch(),
+                                                      clock_.now() + kPeerTimeout);
+            if (core::isOk(answer))
+                return std::nullopt;
+        }
+        return core::makeNotRunError(core::ErrorCode::PlatformUnavailable,
+                                     "platform " + formatAddress(settings_.platform)
+                                         + " does not answer, nor does any peer of the settings");
+    }
+
     std::optional<core::Error> makeNetwork()
     {
         const auto secret = readSecret(settings_.fleetSecretFile);
