Count cold starts, gaps between tokens and idle replica time

Change: histograms of the cold start (at the node that waits) and of the time between tokens; the planner counts the time of ready replicas and of those without a request.

--- a/packages/node/src/CallerSink.cpp
+++ b/packages/node/src/CallerSink.cpp
@@ -30,8 +30,12 @@
 
 bool CallerSink::writePart(std::string_view part)
 {
+    const core::TimePoint now = clock_.now();
     if (!firstPartAt_)
-        firstPartAt_ = clock_.now();
+        firstPartAt_ = now;
+    else if (isStream_)
+        gaps_.push_back(now - lastPartAt_);
+    lastPartAt_ = now;
     if (isStream_ && response_.status == kStatusOk)
         return responder_.writePart(part);
     response_.body += part;
--- a/packages/node/src/CallerSink.h
+++ b/packages/node/src/CallerSink.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "AnswerSink.h"
 #include "AttemptRunner.h"
@@ -24,6 +25,8 @@
     void finish(const AttemptResult &result);
 
     const std::optional<core::TimePoint> &firstPartAt() const { return firstPartAt_; }
+    /// Times between the parts of a stream.
+    const std::vector<core::Duration> &gaps() const { return gaps_; }
     /// Complete response of an answer that is not a stream.
     const runtime::HttpResponse &response() const { return response_; }
 
@@ -33,6 +36,8 @@
     const core::Clock &clock_;
     runtime::HttpResponse response_;
     std::optional<core::TimePoint> firstPartAt_;
+    core::TimePoint lastPartAt_;
+    std::vector<core::Duration> gaps_;
 };
 
 } // namespace boragerack::node
--- a/packages/node/src/ModelHandler.cpp
+++ b/packages/node/src/ModelHandler.cpp
@@ -87,6 +87,12 @@
             makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
             *sink.firstPartAt() - context.receivedAt);
     }
+    for (const core::Duration gap : sink.gaps()) {
+        services_.metrics.observe(
+            "boragerack_inter_token_seconds",
+            makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
+            gap);
+    }
     sink.finish(result);
 }
 
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -213,10 +213,11 @@
         quarantine_.emplace(*links_, clock_);
         targets_.emplace(store_, settings_.targetReportInterval, settings_.platformWatchWait);
         placement_.emplace(identity_, charts_, decisions::PlannerSettings(), store_, client_,
-                           *links_, clock_, settings_.targetReportInterval);
+                           *links_, clock_, settings_.targetReportInterval, metrics_);
         budget_.emplace(identity_, charts_.share, store_, *links_, clock_,
                         settings_.platformWatchWait);
-        routing_.emplace(identity_, targets_->table(), *placement_, client_, random_, clock_);
+        routing_.emplace(identity_, targets_->table(), *placement_, client_, random_, clock_,
+                         metrics_);
         fleet_.emplace(charts_.fleet, store_, *links_, clock_, *this);
         links_->connect(*fleet_, *quarantine_);
         services_.emplace(RequestServices {identity_, charts_, fleet_->configuration(), *lifecycle_,
--- a/packages/node/src/PlacementTask.cpp
+++ b/packages/node/src/PlacementTask.cpp
@@ -90,13 +90,14 @@
                              const decisions::PlannerSettings &settings,
                              platform::PlatformStore &store, runtime::HttpClient &client,
                              PlannerLink &link, const core::Clock &clock,
-                             std::chrono::milliseconds reportInterval)
+                             std::chrono::milliseconds reportInterval, Metrics &metrics)
     : identity_(identity)
     , store_(store)
     , client_(client)
     , link_(link)
     , clock_(clock)
     , reportInterval_(reportInterval)
+    , metrics_(metrics)
     , loadPlanner_(identity.instance, identity.incarnation, charts.placement,
                    std::make_unique<decisions::WarmestCheckpointPolicy>(
                        decisions::WarmestCheckpointPolicy::Settings()),
@@ -152,6 +153,7 @@
         pollReports();
         finishDrains();
         sendUses();
+        countReplicaTime();
     }
     // Fibers that still wait for a platform or an engine must not block on a full mailbox.
     mailbox_.close();
@@ -429,6 +431,36 @@
     }
 }
 
+void PlacementTask::countReplicaTime()
+{
+    const auto elapsed =
+        std::chrono::duration_cast<std::chrono::seconds>(clock_.now() - countedAt_);
+    if (elapsed.count() < 1)
+        return;
+    if (countedAt_ == core::TimePoint()) {
+        countedAt_ = clock_.now();
+        return;
+    }
+    countedAt_ += elapsed;
+    if (!isPlanner())
+        return;
+    for (const auto &[target, engine] : engines_) {
+        for (const auto &[artifact, replica] : loadPlanner_.ledger().replicasOn(target)) {
+            if (artifact.isAdapter() || replica.state != decisions::ReplicaState::Ready)
+                continue;
+            bool isUsed = false;
+            for (const auto &[node, uses] : usesByNode_) {
+                const auto use = uses.find({target, artifact});
+                isUsed = isUsed || (use != uses.end() && use->second > 0);
+            }
+            const std::string labels = makeLabels({{"model", artifact.model.value}});
+            const auto seconds = static_cast<std::uint64_t>(elapsed.count());
+            metrics_.add("boragerack_replica_seconds_total", labels, seconds);
+            metrics_.add("boragerack_idle_accelerator_seconds_total", labels, isUsed ? 0 : seconds);
+        }
+    }
+}
+
 void PlacementTask::sendUses()
 {
     if (isPlanner() || planner_.value.empty() || clock_.now() - usesSentAt_ < kUseInterval)
--- a/packages/node/src/PlacementTask.h
+++ b/packages/node/src/PlacementTask.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "ChartSet.h"
+#include "Metrics.h"
 #include "NodeIdentity.h"
 #include "PlacementMessage.h"
 #include "PlannerLink.h"
@@ -23,7 +24,7 @@
     PlacementTask(const NodeIdentity &identity, const ChartSet &charts,
                   const decisions::PlannerSettings &settings, platform::PlatformStore &store,
                   runtime::HttpClient &client, PlannerLink &link, const core::Clock &clock,
-                  std::chrono::milliseconds reportInterval);
+                  std::chrono::milliseconds reportInterval, Metrics &metrics);
     ~PlacementTask() override;
 
     void start();
@@ -69,6 +70,7 @@
     void pollReports();
     void finishDrains();
     void sendUses();
+    void countReplicaTime();
     bool hasLoadInProgress(const core::TargetId &target) const;
 
     NodeIdentity identity_;
@@ -77,6 +79,8 @@
     PlannerLink &link_;
     const core::Clock &clock_;
     std::chrono::milliseconds reportInterval_;
+    Metrics &metrics_;
+    core::TimePoint countedAt_;
     decisions::LoadPlanner loadPlanner_;
     runtime::Mailbox<PlacementMessage> mailbox_;
     core::InstanceId planner_;
--- a/packages/node/src/RoutingTask.cpp
+++ b/packages/node/src/RoutingTask.cpp
@@ -21,12 +21,13 @@
 
 RoutingTask::RoutingTask(const NodeIdentity &identity, const runtime::Published<TargetTable> &table,
                          PlacementTask &placement, runtime::HttpClient &client,
-                         core::RandomSource &random, const core::Clock &clock)
+                         core::RandomSource &random, const core::Clock &clock, Metrics &metrics)
     : identity_(identity)
     , table_(table)
     , placement_(placement)
     , client_(client)
     , clock_(clock)
+    , metrics_(metrics)
     , selector_(random)
     , mailbox_(kMailboxCapacity)
 {
@@ -125,12 +126,13 @@
             core::ErrorCode::QueueFull, "too many requests wait for replicas", kRetryAfter));
         return;
     }
-    fibers_.start([this, request, reply = message.reply] {
+    fibers_.start([this, request, reply = message.reply, startedAt = clock_.now()] {
         auto outcome = reply.waitUntil(request.deadline);
         WakeFinished finished {request,
                                core::makeNotRunError(core::ErrorCode::DeadlineExceeded,
                                                      "no replica was ready before the deadline",
-                                                     kRetryAfter)};
+                                                     kRetryAfter),
+                               startedAt};
         if (outcome)
             finished.outcome = std::move(*outcome);
         static_cast<void>(mailbox_.send(std::move(finished)));
@@ -151,6 +153,11 @@
 void RoutingTask::on(const WakeFinished &message)
 {
     const ChooseRoute &request = message.request;
+    if (const auto *artifact = std::get_if<decisions::Artifact>(&request.destination)) {
+        metrics_.observe("boragerack_cold_start_seconds",
+                         makeLabels({{"model", artifact->model.value}}),
+                         clock_.now() - message.startedAt);
+    }
     if (!core::isOk(message.outcome)) {
         request.reply.set(core::errorOf(message.outcome));
         return;
