--- a/packages/node/src/PlacementTask.h
+++ b/packages/node/src/PlacementTask.h
@@ -40,6 +40,9 @@
     bool isPlanner() const { return planner_ == identity_.instance; }
 
 private:
+    /// Reports are read this often while a load or unload is in progress on the target.
+    static constexpr std::chrono::milliseconds kBusyReportInterval {50};
+
     struct Drain
     {
         std::uint64_t number = 0;
