Parse accepted lists once, and never wait on the task's own mailbox

Cause: found in a read-through. The fleet task parsed and checked the lists when asked to check a version, and the same texts again when the version took effect. It also put the result of a check into its own mailbox with a call that waits while the mailbox is full, which only that fiber could have emptied. Ruled out: feeding the result at once, which would change the order of the agent's actions. Change: the checked catalogue is kept until its version takes effect; results of checks are sent from a fiber of their own. The deadlock was not brought about by a test.

--- a/packages/node/src/FleetTask.cpp
+++ b/packages/node/src/FleetTask.cpp
@@ -76,6 +76,11 @@
     static_cast<void>(mailbox_.send(FleetTaskMessage(std::move(event))));
 }
 
+void FleetTask::answerLater(Agent::Event event)
+{
+    fibers_.start([this, event = std::move(event)]() mutable { answer(std::move(event)); });
+}
+
 void FleetTask::run()
 {
     publishMembers();
@@ -264,7 +269,7 @@
         runtime::logEvent(runtime::LogEvent::ConfigurationRejected,
                           fault->part + ": " + fault->message);
     }
-    answer(std::move(checked));
+    answerLater(std::move(checked));
 }
 
 void FleetTask::perform(const Relay::WritePart &action)
@@ -304,17 +309,21 @@
 void FleetTask::perform(const ConfigurationState::CheckLists &action)
 {
     ConfigurationState::CheckFinished finished {action.configuration.head.version, {}};
-    const auto result = config::checkLists(action.configuration.texts);
+    auto result = config::checkLists(action.configuration.texts);
     if (const auto *fault = std::get_if<config::ListFault>(&result))
         finished.fault = fault->part + ": " + fault->message;
-    answer(std::move(finished));
+    else
+        checked_ = ActiveConfiguration {finished.version,
+                                        std::get<decisions::Catalogue>(std::move(result))};
+    answerLater(std::move(finished));
 }
 
 void FleetTask::perform(const ConfigurationState::ApplyConfiguration &action)
 {
-    auto result = config::checkLists(agent_->configuration().accepted().texts);
-    if (auto *catalogue = std::get_if<decisions::Catalogue>(&result)) {
-        configuration_.set({action.version, std::move(*catalogue)});
+    // The chart applies a version only after its check has passed.
+    if (checked_ && checked_->version == action.version) {
+        configuration_.set(std::move(*checked_));
+        checked_.reset();
         runtime::logEvent(runtime::LogEvent::ConfigurationInEffect,
                           "version " + std::to_string(action.version));
     }
--- a/packages/node/src/FleetTask.h
+++ b/packages/node/src/FleetTask.h
@@ -67,7 +67,9 @@
     void on(const Agent::Event &event);
     void on(const MembersAsked &message);
     void feed(const Agent::Event &event);
+    /// Waits while the mailbox is full, so the task's own fiber must use answerLater.
     void answer(Agent::Event event);
+    void answerLater(Agent::Event event);
 
     void perform(const Agent::SendMessage &action);
     void perform(const Agent::AskBootstrapPeers &action);
@@ -102,6 +104,8 @@
     std::optional<Agent> agent_;
     runtime::Mailbox<FleetTaskMessage> mailbox_;
     std::map<core::InstanceId, runtime::Reply<decisions::MemberTable>> membersAsked_;
+    /// The lists that passed the last check and are not in effect yet.
+    std::optional<ActiveConfiguration> checked_;
     bool isStopping_ = false;
     core::TimePoint tickedAt_;
     runtime::Published<Members> members_;
