--- a/packages/runtime/src/Address.cpp
+++ b/packages/runtime/src/Address.cpp
@@ -33,4 +33,26 @@
     return endpoint.address().is_v6() ? "[" + host + "]:" + port : host + ":" + port;
 }
 
+core::Result<std::string> openAcceptor(tcp::acceptor &acceptor, const std::string &address)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint) {
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest,
+                                     "\"" + address + "\" is not an address <ip>:<port>");
+    }
+    boost::system::error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    if (error) {
+        return core::makeNotRunError(core::ErrorCode::ConnectionFailed,
+                                     "cannot listen on " + address + ": " + error.message());
+    }
+    return formatEndpoint(acceptor.local_endpoint());
+}
+
 } // namespace boragerack::runtime
--- a/packages/runtime/src/HttpServer.cpp
+++ b/packages/runtime/src/HttpServer.cpp
@@ -40,25 +40,10 @@
 
     core::Result<std::string> listen(const std::string &address)
     {
-        const auto endpoint = parseEndpoint(address);
-        if (!endpoint) {
-            return core::makeNotRunError(core::ErrorCode::InvalidRequest,
-                                         "\"" + address + "\" is not an address <ip>:<port>");
-        }
-        boost::system::error_code error;
-        acceptor_.open(endpoint->protocol(), error);
-        if (!error)
-            acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            acceptor_.bind(*endpoint, error);
-        if (!error)
-            acceptor_.listen(tcp::acceptor::max_listen_connections, error);
-        if (error) {
-            return core::makeNotRunError(core::ErrorCode::ConnectionFailed,
-                                         "cannot listen on " + address + ": " + error.message());
-        }
-        acceptFiber_ = boost::fibers::fiber([this] { acceptConnections(); });
-        return formatEndpoint(acceptor_.local_endpoint());
+        auto opened = openAcceptor(acceptor_, address);
+        if (core::isOk(opened))
+            acceptFiber_ = boost::fibers::fiber([this] { acceptConnections(); });
+        return opened;
     }
 
     void stopAccepting()
