--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -3,7 +3,7 @@
 # program. DEPENDS names other packages, LIBRARIES external ones.
 function(boragerack_package name)
     cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES;TEST_DEPENDS" ${ARGN})
-    file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+    file(GLOB_RECURSE sources CONFIGURE_DEPENDS src/*.cpp)
     list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
     set(dependencies ${ARG_LIBRARIES})
     foreach(package ${ARG_DEPENDS})
@@ -19,9 +19,9 @@
         target_link_libraries(boragerack_${name} INTERFACE ${dependencies})
     endif()
 
-    file(GLOB tests CONFIGURE_DEPENDS tests/*Test.cpp)
-    if(tests)
-        file(GLOB support CONFIGURE_DEPENDS tests/*.cpp)
+    file(GLOB_RECURSE tests CONFIGURE_DEPENDS tests/*Test.cpp)
+    if(tests AND BORAGERACK_TESTS)
+        file(GLOB_RECURSE support CONFIGURE_DEPENDS tests/*.cpp)
         add_executable(${name}Test ${support} ${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp)
         set_source_files_properties(${CMAKE_SOURCE_DIR}/cmake/TestMain.cpp PROPERTIES
             COMPILE_DEFINITIONS BOOST_TEST_MODULE=boragerack)
--- /dev/null
+++ b/packages/config/src/GatewaySettings.cpp
@@ -0,0 +1,63 @@
+#include "boragerack/config/GatewaySettings.h"
+
+#include "ObjectReader.h"
+
+namespace boragerack::config {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::int64_t kMaxCount = 1'000'000'000;
+constexpr std::int64_t kMaxMs = 3'600'000;
+
+SocketAddress readAddress(ObjectReader &reader, std::string_view name, ParseFault &fault)
+{
+    const std::string text = reader.readText(name);
+    const auto address = parseSocketAddress(text);
+    if (!address)
+        fault.report(reader.pathOf(name), "\"" + text + "\"", "an address <ip>:<port>");
+    return address.value_or(SocketAddress());
+}
+
+std::chrono::milliseconds readMs(ObjectReader &reader, std::string_view name,
+                                 std::chrono::milliseconds fallback)
+{
+    return std::chrono::milliseconds(reader.readInteger(name, 1, kMaxMs, fallback.count()));
+}
+
+void readSettings(ObjectReader &reader, GatewaySettings &settings, ParseFault &fault)
+{
+    const GatewaySettings defaults;
+    settings.instance.value = reader.readName("instance");
+    settings.dataCentre.value = reader.readName("dataCentre");
+    settings.callerListen = readAddress(reader, "callerListen", fault);
+    settings.readyListen = readAddress(reader, "readyListen", fault);
+    settings.directoryListen = readAddress(reader, "directoryListen", fault);
+    settings.peerListen = readAddress(reader, "peerListen", fault);
+    settings.metricsListen = readAddress(reader, "metricsListen", fault);
+    settings.platform = readAddress(reader, "platform", fault);
+    settings.chartsDirectory = reader.readText("chartsDirectory");
+    settings.revocation = readMs(reader, "revocationMs", defaults.revocation);
+    settings.orderHandover = readMs(reader, "orderHandoverMs", defaults.orderHandover);
+    settings.stopTimeout = readMs(reader, "stopTimeoutMs", defaults.stopTimeout);
+    settings.addressLifetime = readMs(reader, "addressLifetimeMs", defaults.addressLifetime);
+    settings.retryRatio = reader.readNumber("retryRatio", defaults.retryRatio);
+    settings.retrySlack = reader.readInteger("retrySlack", 0, kMaxCount, defaults.retrySlack);
+    settings.quotaTolerance =
+        reader.readInteger("quotaTolerance", 0, kMaxCount, defaults.quotaTolerance);
+}
+
+} // namespace
+
+core::Result<GatewaySettings> parseGatewaySettings(std::string_view file, std::string_view text)
+{
+    ParseFault fault {std::string(file), {}};
+    GatewaySettings settings;
+    readDocument(text, fault, [&](ObjectReader &reader) { readSettings(reader, settings, fault); });
+    if (fault.message)
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest, *fault.message);
+    return settings;
+}
+
+} // namespace boragerack::config
--- a/packages/config/src/ObjectReader.cpp
+++ b/packages/config/src/ObjectReader.cpp
@@ -100,6 +100,17 @@
     return lowest;
 }
 
+double ObjectReader::readNumber(std::string_view name, double fallback)
+{
+    const json::value *value = find(name, {});
+    if (!value)
+        return fallback;
+    if (value->is_number())
+        return value->to_number<double>();
+    fault_.report(pathOf(name), describe(*value), "a number");
+    return fallback;
+}
+
 bool ObjectReader::readFlag(std::string_view name, bool fallback)
 {
     const json::value *value = find(name, {});
--- a/packages/config/src/ObjectReader.h
+++ b/packages/config/src/ObjectReader.h
@@ -39,6 +39,7 @@
     std::string readName(std::string_view name);
     std::int64_t readInteger(std::string_view name, std::int64_t lowest, std::int64_t highest,
                              std::optional<std::int64_t> fallback = std::nullopt);
+    double readNumber(std::string_view name, double fallback);
     bool readFlag(std::string_view name, bool fallback);
     std::optional<std::string> readNullableText(std::string_view name);
     void readArray(std::string_view name, const ElementReader &read);
--- a/packages/core/include/boragerack/core/Clock.h
+++ b/packages/core/include/boragerack/core/Clock.h
@@ -26,4 +26,12 @@
     TimePoint now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/// Clock that also counts the time for which the machine was suspended. Its times do not belong to
+/// the timers of the runtime; convert them by the time that is left.
+class SuspendAwareClock final : public Clock
+{
+public:
+    TimePoint now() const override;
+};
+
 } // namespace boragerack::core
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,171 @@
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include <glog/logging.h>
+
+#include "boragerack/adapter/Adapter.h"
+#include "boragerack/config/GatewaySettings.h"
+#include "boragerack/config/NodeSettings.h"
+#include "boragerack/gateway/Gateway.h"
+#include "boragerack/node/Node.h"
+#include "boragerack/runtime/Await.h"
+#include "boragerack/runtime/EventLog.h"
+#include "boragerack/runtime/FiberRuntime.h"
+#include "boragerack/runtime/HttpClient.h"
+
+namespace adapter = boragerack::adapter;
+namespace config = boragerack::config;
+namespace core = boragerack::core;
+namespace gateway = boragerack::gateway;
+namespace options = boost::program_options;
+namespace runtime = boragerack::runtime;
+
+namespace {
+
+enum ExitCode { Stopped = 0, UsageError = 2, AddressInUse = 3, PlatformUnreachable = 4 };
+
+template<class Settings>
+using ParseSettings = core::Result<Settings> (*)(std::string_view file, std::string_view text);
+
+template<class Settings>
+core::Result<Settings> readSettings(const std::string &path, ParseSettings<Settings> parse)
+{
+    std::ifstream file(path);
+    if (!file)
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest, "cannot read " + path);
+    const std::string text((std::istreambuf_iterator<char>(file)),
+                           std::istreambuf_iterator<char>());
+    return parse(path, text);
+}
+
+int exitCodeOf(core::ErrorCode code)
+{
+    switch (code) {
+    case core::ErrorCode::ConnectionFailed:
+        return AddressInUse;
+    case core::ErrorCode::PlatformUnavailable:
+        return PlatformUnreachable;
+    default:
+        return UsageError;
+    }
+}
+
+void waitForSignal(runtime::FiberRuntime &fiberRuntime)
+{
+    boost::asio::signal_set signals(fiberRuntime.ioContext(), SIGTERM, SIGINT);
+    runtime::awaitIo([&](auto completion) {
+        signals.async_wait([completion](const boost::system::error_code &error, int) mutable {
+            completion(error);
+        });
+    });
+}
+
+runtime::HttpClientOptions platformClientOptions()
+{
+    runtime::HttpClientOptions options;
+    // The store and the targets answer within some ms; a connection that confirms nothing for this
+    // long is replaced before the proof of freshness runs out.
+    options.connectTimeout = std::chrono::milliseconds(800);
+    options.unconfirmedTimeout = std::chrono::milliseconds(1200);
+    options.idleTimeout = std::chrono::seconds(5);
+    options.maxIdleConnectionsPerAddress = 4;
+    return options;
+}
+
+int runNode(const config::NodeSettings &settings)
+{
+    runtime::FiberRuntime fiberRuntime;
+    boragerack::node::Node node(fiberRuntime, settings);
+    const auto addresses = node.start();
+    if (!core::isOk(addresses)) {
+        const core::Error &error = core::errorOf(addresses);
+        runtime::logEvent(runtime::LogEvent::StartFailed, error.message);
+        return exitCodeOf(error.code);
+    }
+    std::cout << "ready caller=" << core::valueOf(addresses).caller
+              << " peer=" << core::valueOf(addresses).peer << std::endl;
+    waitForSignal(fiberRuntime);
+    node.requestStop();
+    node.waitUntilStopped();
+    runtime::logEvent(runtime::LogEvent::NodeStopped, settings.instance.value);
+    return Stopped;
+}
+
+int runGateway(const config::GatewaySettings &settings)
+{
+    runtime::FiberRuntime fiberRuntime;
+    runtime::HttpClient client(fiberRuntime.ioContext(), platformClientOptions());
+    const std::string platform =
+        settings.platform.host + ":" + std::to_string(settings.platform.port);
+    const auto protocol = adapter::makeCallerProtocol();
+    const auto source = adapter::makeServingSource(client, platform);
+    const auto store = adapter::makeStore(client, platform);
+    const auto control = adapter::makeTargetControl(client);
+    gateway::Gateway gateway(fiberRuntime, settings, {*protocol, *source, *store, *control});
+    if (const auto started = gateway.start(); !core::isOk(started)) {
+        const core::Error &error = core::errorOf(started);
+        runtime::logEvent(runtime::LogEvent::StartFailed, error.message);
+        return exitCodeOf(error.code);
+    }
+    waitForSignal(fiberRuntime);
+    gateway.requestStop();
+    gateway.waitUntilStopped();
+    runtime::logEvent(runtime::LogEvent::NodeStopped, settings.instance.value);
+    // All callers have been answered; the kernel closes what is left faster than the tasks do.
+    google::FlushLogFiles(google::INFO);
+    std::_Exit(Stopped);
+}
+
+/// Reads the settings and runs the node; a fault of the settings is logged.
+template<class Settings>
+int runWith(const std::string &path, ParseSettings<Settings> parse, int (*run)(const Settings &))
+{
+    const auto settings = readSettings<Settings>(path, parse);
+    if (!core::isOk(settings)) {
+        runtime::logEvent(runtime::LogEvent::SettingsInvalid, core::errorOf(settings).message);
+        return UsageError;
+    }
+    return run(core::valueOf(settings));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description description(
+        "Usage: boragerackd --settings FILE\n       boragerackd --gateway [--settings FILE]");
+    description.add_options()("settings", options::value<std::string>(),
+                              "settings of the node in JSON")(
+        "gateway", "serve the users' platform; its settings file is the default")(
+        "help", "print this text");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << "boragerackd: " << error.what() << std::endl;
+        return UsageError;
+    }
+    if (values.count("help") > 0) {
+        std::cout << description;
+        return Stopped;
+    }
+    const bool isGateway = values.count("gateway") > 0;
+    const std::string path = values.count("settings") > 0 ? values["settings"].as<std::string>()
+        : isGateway                                       ? adapter::settingsPath()
+                                                          : std::string();
+    if (path.empty()) {
+        std::cerr << "boragerackd: the option '--settings' is required but missing" << std::endl;
+        return UsageError;
+    }
+    runtime::initializeLog(argv[0]);
+    return isGateway
+        ? runWith<config::GatewaySettings>(path, config::parseGatewaySettings, runGateway)
+        : runWith<config::NodeSettings>(path, config::parseNodeSettings, runNode);
+}
--- a/packages/decisions/include/boragerack/decisions/AttemptMessages.h
+++ b/packages/decisions/include/boragerack/decisions/AttemptMessages.h
@@ -31,6 +31,10 @@
     /// The answer must start before it; an answer that makes progress is not cut by it.
     core::TimePoint deadline = {};
     std::uint32_t maxAttempts = 3;
+    /// A target's refusal states that the request has not run and never will.
+    bool refusalProvesNotRun = false;
+    /// Attempts that were refused and do not count as attempts.
+    std::uint32_t maxRefusals = 0;
     /// How long a caller that already has a part of the answer waits for the rest.
     std::chrono::milliseconds resumeWait = std::chrono::seconds(10);
 
--- a/packages/decisions/include/boragerack/decisions/Freshness.h
+++ b/packages/decisions/include/boragerack/decisions/Freshness.h
@@ -71,7 +71,9 @@
     };
     using Action = std::variant<StartServing, StopServing, ProbePlatform, EvidenceRenewed>;
 
-    explicit Freshness(std::shared_ptr<const Binding> binding, FleetMechanisms mechanisms = {});
+    /// Evidence older than `bound` no longer lets the node serve.
+    explicit Freshness(std::shared_ptr<const Binding> binding, FleetMechanisms mechanisms = {},
+                       core::Duration bound = kFreshnessBound);
 
     std::vector<Action> handle(const Event &event, core::TimePoint now);
 
@@ -105,6 +107,7 @@
 
     charts::ChartInstance<State, ChartEvent, ChartAction> chart_;
     FleetMechanisms mechanisms_;
+    core::Duration bound_;
     core::TimePoint now_;
     std::vector<Action> actions_;
     std::uint64_t version_ = 0;
--- a/packages/decisions/include/boragerack/decisions/RequestAttempt.h
+++ b/packages/decisions/include/boragerack/decisions/RequestAttempt.h
@@ -18,8 +18,9 @@
 /// A refusal is decided this long before the deadline, so that it reaches the caller in time.
 inline constexpr std::chrono::milliseconds kRefusalMargin(20);
 
-/// Decides the attempts of one request. The verdict only rises: it becomes MayHaveRun in the step
-/// that sends the request, before the send action is given out.
+/// Decides the attempts of one request. The verdict becomes MayHaveRun in the step that sends the
+/// request, before the send action is given out. It falls only if the target of that attempt states
+/// that it has not run the request and never will, and the plan says that such a word is proof.
 class RequestAttempt
 {
 public:
@@ -66,7 +67,10 @@
     AttemptPlan plan_;
     charts::ChartInstance<AttemptState, AttemptTrigger, AttemptStep> chart_;
     core::Verdict verdict_ = core::Verdict::NotRun;
+    /// Verdict before the current attempt was sent.
+    core::Verdict earlierVerdict_ = core::Verdict::NotRun;
     std::uint32_t number_ = 0;
+    std::uint32_t refusals_ = 0;
     core::TargetId target_;
     std::vector<core::TargetId> failedTargets_;
     /// Numbers of the attempts that their targets did not survive.
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "boragerack/core/Digest.h"
+#include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/Artifact.h"
+
+namespace boragerack::decisions {
+
+/// Requests of one node for one artifact.
+struct ArtifactDemand
+{
+    Artifact artifact;
+    core::ServiceId service;
+    /// Requests that wait for a replica.
+    std::uint32_t waiting = 0;
+    /// Requests that arrived since the last report.
+    std::uint32_t arrived = 0;
+    std::chrono::milliseconds oldestWait = {};
+    /// Time to the first piece of the answer that the most urgent waiting request aims at.
+    std::chrono::milliseconds aim = {};
+
+    friend auto operator<=>(const ArtifactDemand &, const ArtifactDemand &) = default;
+};
+
+/// Requests in flight of one node at one target.
+struct ArtifactUse
+{
+    core::TargetId target;
+    Artifact artifact;
+    std::uint32_t inFlight = 0;
+
+    friend auto operator<=>(const ArtifactUse &, const ArtifactUse &) = default;
+};
+
+struct TokenAmount
+{
+    core::OrganisationId organisation;
+    std::int64_t tokens = 0;
+
+    friend auto operator<=>(const TokenAmount &, const TokenAmount &) = default;
+};
+
+/// A target ended while it ran the request.
+struct RequestDeath
+{
+    core::Digest fingerprint;
+    std::string attempt;
+
+    friend bool operator==(const RequestDeath &, const RequestDeath &) = default;
+};
+
+/// A node as callers and other nodes see it.
+struct FleetMember
+{
+    core::InstanceId instance;
+    std::string callerAddress;
+    core::DataCentreId dataCentre;
+
+    friend auto operator<=>(const FleetMember &, const FleetMember &) = default;
+};
+
+/// Sent by each node to the coordinator, several times a second.
+struct CoordinationReport
+{
+    FleetMember member;
+    bool isStopping = false;
+    std::uint64_t membersVersion = 0;
+    std::uint64_t placementVersion = 0;
+    std::vector<ArtifactDemand> demands;
+    std::vector<ArtifactUse> uses;
+    std::vector<TokenAmount> wanted;
+    std::vector<RequestDeath> deaths;
+
+    friend bool operator==(const CoordinationReport &, const CoordinationReport &) = default;
+};
+
+enum class CoordinatorStanding {
+    Holding, ///< The lease is fresh.
+    Lapsed, ///< The lease could not be renewed in time; another node may take it.
+    Absent, ///< The asked node does not hold the lease.
+};
+
+/// What one target serves at present; other artifacts that it may hold are not for use.
+struct TargetPlacement
+{
+    core::TargetId target;
+    std::uint64_t startedAt = 0;
+    std::vector<Artifact> artifacts;
+
+    friend auto operator<=>(const TargetPlacement &, const TargetPlacement &) = default;
+};
+
+/// The coordinator's answer to a report. Members and placements are left out if they have not
+/// changed since the versions that the report names.
+struct CoordinationAnswer
+{
+    CoordinatorStanding standing = CoordinatorStanding::Absent;
+    /// Distinguishes the version numbers of one coordinator from those of the next.
+    std::uint64_t term = 0;
+    std::uint64_t membersVersion = 0;
+    std::vector<FleetMember> members;
+    std::uint64_t placementVersion = 0;
+    std::vector<TargetPlacement> placements;
+    std::vector<TokenAmount> granted;
+    std::vector<core::Digest> quarantined;
+    /// Time until the next report if nothing happens.
+    std::chrono::milliseconds reportAfter = {};
+
+    friend bool operator==(const CoordinationAnswer &, const CoordinationAnswer &) = default;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "boragerack/charts/ChartInstance.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/serving/CoordinatorChart.h"
+
+namespace boragerack::decisions {
+
+/// The platform object that names the coordinator.
+struct LeaseRecord
+{
+    core::InstanceId holder;
+    std::string peerAddress;
+    /// Distinguishes the processes that have held the lease on one instance.
+    std::uint64_t incarnation = 0;
+    /// Grows with each renewal, since an unchanged write would not change the version.
+    std::uint64_t renewal = 0;
+    /// The holder has stopped; its last order was given before the record was written.
+    bool isReleased = false;
+    /// Time after the write until the holder may give orders, because its predecessor may have
+    /// given some. A process that restarts on the holder's instance waits as long again.
+    std::chrono::milliseconds ordersAfter = {};
+
+    friend auto operator<=>(const LeaseRecord &, const LeaseRecord &) = default;
+};
+
+struct LeaseTimes
+{
+    /// A holder acts for this long after it sent its last confirmed renewal.
+    std::chrono::milliseconds validity = std::chrono::milliseconds(1500);
+    std::chrono::milliseconds renewEvery = std::chrono::milliseconds(400);
+    /// An order may be on its way for this long after it was allowed.
+    std::chrono::milliseconds orderTimeout = std::chrono::milliseconds(700);
+    std::chrono::milliseconds lookEvery = std::chrono::milliseconds(300);
+    /// No two holders may give one target orders within this time.
+    std::chrono::milliseconds orderHandover = std::chrono::milliseconds(3000);
+    /// Added to both waits of a successor; covers timers that fire late.
+    std::chrono::milliseconds margin = std::chrono::milliseconds(200);
+
+    friend auto operator<=>(const LeaseTimes &, const LeaseTimes &) = default;
+};
+
+namespace lease {
+
+struct ReadFinished
+{
+    std::optional<LeaseRecord> record;
+    std::uint64_t version = 0;
+    friend bool operator==(const ReadFinished &, const ReadFinished &) = default;
+};
+
+struct WriteApplied
+{
+    std::uint64_t version = 0;
+    friend bool operator==(const WriteApplied &, const WriteApplied &) = default;
+};
+
+struct WriteConflict
+{
+    friend bool operator==(const WriteConflict &, const WriteConflict &) = default;
+};
+
+/// A read failed, or a write whose outcome is not known.
+struct Unanswered
+{
+    friend bool operator==(const Unanswered &, const Unanswered &) = default;
+};
+
+/// The coordinator answered a report of this node and says that its lease is fresh.
+struct CoordinatorHeard
+{
+    friend bool operator==(const CoordinatorHeard &, const CoordinatorHeard &) = default;
+};
+
+struct StopRequested
+{
+    friend bool operator==(const StopRequested &, const StopRequested &) = default;
+};
+
+struct Tick
+{
+    friend bool operator==(const Tick &, const Tick &) = default;
+};
+
+using Event = std::variant<ReadFinished, WriteApplied, WriteConflict, Unanswered,
+                           CoordinatorHeard, StopRequested, Tick>;
+
+struct Read
+{
+    friend bool operator==(const Read &, const Read &) = default;
+};
+
+/// Write if the object has the version, or if there is none when the version is empty.
+struct Write
+{
+    LeaseRecord record;
+    std::optional<std::uint64_t> ifVersion;
+    friend bool operator==(const Write &, const Write &) = default;
+};
+
+using Action = std::variant<Read, Write>;
+
+} // namespace lease
+
+/// Decides when this node coordinates the fleet. The holder of the lease renews it by conditional
+/// writes; a successor takes it only after it has seen it unchanged for longer than its validity,
+/// and then waits until no order of its predecessor can be recent. Times must come from a clock
+/// that counts suspension.
+class CoordinatorLease
+{
+public:
+    CoordinatorLease(std::shared_ptr<const CoordinatorBinding> chart, LeaseRecord self,
+                     const LeaseTimes &times);
+
+    std::vector<lease::Action> handle(const lease::Event &event, core::TimePoint now);
+
+    /// The term has begun and not ended; the lease may have lapsed meanwhile.
+    bool hasTerm() const { return fence_ != 0; }
+    bool isHolding(core::TimePoint now) const;
+    bool mayOrder(core::TimePoint now) const;
+    /// Version of the write that began the term; grows from one holder to the next.
+    std::uint64_t fence() const { return fence_; }
+    /// Holder as last read or written; nothing before the first read.
+    const std::optional<LeaseRecord> &holder() const { return known_; }
+    bool isStopped() const { return chart_.isFinished(); }
+
+private:
+    void fire(CoordinatorTrigger trigger, core::TimePoint now, std::vector<lease::Action> &actions);
+    void perform(CoordinatorStep step, core::TimePoint now, std::vector<lease::Action> &actions);
+    void onRead(const lease::ReadFinished &read, core::TimePoint now,
+                std::vector<lease::Action> &actions);
+    void onTick(core::TimePoint now, std::vector<lease::Action> &actions);
+    bool isOwn(const LeaseRecord &record) const;
+    bool isFree(core::TimePoint now);
+
+    charts::ChartInstance<CoordinatorState, CoordinatorTrigger, CoordinatorStep> chart_;
+    LeaseRecord self_;
+    LeaseTimes times_;
+    std::optional<LeaseRecord> known_;
+    std::optional<std::uint64_t> knownVersion_;
+    /// When the known version was first seen.
+    core::TimePoint knownSince_ = {};
+    std::optional<core::TimePoint> heardAt_;
+    core::TimePoint nextLook_ = {};
+    std::uint64_t fence_ = 0;
+    core::TimePoint ordersFrom_ = {};
+    core::TimePoint writeSentAt_ = {};
+    core::TimePoint confirmedAt_ = {};
+    bool isStopRequested_ = false;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/MemberRoll.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/serving/CoordinationMessages.h"
+
+namespace boragerack::decisions {
+
+/// The nodes that reported to the coordinator a short time ago.
+class MemberRoll
+{
+public:
+    /// A node that has not reported for this long is taken as gone.
+    static constexpr std::chrono::milliseconds kSilence {1500};
+
+    void report(const FleetMember &member, bool isStopping, core::TimePoint now);
+    /// Nodes that have gone since the last call.
+    std::vector<core::InstanceId> expire(core::TimePoint now);
+
+    /// Nodes that callers may use; stopping nodes are left out.
+    std::vector<FleetMember> members() const;
+    std::size_t size() const { return entries_.size(); }
+    /// Grows with each change of `members()`; never zero.
+    std::uint64_t version() const { return version_; }
+
+private:
+    struct Entry
+    {
+        FleetMember member;
+        bool isStopping = false;
+        core::TimePoint reportedAt = {};
+    };
+
+    std::map<core::InstanceId, Entry> entries_;
+    std::uint64_t version_ = 1;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/serving/CoordinationMessages.h"
+#include "boragerack/decisions/serving/OutlierDetector.h"
+#include "boragerack/decisions/serving/TargetEntry.h"
+
+namespace boragerack::core {
+class RandomSource;
+}
+
+namespace boragerack::decisions {
+
+class ReplicaSelector;
+
+/// What a request needs of a target.
+struct RouteDemand
+{
+    core::ServiceId service;
+    /// Nothing for plain services.
+    std::optional<Artifact> artifact;
+    /// Targets on which attempts of the request failed; used only if there is no other.
+    std::vector<core::TargetId> avoid;
+    /// If not empty, only these targets may get the request.
+    std::vector<core::TargetId> only;
+    std::chrono::milliseconds aim = {};
+    /// Requests with the same value share a long prefix of their prompts; zero for none.
+    std::uint64_t prefix = 0;
+
+    friend bool operator==(const RouteDemand &, const RouteDemand &) = default;
+};
+
+namespace routing {
+
+struct Asked
+{
+    std::uint64_t request = 0;
+    RouteDemand demand;
+    friend bool operator==(const Asked &, const Asked &) = default;
+};
+
+/// The request no longer waits.
+struct Withdrawn
+{
+    std::uint64_t request = 0;
+    friend bool operator==(const Withdrawn &, const Withdrawn &) = default;
+};
+
+/// An attempt that was granted has ended.
+struct Ended
+{
+    core::TargetId target;
+    core::ServiceId service;
+    std::optional<Artifact> artifact;
+    AttemptOutcome outcome = AttemptOutcome::Succeeded;
+    /// The target said that it does not hold the artifact.
+    bool isMissing = false;
+    friend bool operator==(const Ended &, const Ended &) = default;
+};
+
+struct TargetsChanged
+{
+    std::shared_ptr<const TargetEntries> entries;
+    friend bool operator==(const TargetsChanged &, const TargetsChanged &) = default;
+};
+
+/// Placements of the coordinator, which know of orders before the targets report them.
+struct PlacementsChanged
+{
+    std::vector<TargetPlacement> placements;
+    friend bool operator==(const PlacementsChanged &, const PlacementsChanged &) = default;
+};
+
+/// There is no coordinator whose placements are current; only the targets' own word counts.
+struct PlacementsLost
+{
+    friend bool operator==(const PlacementsLost &, const PlacementsLost &) = default;
+};
+
+struct Tick
+{
+    friend bool operator==(const Tick &, const Tick &) = default;
+};
+
+using Event = std::variant<Asked, Withdrawn, Ended, TargetsChanged, PlacementsChanged,
+                           PlacementsLost, Tick>;
+
+struct Granted
+{
+    std::uint64_t request = 0;
+    core::TargetId target;
+    std::string address;
+    friend bool operator==(const Granted &, const Granted &) = default;
+};
+
+} // namespace routing
+
+/// Chooses targets for the attempts of this node's requests. A request for an artifact that no
+/// target serves waits until one does; its demand is reported to the coordinator.
+class RequestRouter
+{
+public:
+    using Event = routing::Event;
+    using Action = routing::Granted;
+
+    /// `random` must outlive the router.
+    explicit RequestRouter(core::RandomSource &random);
+    ~RequestRouter();
+
+    std::vector<Action> handle(const Event &event, core::TimePoint now);
+
+    /// Demand since the last call, and what waits now.
+    std::vector<ArtifactDemand> takeDemands(core::TimePoint now);
+    std::vector<ArtifactUse> uses() const;
+    std::size_t waitingRequests() const { return waiting_.size(); }
+    /// True if a request began to wait since the last call.
+    bool takeNewlyWaiting();
+
+private:
+    using Key = std::pair<core::TargetId, Artifact>;
+
+    struct Waiting
+    {
+        RouteDemand demand;
+        core::TimePoint since;
+    };
+
+    struct Counter
+    {
+        core::ServiceId service;
+        std::uint32_t arrived = 0;
+    };
+
+    void on(const routing::Asked &event, core::TimePoint now, std::vector<Action> &actions);
+    void on(const routing::Withdrawn &event, core::TimePoint now, std::vector<Action> &actions);
+    void on(const routing::Ended &event, core::TimePoint now, std::vector<Action> &actions);
+    void on(const routing::TargetsChanged &event, core::TimePoint now,
+            std::vector<Action> &actions);
+    void on(const routing::PlacementsChanged &event, core::TimePoint now,
+            std::vector<Action> &actions);
+    void on(const routing::PlacementsLost &event, core::TimePoint now,
+            std::vector<Action> &actions);
+    void on(const routing::Tick &event, core::TimePoint now, std::vector<Action> &actions);
+
+    bool isUsable(const TargetEntry &entry, const RouteDemand &demand, core::TimePoint now) const;
+    bool serves(const TargetEntry &entry, const Artifact &artifact) const;
+    const TargetEntry *choose(const RouteDemand &demand, core::TimePoint now) const;
+    const TargetEntry *choosePrefixHolder(const RouteDemand &demand,
+                                          const std::vector<const TargetEntry *> &candidates) const;
+    std::uint32_t outstanding(const core::TargetId &target) const;
+    void grant(std::uint64_t request, const RouteDemand &demand, const TargetEntry &entry,
+               std::vector<Action> &actions);
+    void grantWaiting(core::TimePoint now, std::vector<Action> &actions);
+
+    std::unique_ptr<ReplicaSelector> selector_;
+    std::shared_ptr<const TargetEntries> entries_;
+    std::map<core::TargetId, TargetPlacement> placements_;
+    std::map<std::uint64_t, Waiting> waiting_;
+    bool isNewlyWaiting_ = false;
+    std::map<core::TargetId, std::uint32_t> outstanding_;
+    std::map<Key, std::uint32_t> uses_;
+    std::map<Artifact, Counter> arrivals_;
+    std::map<Key, core::TimePoint> missingUntil_;
+    OutlierDetector outliers_;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/ServingConfiguration.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "boragerack/core/Digest.h"
+#include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/BudgetTypes.h"
+
+namespace boragerack::decisions {
+
+enum class RequestKind {
+    Repeatable, ///< May run more than once.
+    AtMostOnce, ///< Runs at most once for each attempt of the caller.
+    Stream, ///< An event stream; at most once unless the route is resumable.
+};
+
+/// Share of a route's requests that go to a service.
+struct ServiceShare
+{
+    core::ServiceId service;
+    std::uint32_t weight = 0;
+
+    friend auto operator<=>(const ServiceShare &, const ServiceShare &) = default;
+};
+
+struct ServingRoute
+{
+    std::string name;
+    std::string host;
+    /// Begins and ends with a slash.
+    std::string pathPrefix;
+    RequestKind kind = RequestKind::AtMostOnce;
+    std::chrono::milliseconds timeout = {};
+    /// Time within which an answer, or the first event of a stream, earns its full worth.
+    std::chrono::milliseconds targetLatency = {};
+    /// 0 is the most urgent.
+    int priority = 0;
+    std::vector<ServiceShare> services;
+    std::uint32_t maxAttempts = 1;
+    /// Needs no key.
+    bool isOpen = false;
+    /// A broken stream may continue at another target.
+    bool isResumable = false;
+    /// Requests share the first parts of their prompts.
+    bool sharesPrompts = false;
+
+    friend auto operator<=>(const ServingRoute &, const ServingRoute &) = default;
+};
+
+struct ServingOrganisation
+{
+    core::OrganisationId organisation;
+    std::vector<core::Digest> keys;
+    /// Goes before the priority of the route.
+    std::optional<int> priority;
+    /// Without a limit when the rate is zero.
+    RateLimit limit;
+    /// The limit counts tokens; otherwise it counts requests.
+    bool countsTokens = false;
+    /// Tokens of a request that does not say how many it needs.
+    std::int64_t plainTokens = 1;
+
+    friend bool operator==(const ServingOrganisation &, const ServingOrganisation &) = default;
+};
+
+struct ModelFigures
+{
+    core::ModelId model;
+    std::uint64_t weightsMb = 0;
+    std::uint64_t adapterMb = 0;
+    std::uint32_t adapters = 0;
+    /// Load times by the place of the nearest copy of the weights.
+    std::chrono::milliseconds loadFromStore = {};
+    std::chrono::milliseconds loadFromDisk = {};
+    std::chrono::milliseconds loadFromMemory = {};
+
+    friend auto operator<=>(const ModelFigures &, const ModelFigures &) = default;
+};
+
+/// What all model engines of a service have in common.
+struct EngineFigures
+{
+    std::uint32_t slots = 0;
+    std::uint64_t weightsMb = 0;
+    std::uint32_t adapterPlaces = 0;
+    double storeLoadsPerSecond = 0;
+    std::vector<ModelFigures> models;
+
+    friend auto operator<=>(const EngineFigures &, const EngineFigures &) = default;
+};
+
+struct ServingService
+{
+    core::ServiceId service;
+    /// Connections that a target accepts from all callers together.
+    std::uint32_t maxConnections = 0;
+    std::optional<EngineFigures> engine;
+
+    friend auto operator<=>(const ServingService &, const ServingService &) = default;
+};
+
+/// Bounds of what a caller may send.
+struct CallerLimits
+{
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::chrono::milliseconds headerTimeout = std::chrono::seconds(10);
+    std::chrono::milliseconds idleTimeout = std::chrono::seconds(60);
+
+    friend auto operator<=>(const CallerLimits &, const CallerLimits &) = default;
+};
+
+/// One accepted configuration of routes, services and organisations.
+struct ServingConfiguration
+{
+    std::uint64_t version = 0;
+    std::vector<ServingRoute> routes;
+    std::vector<ServingService> services;
+    std::vector<ServingOrganisation> organisations;
+    CallerLimits limits;
+
+    friend bool operator==(const ServingConfiguration &, const ServingConfiguration &) = default;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapMessages.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/serving/CoordinationMessages.h"
+#include "boragerack/decisions/serving/ServingConfiguration.h"
+#include "boragerack/decisions/serving/TargetEntry.h"
+
+namespace boragerack::decisions::swap {
+
+// Events of the planner.
+
+struct TargetsChanged
+{
+    std::shared_ptr<const TargetEntries> entries;
+    friend bool operator==(const TargetsChanged &, const TargetsChanged &) = default;
+};
+
+struct ServicesChanged
+{
+    std::vector<ServingService> services;
+    friend bool operator==(const ServicesChanged &, const ServicesChanged &) = default;
+};
+
+/// Demand of one node; replaces its earlier report.
+struct DemandReported
+{
+    core::InstanceId node;
+    std::vector<ArtifactDemand> demands;
+    std::vector<ArtifactUse> uses;
+    friend bool operator==(const DemandReported &, const DemandReported &) = default;
+};
+
+struct NodeLeft
+{
+    core::InstanceId node;
+    friend bool operator==(const NodeLeft &, const NodeLeft &) = default;
+};
+
+enum class OrderOutcome {
+    Accepted, ///< The target carries the order out.
+    AlreadyHeld, ///< The state that the order asks for holds already.
+    Conflict, ///< Another order is under way, or the expected sequence is wrong.
+    Rejected, ///< The target does not take the order.
+    NotSent, ///< No byte of the order can have reached the target.
+    Unknown, ///< The order may be carried out, now or later.
+};
+
+struct OrderAnswered
+{
+    core::TargetId target;
+    std::uint64_t order = 0;
+    OrderOutcome outcome = OrderOutcome::Unknown;
+    friend bool operator==(const OrderAnswered &, const OrderAnswered &) = default;
+};
+
+/// Answer to AskReport; nothing if the target did not answer.
+struct ReportArrived
+{
+    core::TargetId target;
+    std::optional<TargetReport> report;
+    friend bool operator==(const ReportArrived &, const ReportArrived &) = default;
+};
+
+/// Whether this node may give orders now.
+struct OrdersAllowed
+{
+    bool isAllowed = false;
+    friend bool operator==(const OrdersAllowed &, const OrdersAllowed &) = default;
+};
+
+struct Tick
+{
+    friend bool operator==(const Tick &, const Tick &) = default;
+};
+
+using Event = std::variant<TargetsChanged, ServicesChanged, DemandReported, NodeLeft,
+                           OrderAnswered, ReportArrived, OrdersAllowed, Tick>;
+
+// Actions.
+
+enum class OrderKind { Load, Unload };
+
+struct SendOrder
+{
+    std::uint64_t order = 0;
+    core::TargetId target;
+    std::string address;
+    OrderKind kind = OrderKind::Load;
+    Artifact artifact;
+    /// The target carries the order out only if it has accepted this many orders before.
+    std::uint64_t expectedSequence = 0;
+    friend bool operator==(const SendOrder &, const SendOrder &) = default;
+};
+
+struct AskReport
+{
+    core::TargetId target;
+    std::string address;
+    friend bool operator==(const AskReport &, const AskReport &) = default;
+};
+
+using Action = std::variant<SendOrder, AskReport>;
+
+} // namespace boragerack::decisions::swap
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/serving/DemandBook.h"
+#include "boragerack/decisions/serving/SwapMessages.h"
+#include "boragerack/decisions/serving/TargetOrders.h"
+
+namespace boragerack::decisions {
+
+/// Decides which model engine loads which weights. Waiting requests of one model become one load;
+/// it goes to the engine that can serve the model soonest at the least cost for the others.
+class SwapPlanner
+{
+public:
+    explicit SwapPlanner(std::shared_ptr<const TargetOrderBinding> chart);
+
+    std::vector<swap::Action> handle(const swap::Event &event, core::TimePoint now);
+
+    std::uint64_t placementVersion() const { return version_; }
+    /// Targets whose served artifacts changed after the version.
+    std::vector<TargetPlacement> placementsSince(std::uint64_t version) const;
+
+private:
+    using Actions = std::vector<swap::Action>;
+
+    struct Target
+    {
+        TargetOrders orders;
+        /// Model for which this target is making room.
+        std::optional<core::ModelId> reservedFor;
+        std::uint64_t publishedChanges = 0;
+        std::uint64_t publishedVersion = 0;
+    };
+
+    /// A model that should become ready on one more target.
+    struct Need
+    {
+        core::ServiceId service;
+        core::ModelId model;
+        std::uint32_t waiting = 0;
+        std::chrono::milliseconds timeToAim = {};
+        /// A further replica of a model that is ready elsewhere; it takes nothing from others.
+        bool isFurther = false;
+    };
+
+    /// A way to satisfy a need.
+    struct Option
+    {
+        Target *target = nullptr;
+        std::vector<core::ModelId> victims;
+        std::chrono::milliseconds loadTime = {};
+        bool isFromStore = false;
+        double cost = 0;
+    };
+
+    void on(const swap::TargetsChanged &event, core::TimePoint now);
+    void on(const swap::ServicesChanged &event, core::TimePoint now);
+    void on(const swap::DemandReported &event, core::TimePoint now);
+    void on(const swap::NodeLeft &event, core::TimePoint now);
+    void on(const swap::OrderAnswered &event, core::TimePoint now);
+    void on(const swap::ReportArrived &event, core::TimePoint now);
+    void on(const swap::OrdersAllowed &event, core::TimePoint now);
+    void on(const swap::Tick &event, core::TimePoint now);
+
+    void decide(core::TimePoint now, Actions &actions);
+    std::vector<Need> modelNeeds(const std::map<Artifact, FleetDemand> &demands) const;
+    void placeModel(const Need &need, core::TimePoint now, Actions &actions);
+    void placeAdapter(const Artifact &artifact, const core::ServiceId &service,
+                      core::TimePoint now, Actions &actions);
+    std::optional<Option> makeOption(Target &target, const Need &need, core::TimePoint now);
+    bool addVictims(Option &option, const Need &need, std::uint64_t missingMb,
+                    core::TimePoint now);
+    double evictionCost(const Target &target, const core::ModelId &model,
+                        core::TimePoint now) const;
+    void follow(const Option &option, const Need &need, core::TimePoint now, Actions &actions);
+    void publish();
+
+    const EngineFigures *figuresOf(const core::ServiceId &service) const;
+    const ModelFigures *figuresOf(const core::ServiceId &service, const core::ModelId &model) const;
+    std::uint64_t usedMb(const Target &target) const;
+    std::uint32_t usedAdapterPlaces(const Target &target) const;
+    std::uint32_t readyReplicas(const core::ModelId &model) const;
+    bool isBeingPlaced(const core::ModelId &model) const;
+    bool isAtHandElsewhere(const core::ServiceId &service, const core::ModelId &model) const;
+    bool mayLoadFromStore(core::TimePoint now);
+    std::uint32_t storeLoads() const;
+    swap::SendOrder makeOrder(Target &target, swap::OrderKind kind, const Artifact &artifact,
+                              std::chrono::milliseconds duration, bool isFromStore);
+
+    std::shared_ptr<const TargetOrderBinding> chart_;
+    std::map<core::ServiceId, EngineFigures> figures_;
+    std::map<core::TargetId, Target> targets_;
+    DemandBook book_;
+    bool mayOrder_ = false;
+    std::uint64_t nextOrder_ = 1;
+    std::uint64_t version_ = 1;
+    double storeTokens_ = 0;
+    core::TimePoint storeTokensAt_ = {};
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/Artifact.h"
+
+namespace boragerack::decisions {
+
+/// A model that a target has ready, with the adapters loaded for it.
+struct ModelReplica
+{
+    core::ModelId model;
+    std::uint64_t weightsVersion = 0;
+    std::vector<core::AdapterId> adapters;
+
+    friend auto operator<=>(const ModelReplica &, const ModelReplica &) = default;
+};
+
+/// What a target says of itself in the instance list.
+struct TargetEntry
+{
+    core::TargetId target;
+    core::ServiceId service;
+    std::string address;
+    core::DataCentreId dataCentre;
+    std::uint32_t slots = 1;
+    bool isLeaving = false;
+    /// Milliseconds since the Unix epoch at which the process started; changes at a restart under
+    /// the same identifier.
+    std::uint64_t startedAt = 0;
+    /// Number of orders that the target has accepted since its start.
+    std::uint64_t orderSequence = 0;
+    std::vector<ModelReplica> replicas;
+    /// Weights that load faster than from the weight store.
+    std::vector<core::ModelId> inMemory;
+    std::vector<core::ModelId> onDisk;
+
+    bool holds(const Artifact &artifact) const;
+
+    friend auto operator<=>(const TargetEntry &, const TargetEntry &) = default;
+};
+
+using TargetEntries = std::map<core::TargetId, TargetEntry>;
+
+/// Answer of a target to the question for its current state; it may be some hundred ms old.
+struct TargetReport
+{
+    std::uint64_t startedAt = 0;
+    std::uint64_t orderSequence = 0;
+    bool isBusy = false;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::vector<ModelReplica> replicas;
+    /// Adapters in transit to the target; they take places already.
+    std::vector<Artifact> arriving;
+
+    friend auto operator<=>(const TargetReport &, const TargetReport &) = default;
+};
+
+} // namespace boragerack::decisions
--- a/packages/decisions/src/Freshness.cpp
+++ b/packages/decisions/src/Freshness.cpp
@@ -28,9 +28,11 @@
     return std::make_shared<const Binding>(core::takeValue(std::move(binding)));
 }
 
-Freshness::Freshness(std::shared_ptr<const Binding> binding, FleetMechanisms mechanisms)
+Freshness::Freshness(std::shared_ptr<const Binding> binding, FleetMechanisms mechanisms,
+                     core::Duration bound)
     : chart_(std::move(binding))
     , mechanisms_(mechanisms)
+    , bound_(bound)
 {
 }
 
@@ -68,7 +70,7 @@
 
 void Freshness::on(const Tick &)
 {
-    if (mechanisms_.freshnessBound && (!evidence_ || now_ - evidence_->provenAt >= kFreshnessBound))
+    if (mechanisms_.freshnessBound && (!evidence_ || now_ - evidence_->provenAt >= bound_))
         fire(ChartEvent::ProofExpired);
     // In a confirmed outage the probes go on: they are the votes that confirm it.
     const bool isReadProven = evidence_ && evidence_->kind == BeaconKind::PlatformRead
@@ -93,7 +95,7 @@
 void Freshness::adopt(const BeaconSeen &beacon)
 {
     if ((evidence_ && beacon.provenAt <= evidence_->provenAt)
-        || now_ - beacon.provenAt >= kFreshnessBound)
+        || now_ - beacon.provenAt >= bound_)
         return;
     evidence_ = beacon;
     hadReadProof_ = hadReadProof_ || beacon.kind == BeaconKind::PlatformRead;
@@ -106,12 +108,12 @@
 {
     const bool isServing = chart_.state() == State::Fresh || chart_.state() == State::Outage;
     return isServing
-        && (!mechanisms_.freshnessBound || now - evidence_->provenAt < kFreshnessBound);
+        && (!mechanisms_.freshnessBound || now - evidence_->provenAt < bound_);
 }
 
 std::optional<Beacon> Freshness::beacon(core::TimePoint now) const
 {
-    if (!evidence_ || now - evidence_->provenAt >= kFreshnessBound)
+    if (!evidence_ || now - evidence_->provenAt >= bound_)
         return std::nullopt;
     return Beacon {evidence_->kind, evidence_->version, now - evidence_->provenAt};
 }
@@ -123,7 +125,7 @@
 
 std::optional<core::TimePoint> Freshness::failedProbeAt(core::TimePoint now) const
 {
-    if (!failedProbe_ || now - *failedProbe_ >= kFreshnessBound)
+    if (!failedProbe_ || now - *failedProbe_ >= bound_)
         return std::nullopt;
     return failedProbe_;
 }
--- a/packages/decisions/src/RequestAttempt.cpp
+++ b/packages/decisions/src/RequestAttempt.cpp
@@ -87,6 +87,9 @@
         return;
     failure_ = core::ErrorCode::TargetFailed;
     failedTargets_.push_back(target_);
+    ++refusals_;
+    if (plan_.refusalProvesNotRun)
+        verdict_ = earlierVerdict_;
     fire(AttemptTrigger::TargetRefused, actions);
     fire(isRetryAllowed(now) ? AttemptTrigger::RetryAllowed : AttemptTrigger::RetryDenied, actions);
 }
@@ -148,7 +151,8 @@
 
 bool RequestAttempt::isRetryAllowed(core::TimePoint now) const
 {
-    if (number_ >= plan_.maxAttempts || targetDeaths_.size() >= kMaxTargetDeaths || isExpired(now))
+    const std::uint32_t counted = number_ - std::min(refusals_, plan_.maxRefusals);
+    if (counted >= plan_.maxAttempts || targetDeaths_.size() >= kMaxTargetDeaths || isExpired(now))
         return false;
     if (verdict_ == core::Verdict::NotRun)
         return true;
@@ -186,6 +190,7 @@
         actions.emplace_back(attempt::OpenConnection {current(), target_});
         break;
     case AttemptStep::RaiseMayHaveRun:
+        earlierVerdict_ = verdict_;
         verdict_ = std::max(verdict_, core::Verdict::MayHaveRun);
         break;
     case AttemptStep::SendRequest:
--- /dev/null
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -0,0 +1,157 @@
+#include "boragerack/decisions/serving/CoordinatorLease.h"
+
+#include <algorithm>
+
+namespace boragerack::decisions {
+
+CoordinatorLease::CoordinatorLease(std::shared_ptr<const CoordinatorBinding> chart,
+                                   LeaseRecord self, const LeaseTimes &times)
+    : chart_(std::move(chart))
+    , self_(std::move(self))
+    , times_(times)
+{
+}
+
+std::vector<lease::Action> CoordinatorLease::handle(const lease::Event &event, core::TimePoint now)
+{
+    std::vector<lease::Action> actions;
+    if (const auto *read = std::get_if<lease::ReadFinished>(&event)) {
+        onRead(*read, now, actions);
+    } else if (const auto *applied = std::get_if<lease::WriteApplied>(&event)) {
+        knownVersion_ = applied->version;
+        known_ = self_;
+        fire(CoordinatorTrigger::Applied, now, actions);
+    } else if (std::holds_alternative<lease::WriteConflict>(event)) {
+        fire(CoordinatorTrigger::Conflict, now, actions);
+    } else if (std::holds_alternative<lease::Unanswered>(event)) {
+        fire(CoordinatorTrigger::Unanswered, now, actions);
+    } else if (std::holds_alternative<lease::CoordinatorHeard>(event)) {
+        heardAt_ = now;
+    } else if (std::holds_alternative<lease::StopRequested>(event)) {
+        isStopRequested_ = true;
+        fire(CoordinatorTrigger::Stop, now, actions);
+    } else {
+        onTick(now, actions);
+    }
+    return actions;
+}
+
+bool CoordinatorLease::isHolding(core::TimePoint now) const
+{
+    return hasTerm() && now < confirmedAt_ + times_.validity;
+}
+
+bool CoordinatorLease::mayOrder(core::TimePoint now) const
+{
+    return isHolding(now + times_.orderTimeout) && now >= ordersFrom_ && !isStopRequested_;
+}
+
+void CoordinatorLease::onRead(const lease::ReadFinished &read, core::TimePoint now,
+                              std::vector<lease::Action> &actions)
+{
+    if (knownVersion_ != read.version || known_.has_value() != read.record.has_value())
+        knownSince_ = now;
+    known_ = read.record;
+    knownVersion_ = read.record ? std::optional(read.version) : std::nullopt;
+    if (chart_.state() == CoordinatorState::Verifying) {
+        const bool isOwnTerm =
+            known_ && isOwn(*known_) && known_->incarnation == self_.incarnation;
+        // A write that has not taken effect may still do so; the next renewal is conditional on
+        // the version read here, so at most one of the two does.
+        fire(isOwnTerm ? CoordinatorTrigger::FoundOwn : CoordinatorTrigger::FoundOther, now,
+             actions);
+        return;
+    }
+    fire(isFree(now) ? CoordinatorTrigger::FoundFree : CoordinatorTrigger::FoundHeld, now, actions);
+}
+
+void CoordinatorLease::onTick(core::TimePoint now, std::vector<lease::Action> &actions)
+{
+    if (isStopRequested_) {
+        fire(CoordinatorTrigger::Stop, now, actions);
+        return;
+    }
+    if (chart_.accepts(CoordinatorTrigger::Renew)) {
+        if (now >= writeSentAt_ + times_.renewEvery)
+            fire(CoordinatorTrigger::Renew, now, actions);
+        return;
+    }
+    const bool isHeard = heardAt_ && now - *heardAt_ < times_.validity / 2;
+    if (!chart_.accepts(CoordinatorTrigger::Look) || now < nextLook_
+        || (isHeard && chart_.state() == CoordinatorState::Following))
+        return;
+    nextLook_ = now + times_.lookEvery;
+    fire(CoordinatorTrigger::Look, now, actions);
+}
+
+void CoordinatorLease::fire(CoordinatorTrigger trigger, core::TimePoint now,
+                            std::vector<lease::Action> &actions)
+{
+    for (const CoordinatorStep step : chart_.fire(trigger))
+        perform(step, now, actions);
+}
+
+void CoordinatorLease::perform(CoordinatorStep step, core::TimePoint now,
+                               std::vector<lease::Action> &actions)
+{
+    switch (step) {
+    case CoordinatorStep::ReadLease:
+        actions.emplace_back(lease::Read {});
+        break;
+    case CoordinatorStep::WriteLease:
+        ++self_.renewal;
+        self_.ordersAfter = std::chrono::ceil<std::chrono::milliseconds>(
+            std::max(core::Duration(0), ordersFrom_ - now));
+        writeSentAt_ = now;
+        actions.emplace_back(lease::Write {self_, knownVersion_});
+        break;
+    case CoordinatorStep::WriteRelease: {
+        LeaseRecord released = self_;
+        released.isReleased = true;
+        ++released.renewal;
+        actions.emplace_back(lease::Write {released, knownVersion_});
+        break;
+    }
+    case CoordinatorStep::StartTerm:
+        fence_ = *knownVersion_;
+        confirmedAt_ = writeSentAt_;
+        break;
+    case CoordinatorStep::ExtendTerm:
+        // An older renewal that is read back proves nothing about the time of the last one.
+        if (known_->renewal == self_.renewal)
+            confirmedAt_ = writeSentAt_;
+        break;
+    case CoordinatorStep::EndTerm:
+        fence_ = 0;
+        break;
+    }
+}
+
+bool CoordinatorLease::isOwn(const LeaseRecord &record) const
+{
+    return record.holder == self_.holder && record.peerAddress == self_.peerAddress;
+}
+
+bool CoordinatorLease::isFree(core::TimePoint now)
+{
+    if (!known_) {
+        ordersFrom_ = now;
+        return true;
+    }
+    // A restarted process is the same holder to the targets; its predecessor is dead, because this
+    // process has its address.
+    if (isOwn(*known_)) {
+        if (known_->incarnation != self_.incarnation)
+            ordersFrom_ = now + known_->ordersAfter;
+        return true;
+    }
+    if (known_->isReleased) {
+        ordersFrom_ = knownSince_ + times_.orderHandover + times_.margin;
+        return true;
+    }
+    const core::TimePoint lapsesAt = knownSince_ + times_.validity + times_.margin;
+    ordersFrom_ = lapsesAt + times_.orderHandover;
+    return now >= lapsesAt;
+}
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -0,0 +1,242 @@
+#include "boragerack/decisions/serving/RequestRouter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "boragerack/core/RendezvousHash.h"
+#include "boragerack/decisions/ReplicaSelector.h"
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// A target that said that it lacks an artifact is not asked for it again for this time, unless the
+/// coordinator places the artifact there anew. Reports of targets lag by some hundred ms.
+constexpr std::chrono::milliseconds kMissingDuration(400);
+
+/// A target that holds the prefix of a prompt is preferred as long as it has at most this many more
+/// requests of this node than the least loaded one.
+constexpr std::uint32_t kPrefixSlack = 3;
+
+} // namespace
+
+RequestRouter::RequestRouter(core::RandomSource &random)
+    : selector_(std::make_unique<PowerOfTwoSelector>(random))
+    , entries_(std::make_shared<const TargetEntries>())
+{
+}
+
+RequestRouter::~RequestRouter() = default;
+
+std::vector<RequestRouter::Action> RequestRouter::handle(const Event &event, core::TimePoint now)
+{
+    std::vector<Action> actions;
+    std::visit([&](const auto &concrete) { on(concrete, now, actions); }, event);
+    return actions;
+}
+
+void RequestRouter::on(const routing::Asked &event, core::TimePoint now,
+                       std::vector<Action> &actions)
+{
+    const RouteDemand &demand = event.demand;
+    if (demand.artifact && demand.avoid.empty()) {
+        Counter &counter = arrivals_[*demand.artifact];
+        counter.service = demand.service;
+        ++counter.arrived;
+    }
+    if (const TargetEntry *entry = choose(demand, now)) {
+        grant(event.request, demand, *entry, actions);
+        return;
+    }
+    waiting_.emplace(event.request, Waiting {demand, now});
+    isNewlyWaiting_ = true;
+}
+
+void RequestRouter::on(const routing::Withdrawn &event, core::TimePoint, std::vector<Action> &)
+{
+    waiting_.erase(event.request);
+}
+
+void RequestRouter::on(const routing::Ended &event, core::TimePoint now, std::vector<Action> &)
+{
+    if (const auto position = outstanding_.find(event.target);
+        position != outstanding_.end() && --position->second == 0)
+        outstanding_.erase(position);
+    if (event.artifact) {
+        const Key key(event.target, *event.artifact);
+        if (const auto position = uses_.find(key);
+            position != uses_.end() && --position->second == 0)
+            uses_.erase(position);
+        if (event.isMissing)
+            missingUntil_[key] = now + kMissingDuration;
+    }
+    if (!event.isMissing)
+        outliers_.record(event.service, event.target, event.outcome, now);
+}
+
+void RequestRouter::on(const routing::TargetsChanged &event, core::TimePoint now,
+                       std::vector<Action> &actions)
+{
+    entries_ = event.entries;
+    grantWaiting(now, actions);
+}
+
+void RequestRouter::on(const routing::PlacementsChanged &event, core::TimePoint now,
+                       std::vector<Action> &actions)
+{
+    for (const TargetPlacement &placement : event.placements) {
+        placements_[placement.target] = placement;
+        std::erase_if(missingUntil_, [&](const auto &item) {
+            return item.first.first == placement.target;
+        });
+    }
+    grantWaiting(now, actions);
+}
+
+void RequestRouter::on(const routing::PlacementsLost &, core::TimePoint now,
+                       std::vector<Action> &actions)
+{
+    placements_.clear();
+    grantWaiting(now, actions);
+}
+
+void RequestRouter::on(const routing::Tick &, core::TimePoint now, std::vector<Action> &actions)
+{
+    std::erase_if(missingUntil_, [now](const auto &item) { return item.second <= now; });
+    grantWaiting(now, actions);
+}
+
+void RequestRouter::grantWaiting(core::TimePoint now, std::vector<Action> &actions)
+{
+    for (auto position = waiting_.begin(); position != waiting_.end();) {
+        if (const TargetEntry *entry = choose(position->second.demand, now)) {
+            grant(position->first, position->second.demand, *entry, actions);
+            position = waiting_.erase(position);
+        } else {
+            ++position;
+        }
+    }
+}
+
+void RequestRouter::grant(std::uint64_t request, const RouteDemand &demand,
+                          const TargetEntry &entry, std::vector<Action> &actions)
+{
+    ++outstanding_[entry.target];
+    if (demand.artifact)
+        ++uses_[Key(entry.target, *demand.artifact)];
+    actions.push_back({request, entry.target, entry.address});
+}
+
+bool RequestRouter::serves(const TargetEntry &entry, const Artifact &artifact) const
+{
+    const auto placed = placements_.find(entry.target);
+    if (placed == placements_.end() || placed->second.startedAt != entry.startedAt)
+        return entry.holds(artifact);
+    return std::ranges::find(placed->second.artifacts, artifact) != placed->second.artifacts.end();
+}
+
+bool RequestRouter::isUsable(const TargetEntry &entry, const RouteDemand &demand,
+                             core::TimePoint now) const
+{
+    if (entry.service != demand.service || entry.isLeaving)
+        return false;
+    if (!demand.only.empty() && std::ranges::find(demand.only, entry.target) == demand.only.end())
+        return false;
+    if (!demand.artifact)
+        return true;
+    const auto missing = missingUntil_.find(Key(entry.target, *demand.artifact));
+    return (missing == missingUntil_.end() || missing->second <= now)
+        && serves(entry, *demand.artifact);
+}
+
+const TargetEntry *RequestRouter::choose(const RouteDemand &demand, core::TimePoint now) const
+{
+    std::vector<const TargetEntry *> candidates;
+    std::vector<Replica> replicas;
+    std::size_t setAside = 0;
+    for (const auto &[target, entry] : *entries_) {
+        if (!isUsable(entry, demand, now))
+            continue;
+        const bool isSetAside = outliers_.isSetAside(target, now);
+        setAside += isSetAside ? 1 : 0;
+        candidates.push_back(&entry);
+        replicas.push_back({.target = target,
+                            .outstanding = outstanding(target),
+                            .isSuspected = isSetAside});
+    }
+    if (candidates.empty())
+        return nullptr;
+    // If most targets fail, the cause is not theirs, and the few others would be overloaded.
+    if (setAside * 2 > candidates.size()) {
+        for (Replica &replica : replicas)
+            replica.isSuspected = false;
+    }
+    if (demand.prefix != 0 && demand.avoid.empty() && setAside == 0) {
+        if (const TargetEntry *holder = choosePrefixHolder(demand, candidates))
+            return holder;
+    }
+    const auto chosen = selector_->choose(replicas, demand.avoid);
+    return chosen ? &entries_->at(*chosen) : nullptr;
+}
+
+const TargetEntry *
+RequestRouter::choosePrefixHolder(const RouteDemand &demand,
+                                  const std::vector<const TargetEntry *> &candidates) const
+{
+    // All nodes choose the same target for a prefix as long as they see the same targets.
+    const auto preferred = std::ranges::max_element(candidates, {}, [&](const TargetEntry *entry) {
+        return core::stableHash(entry->target.value, demand.prefix);
+    });
+    const auto least = std::ranges::min_element(
+        candidates, {}, [&](const TargetEntry *entry) { return outstanding(entry->target); });
+    const bool isOverloaded =
+        outstanding((*preferred)->target) > outstanding((*least)->target) + kPrefixSlack;
+    return isOverloaded ? nullptr : *preferred;
+}
+
+std::uint32_t RequestRouter::outstanding(const core::TargetId &target) const
+{
+    const auto position = outstanding_.find(target);
+    return position == outstanding_.end() ? 0 : position->second;
+}
+
+std::vector<ArtifactDemand> RequestRouter::takeDemands(core::TimePoint now)
+{
+    std::map<Artifact, ArtifactDemand> demands;
+    for (const auto &[artifact, counter] : arrivals_)
+        demands[artifact] = {artifact, counter.service, 0, counter.arrived, {}, {}};
+    arrivals_.clear();
+    for (const auto &[request, waiting] : waiting_) {
+        if (!waiting.demand.artifact)
+            continue;
+        ArtifactDemand &demand = demands[*waiting.demand.artifact];
+        demand.artifact = *waiting.demand.artifact;
+        demand.service = waiting.demand.service;
+        const auto wait = std::chrono::floor<std::chrono::milliseconds>(now - waiting.since);
+        // The most urgent request is the one with the least time left to its aim.
+        if (demand.waiting == 0 || waiting.demand.aim - wait < demand.aim - demand.oldestWait) {
+            demand.aim = waiting.demand.aim;
+            demand.oldestWait = wait;
+        }
+        ++demand.waiting;
+    }
+    std::vector<ArtifactDemand> result;
+    for (auto &[artifact, demand] : demands)
+        result.push_back(std::move(demand));
+    return result;
+}
+
+std::vector<ArtifactUse> RequestRouter::uses() const
+{
+    std::vector<ArtifactUse> result;
+    for (const auto &[key, count] : uses_)
+        result.push_back({key.first, key.second, count});
+    return result;
+}
+
+bool RequestRouter::takeNewlyWaiting()
+{
+    return std::exchange(isNewlyWaiting_, false);
+}
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -0,0 +1,83 @@
+#include "boragerack/decisions/serving/TargetDirectory.h"
+
+#include <set>
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// Entries lapse after three heartbeat intervals of silence, so a removal this long after the last
+/// failed call may still be an effect of the outage.
+constexpr std::chrono::milliseconds kTroubleMemory(3000);
+
+} // namespace
+
+bool TargetDirectory::handle(const targets::Event &event, core::TimePoint now)
+{
+    if (const auto *listed = std::get_if<targets::Listed>(&event)) {
+        bool isChanged = false;
+        std::set<core::TargetId> present;
+        for (const TargetEntry &entry : listed->entries) {
+            present.insert(entry.target);
+            isChanged = handle(targets::Updated {entry}, now) || isChanged;
+        }
+        std::vector<core::TargetId> missing;
+        for (const auto &[target, entry] : entries_) {
+            if (!present.contains(target))
+                missing.push_back(target);
+        }
+        for (const core::TargetId &target : missing)
+            isChanged = remove(target, now) || isChanged;
+        return isChanged;
+    }
+    if (const auto *updated = std::get_if<targets::Updated>(&event)) {
+        lapsing_.erase(updated->entry.target);
+        TargetEntry &entry = entries_[updated->entry.target];
+        // A target that has begun to leave does not come back under the same start.
+        const bool staysLeaving = entry.isLeaving && entry.startedAt == updated->entry.startedAt;
+        if (entry == updated->entry)
+            return false;
+        entry = updated->entry;
+        entry.isLeaving = entry.isLeaving || staysLeaving;
+        return true;
+    }
+    if (const auto *removed = std::get_if<targets::Removed>(&event))
+        return remove(removed->target, now);
+    if (std::holds_alternative<targets::PlatformFailed>(event)) {
+        troubleAt_ = now;
+        return false;
+    }
+    bool isChanged = false;
+    // While the platform is away nothing can be said about entries that lapsed.
+    if (troubleAt_ != now) {
+        std::erase_if(lapsing_, [&](const auto &item) {
+            if (item.second > now)
+                return false;
+            isChanged = entries_.erase(item.first) > 0 || isChanged;
+            return true;
+        });
+    }
+    return isChanged;
+}
+
+bool TargetDirectory::remove(const core::TargetId &target, core::TimePoint now)
+{
+    const auto position = entries_.find(target);
+    if (position == entries_.end())
+        return false;
+    // A target that announced its end has left, whatever the platform's state.
+    if (hadTrouble(now) && !position->second.isLeaving) {
+        lapsing_.emplace(target, now + kLapseGrace);
+        return false;
+    }
+    entries_.erase(position);
+    lapsing_.erase(target);
+    return true;
+}
+
+bool TargetDirectory::hadTrouble(core::TimePoint now) const
+{
+    return troubleAt_ && now - *troubleAt_ < kTroubleMemory;
+}
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/serving/TargetOrders.cpp
@@ -0,0 +1,247 @@
+#include "boragerack/decisions/serving/TargetOrders.h"
+
+#include <algorithm>
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// A report may be this old, so it shows the effect of an order only after this time.
+constexpr std::chrono::milliseconds kReportLag(250);
+/// Pause between two questions to a target whose order should be done.
+constexpr std::chrono::milliseconds kAskEvery(100);
+/// Pause after a question that was not answered.
+constexpr std::chrono::milliseconds kAskAgain(400);
+/// A target that rejected an order gets none for this time.
+constexpr std::chrono::milliseconds kAvoidAfterRejection(2000);
+/// An accepted order without an effect for this long after its time is given up.
+constexpr std::chrono::milliseconds kOverdue(15000);
+
+} // namespace
+
+TargetOrders::TargetOrders(std::shared_ptr<const TargetOrderBinding> chart, TargetEntry entry,
+                           core::TimePoint now)
+    : entry_(std::move(entry))
+    , chart_(std::move(chart))
+    , askAt_(now)
+{
+    adopt(entry_.replicas, entry_.orderSequence, now);
+}
+
+bool TargetOrders::updateEntry(const TargetEntry &entry, core::TimePoint now)
+{
+    if (entry.startedAt != entry_.startedAt || entry.address != entry_.address)
+        return false;
+    entry_ = entry;
+    if (chart_.state() == TargetOrderState::Working) {
+        if (entry.orderSequence >= sequence_ && isEffectVisible(entry.replicas)) {
+            fire(TargetOrderTrigger::Finished, now);
+            adopt(entry.replicas, entry.orderSequence, now);
+        }
+    } else if (chart_.state() == TargetOrderState::Idle && entry.orderSequence > sequence_) {
+        // An order of an earlier coordinator was carried out late.
+        fire(TargetOrderTrigger::Moved, now);
+        askAt_ = now;
+    }
+    return true;
+}
+
+void TargetOrders::answer(swap::OrderOutcome outcome, core::TimePoint now)
+{
+    switch (outcome) {
+    case swap::OrderOutcome::Accepted:
+        ++sequence_;
+        pending_->doneAt = now + pending_->duration;
+        askAt_ = pending_->doneAt + kReportLag;
+        fire(TargetOrderTrigger::Accepted, now);
+        break;
+    case swap::OrderOutcome::AlreadyHeld:
+        // An unload that takes no time is answered so, and counts as an accepted order.
+        if (pending_->order.kind == swap::OrderKind::Unload)
+            ++sequence_;
+        fire(TargetOrderTrigger::AlreadyHeld, now);
+        break;
+    case swap::OrderOutcome::NotSent:
+        fire(TargetOrderTrigger::NotSent, now);
+        pending_.reset();
+        ++changes_;
+        avoidUntil_ = now + kAskAgain;
+        break;
+    case swap::OrderOutcome::Rejected:
+        avoidUntil_ = now + kAvoidAfterRejection;
+        [[fallthrough]];
+    case swap::OrderOutcome::Conflict:
+        fire(TargetOrderTrigger::Refused, now);
+        pending_.reset();
+        ++changes_;
+        askAt_ = now + kReportLag;
+        break;
+    case swap::OrderOutcome::Unknown:
+        // The memory of the order stays reserved until a report shows what became of it.
+        fire(TargetOrderTrigger::Lost, now);
+        askAt_ = now + kReportLag;
+        break;
+    }
+}
+
+void TargetOrders::report(const std::optional<TargetReport> &report, core::TimePoint now)
+{
+    isQuestionOpen_ = false;
+    if (!report || report->startedAt != entry_.startedAt) {
+        askAt_ = now + kAskAgain;
+        fire(TargetOrderTrigger::Unanswered, now);
+        return;
+    }
+    if (chart_.state() == TargetOrderState::Working) {
+        askAt_ = now + kAskEvery;
+        if (report->orderSequence >= sequence_ && !report->isBusy
+            && isEffectVisible(report->replicas)) {
+            fire(TargetOrderTrigger::Finished, now);
+            adopt(report->replicas, report->orderSequence, now);
+        }
+        return;
+    }
+    if (report->isBusy) {
+        askAt_ = now + kAskEvery;
+        fire(TargetOrderTrigger::ReportedBusy, now);
+        return;
+    }
+    // An order without an answer has been carried out, or it fails at the next order: both expect
+    // the same sequence.
+    pending_.reset();
+    fire(TargetOrderTrigger::Reported, now);
+    adopt(report->replicas, report->orderSequence, now);
+    for (const Artifact &artifact : report->arriving)
+        holdings_[artifact.model].adapters.insert(artifact.adapter);
+}
+
+std::optional<swap::AskReport> TargetOrders::nextQuestion(core::TimePoint now)
+{
+    if (isQuestionOpen_ || now < askAt_)
+        return std::nullopt;
+    const bool isDue = chart_.state() == TargetOrderState::Unknown
+        || (chart_.state() == TargetOrderState::Working && !pending_->order.artifact.isAdapter());
+    if (!isDue)
+        return std::nullopt;
+    fire(TargetOrderTrigger::Ask, now);
+    isQuestionOpen_ = true;
+    return swap::AskReport {entry_.target, entry_.address};
+}
+
+void TargetOrders::tick(core::TimePoint now)
+{
+    if (chart_.state() != TargetOrderState::Working)
+        return;
+    if (pending_->order.artifact.isAdapter()) {
+        // Adapters take a few ms, and no heartbeat announces them.
+        if (now >= pending_->doneAt)
+            fire(TargetOrderTrigger::Finished, now);
+    } else if (now >= pending_->doneAt + kOverdue) {
+        fire(TargetOrderTrigger::Overdue, now);
+        askAt_ = now;
+    }
+}
+
+swap::SendOrder TargetOrders::begin(PendingOrder order)
+{
+    order.order.expectedSequence = sequence_;
+    pending_ = std::move(order);
+    // An unload takes its artifact out of use at once.
+    ++changes_;
+    chart_.fire(TargetOrderTrigger::Order);
+    return pending_->order;
+}
+
+bool TargetOrders::isIdle(core::TimePoint now) const
+{
+    return chart_.state() == TargetOrderState::Idle && now >= avoidUntil_;
+}
+
+bool TargetOrders::serves(const core::ModelId &model) const
+{
+    if (!holdings_.contains(model))
+        return false;
+    return !pending_ || pending_->order.kind != swap::OrderKind::Unload
+        || pending_->order.artifact != Artifact {model, {}, {}};
+}
+
+bool TargetOrders::servesAdapter(const Artifact &artifact) const
+{
+    return serves(artifact.model) && holdings_.at(artifact.model).adapters.contains(artifact.adapter)
+        && (!pending_ || pending_->order.kind != swap::OrderKind::Unload
+            || pending_->order.artifact != artifact);
+}
+
+bool TargetOrders::isLoading(const core::ModelId &model) const
+{
+    return pending_ && pending_->order.kind == swap::OrderKind::Load
+        && pending_->order.artifact == Artifact {model, {}, {}};
+}
+
+std::vector<Artifact> TargetOrders::servedArtifacts() const
+{
+    std::vector<Artifact> artifacts;
+    for (const auto &[model, holding] : holdings_) {
+        if (!serves(model))
+            continue;
+        artifacts.push_back({model, {}, {}});
+        for (const core::AdapterId &adapter : holding.adapters) {
+            if (const Artifact artifact {model, {}, adapter}; servesAdapter(artifact))
+                artifacts.push_back(artifact);
+        }
+    }
+    return artifacts;
+}
+
+void TargetOrders::fire(TargetOrderTrigger trigger, core::TimePoint now)
+{
+    for (const TargetOrderStep step : chart_.fire(trigger)) {
+        if (step == TargetOrderStep::ApplyOrder)
+            apply(now);
+    }
+}
+
+void TargetOrders::apply(core::TimePoint now)
+{
+    const Artifact &artifact = pending_->order.artifact;
+    const bool isLoad = pending_->order.kind == swap::OrderKind::Load;
+    if (artifact.isAdapter() && isLoad)
+        holdings_[artifact.model].adapters.insert(artifact.adapter);
+    else if (artifact.isAdapter())
+        holdings_[artifact.model].adapters.erase(artifact.adapter);
+    else if (isLoad)
+        holdings_[artifact.model].since = now;
+    else
+        holdings_.erase(artifact.model);
+    pending_.reset();
+    ++changes_;
+}
+
+void TargetOrders::adopt(const std::vector<ModelReplica> &replicas, std::uint64_t sequence,
+                         core::TimePoint now)
+{
+    std::map<core::ModelId, Holding> holdings;
+    for (const ModelReplica &replica : replicas) {
+        const auto known = holdings_.find(replica.model);
+        Holding &holding = holdings[replica.model];
+        holding.since = known == holdings_.end() ? now : known->second.since;
+        holding.adapters = {replica.adapters.begin(), replica.adapters.end()};
+    }
+    holdings_ = std::move(holdings);
+    sequence_ = sequence;
+    ++changes_;
+}
+
+bool TargetOrders::isEffectVisible(const std::vector<ModelReplica> &replicas) const
+{
+    const Artifact &artifact = pending_->order.artifact;
+    const auto replica = std::ranges::find(replicas, artifact.model, &ModelReplica::model);
+    bool isPresent = replica != replicas.end();
+    if (isPresent && artifact.isAdapter()) {
+        isPresent =
+            std::ranges::find(replica->adapters, artifact.adapter) != replica->adapters.end();
+    }
+    return isPresent == (pending_->order.kind == swap::OrderKind::Load);
+}
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/src/serving/TokenWallet.cpp
@@ -0,0 +1,120 @@
+#include "boragerack/decisions/serving/TokenWallet.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// Demand of this time is kept in the wallet, so that few requests wait for an answer of the
+/// coordinator.
+constexpr double kReserveSeconds = 0.5;
+/// Time over which demand is averaged.
+constexpr double kDemandSeconds = 1;
+/// A wallet holds at most this part of the burst as a reserve, so that idle nodes do not keep an
+/// organisation's tokens from the nodes that need them.
+constexpr std::int64_t kBurstParts = 8;
+
+} // namespace
+
+void TokenWallet::Account::countDemand(std::int64_t tokens, core::TimePoint now)
+{
+    demand = demandNow(now) + static_cast<double>(tokens) / kDemandSeconds;
+    demandAt = now;
+    largestRequest = std::max(largestRequest, tokens);
+}
+
+double TokenWallet::Account::demandNow(core::TimePoint now) const
+{
+    const double age = std::chrono::duration<double>(now - demandAt).count();
+    return demand * std::exp(-std::max(0.0, age) / kDemandSeconds);
+}
+
+void TokenWallet::setLimits(const Limits &limits)
+{
+    std::erase_if(accounts_, [&](const auto &item) { return !limits.contains(item.first); });
+    for (const auto &[organisation, limit] : limits) {
+        Account &account = accounts_[organisation];
+        account.limit = limit;
+        account.balance = std::min(account.balance, limit.burstTokens);
+    }
+}
+
+bool TokenWallet::isLimited(const core::OrganisationId &organisation) const
+{
+    const auto position = accounts_.find(organisation);
+    return position != accounts_.end() && position->second.limit.tokensPerSecond > 0;
+}
+
+void TokenWallet::countDemand(const core::OrganisationId &organisation, std::int64_t tokens,
+                              core::TimePoint now)
+{
+    if (isLimited(organisation))
+        accounts_[organisation].countDemand(tokens, now);
+}
+
+bool TokenWallet::take(const core::OrganisationId &organisation, std::int64_t tokens)
+{
+    if (!isLimited(organisation))
+        return true;
+    Account &account = accounts_[organisation];
+    if (account.balance < tokens)
+        return false;
+    account.balance -= tokens;
+    return true;
+}
+
+void TokenWallet::giveBack(const core::OrganisationId &organisation, std::int64_t tokens)
+{
+    if (isLimited(organisation))
+        accounts_[organisation].balance += tokens;
+}
+
+void TokenWallet::credit(const TokenAmount &grant)
+{
+    if (isLimited(grant.organisation))
+        accounts_[grant.organisation].balance += grant.tokens;
+}
+
+void TokenWallet::accrue(core::TimePoint now, std::uint32_t nodes)
+{
+    const double seconds =
+        accruedAt_ ? std::chrono::duration<double>(now - *accruedAt_).count() : 0;
+    accruedAt_ = now;
+    for (auto &[organisation, account] : accounts_) {
+        const auto part = static_cast<std::int64_t>(
+            static_cast<double>(account.limit.tokensPerSecond) * seconds / std::max(1U, nodes));
+        const std::int64_t cap = account.limit.burstTokens / std::max(1U, nodes);
+        account.balance = std::max(account.balance, std::min(account.balance + part, cap));
+    }
+}
+
+std::vector<TokenAmount> TokenWallet::wanted(core::TimePoint now) const
+{
+    std::vector<TokenAmount> amounts;
+    for (const auto &[organisation, account] : accounts_) {
+        if (account.limit.tokensPerSecond <= 0)
+            continue;
+        const auto demand =
+            static_cast<std::int64_t>(account.demandNow(now) * kReserveSeconds);
+        const std::int64_t reserve = std::min(std::max(demand, account.largestRequest),
+                                              account.limit.burstTokens / kBurstParts);
+        const std::int64_t missing = account.waiting + reserve - account.balance;
+        // Small amounts can wait for the next report.
+        if (account.waiting > 0 || missing > reserve / 4)
+            amounts.push_back({organisation, missing});
+    }
+    std::erase_if(amounts, [](const TokenAmount &amount) { return amount.tokens <= 0; });
+    return amounts;
+}
+
+void TokenWallet::setWaiting(const std::map<core::OrganisationId, std::int64_t> &tokens)
+{
+    for (auto &[organisation, account] : accounts_) {
+        const auto position = tokens.find(organisation);
+        account.waiting = position == tokens.end() ? 0 : position->second;
+    }
+}
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/gateway/include/boragerack/gateway/GatewayCharts.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <filesystem>
+#include <memory>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/AttemptChart.h"
+#include "boragerack/decisions/Freshness.h"
+#include "boragerack/decisions/NodeChart.h"
+#include "boragerack/decisions/serving/CoordinatorChart.h"
+#include "boragerack/decisions/serving/TargetOrderChart.h"
+#include "boragerack/peer/PeerCharts.h"
+
+namespace boragerack::gateway {
+
+/// All charts that a gateway interprets.
+struct GatewayCharts
+{
+    std::shared_ptr<const decisions::AttemptBinding> attempt;
+    std::shared_ptr<const decisions::NodeBinding> node;
+    std::shared_ptr<const decisions::Freshness::Binding> freshness;
+    std::shared_ptr<const decisions::CoordinatorBinding> coordinator;
+    std::shared_ptr<const decisions::TargetOrderBinding> targetOrder;
+    std::shared_ptr<const peer::PeerCharts> peer;
+};
+
+/// Fails with the name of the first chart that is missing or does not fit the code.
+core::Result<GatewayCharts> loadGatewayCharts(const std::filesystem::path &directory);
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/include/boragerack/gateway/ServingSource.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/serving/ServingConfiguration.h"
+#include "boragerack/decisions/serving/TargetDirectory.h"
+
+namespace boragerack::gateway {
+
+/// The configuration at a revision of the platform; nothing if none has been written.
+struct ConfigurationRead
+{
+    std::uint64_t revision = 0;
+    std::optional<decisions::ServingConfiguration> configuration;
+    /// The changes since the revision asked for are not kept any more.
+    bool isExpired = false;
+
+    friend bool operator==(const ConfigurationRead &, const ConfigurationRead &) = default;
+};
+
+/// Changes of the list of targets up to a revision.
+struct TargetsRead
+{
+    std::uint64_t revision = 0;
+    std::vector<decisions::targets::Event> events;
+    bool isExpired = false;
+
+    friend bool operator==(const TargetsRead &, const TargetsRead &) = default;
+};
+
+/// Configuration and targets as the platform keeps them. Calls suspend the calling fiber.
+class ServingSource
+{
+public:
+    ServingSource() = default;
+    ServingSource(const ServingSource &) = delete;
+    ServingSource &operator=(const ServingSource &) = delete;
+    virtual ~ServingSource() = default;
+
+    virtual core::Result<ConfigurationRead> readConfiguration() = 0;
+    /// Waits for a change after the revision. Without one the answer has no configuration.
+    virtual core::Result<ConfigurationRead> watchConfiguration(std::uint64_t afterRevision,
+                                                               std::chrono::milliseconds wait) = 0;
+
+    virtual core::Result<TargetsRead> listTargets() = 0;
+    virtual core::Result<TargetsRead> watchTargets(std::uint64_t afterRevision,
+                                                   std::chrono::milliseconds wait) = 0;
+};
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -0,0 +1,116 @@
+#include "ConfigurationTask.h"
+
+#include <boost/fiber/operations.hpp>
+
+#include "Backoff.h"
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::gateway {
+
+namespace {
+
+/// Proofs are renewed this many times within the time a withdrawn key may be used, so that one call
+/// may be lost and its successor still arrives in time.
+constexpr int kProofsPerRevocation = 4;
+/// Time for a request to reach its target after the check.
+constexpr std::chrono::milliseconds kSendMargin(200);
+
+} // namespace
+
+ConfigurationTask::ConfigurationTask(ServingSource &source, const core::Clock &clock,
+                                     std::shared_ptr<const decisions::Freshness::Binding> chart,
+                                     std::chrono::milliseconds revocation)
+    : source_(source)
+    , clock_(clock)
+    , freshness_(std::move(chart), {}, revocation - kSendMargin)
+    , watchWait_(revocation / kProofsPerRevocation)
+{
+}
+
+ConfigurationTask::~ConfigurationTask()
+{
+    stop();
+    if (fiber_.joinable())
+        fiber_.join();
+}
+
+void ConfigurationTask::start(Listener listener)
+{
+    listener_ = std::move(listener);
+    fiber_ = boost::fibers::fiber([this] { run(); });
+}
+
+void ConfigurationTask::stop()
+{
+    isRunning_ = false;
+}
+
+void ConfigurationTask::run()
+{
+    while (isRunning_) {
+        readOnce();
+        const bool wasServing = freshness_.state() == decisions::Freshness::State::Fresh;
+        freshness_.handle(decisions::Freshness::Tick(), clock_.now());
+        if (wasServing && freshness_.state() != decisions::Freshness::State::Fresh)
+            runtime::logEvent(runtime::LogEvent::NodeIsolated, "reason=no_recent_proof");
+        if (failures_ > 0)
+            boost::this_fiber::sleep_for(backoff(failures_));
+    }
+}
+
+void ConfigurationTask::readOnce()
+{
+    const core::TimePoint sentAt = clock_.now();
+    auto read = revision_ == 0 ? source_.readConfiguration()
+                               : source_.watchConfiguration(revision_, watchWait_);
+    if (!core::isOk(read)) {
+        fail(core::errorOf(read));
+    } else if (core::valueOf(read).isExpired) {
+        runtime::logEvent(runtime::LogEvent::PlatformHistoryLost,
+                          "list=configuration revision=" + std::to_string(revision_));
+        revision_ = 0;
+    } else {
+        accept(core::valueOf(read), sentAt);
+    }
+}
+
+void ConfigurationTask::accept(const ConfigurationRead &read, core::TimePoint sentAt)
+{
+    if (failures_ > 0)
+        runtime::logEvent(runtime::LogEvent::PlatformAvailable,
+                          "list=configuration failures=" + std::to_string(failures_));
+    failures_ = 0;
+    revision_ = read.revision;
+    if (firstRevision_ == 0)
+        firstRevision_ = read.revision;
+    const std::uint64_t version = table_ ? table_->configuration().version : 0;
+    // A version never goes back, whatever a read returns.
+    if (read.configuration && read.configuration->version > version) {
+        table_ = std::make_shared<const decisions::RouteTable>(*read.configuration);
+        freshness_.handle(decisions::Freshness::VersionAccepted {read.configuration->version},
+                          sentAt);
+        runtime::logEvent(runtime::LogEvent::ConfigurationInEffect,
+                          "version=" + std::to_string(read.configuration->version)
+                              + " routes=" + std::to_string(read.configuration->routes.size()));
+        listener_(table_);
+    }
+    if (!table_)
+        return;
+    const bool wasServing = freshness_.state() == decisions::Freshness::State::Fresh;
+    freshness_.handle(
+        decisions::Freshness::BeaconSeen {decisions::BeaconKind::PlatformRead,
+                                          table_->configuration().version, sentAt},
+        clock_.now());
+    if (!wasServing && freshness_.state() == decisions::Freshness::State::Fresh)
+        runtime::logEvent(runtime::LogEvent::NodeServing,
+                          "version=" + std::to_string(table_->configuration().version));
+}
+
+void ConfigurationTask::fail(const core::Error &error)
+{
+    if (failures_++ == 0)
+        runtime::logEvent(runtime::LogEvent::PlatformUnavailable,
+                          "list=configuration error=\"" + error.message + "\"");
+}
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/ConfigurationTask.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/Freshness.h"
+#include "boragerack/decisions/serving/RouteTable.h"
+#include "boragerack/gateway/ServingSource.h"
+
+namespace boragerack::gateway {
+
+using RouteTablePointer = std::shared_ptr<const decisions::RouteTable>;
+
+/// Watches the configuration. Each answer of the platform proves that the configuration was the
+/// accepted one when the call was sent; without a recent proof the node must not serve, because a
+/// key may have been withdrawn.
+class ConfigurationTask
+{
+public:
+    using Listener = std::function<void(const RouteTablePointer &)>;
+
+    /// `clock` counts suspension. All references must outlive the task.
+    ConfigurationTask(ServingSource &source, const core::Clock &clock,
+                      std::shared_ptr<const decisions::Freshness::Binding> chart,
+                      std::chrono::milliseconds revocation);
+    ~ConfigurationTask();
+
+    /// `listener` is told of each accepted configuration, from the fiber of the task.
+    void start(Listener listener);
+    void stop();
+
+    /// Null before the first configuration.
+    RouteTablePointer table() const { return table_; }
+    bool mayServe() const { return freshness_.mayServe(clock_.now()); }
+    /// Revision of the store at the first read; zero before.
+    std::uint64_t firstRevision() const { return firstRevision_; }
+
+private:
+    void run();
+    void readOnce();
+    void accept(const ConfigurationRead &read, core::TimePoint sentAt);
+    void fail(const core::Error &error);
+
+    ServingSource &source_;
+    const core::Clock &clock_;
+    decisions::Freshness freshness_;
+    std::chrono::milliseconds watchWait_;
+    Listener listener_;
+    RouteTablePointer table_;
+    std::uint64_t revision_ = 0;
+    std::uint64_t firstRevision_ = 0;
+    std::uint32_t failures_ = 0;
+    bool isRunning_ = true;
+    boost::fibers::fiber fiber_;
+};
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/CoordinatorMessages.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <variant>
+
+#include "ConfigurationTask.h"
+#include "TargetTask.h"
+#include "boragerack/decisions/serving/CoordinationMessages.h"
+#include "boragerack/decisions/serving/SwapMessages.h"
+#include "boragerack/peer/PeerReply.h"
+#include "boragerack/runtime/Reply.h"
+
+namespace boragerack::gateway {
+
+/// Takes the coordinator's answer to one report.
+class AnswerReceiver
+{
+public:
+    AnswerReceiver() = default;
+    AnswerReceiver(const AnswerReceiver &) = delete;
+    AnswerReceiver &operator=(const AnswerReceiver &) = delete;
+    virtual ~AnswerReceiver() = default;
+
+    virtual void receive(decisions::CoordinationAnswer answer) = 0;
+};
+
+struct ReportReceived
+{
+    decisions::CoordinationReport report;
+    std::shared_ptr<AnswerReceiver> receiver;
+};
+
+struct OrderFinished
+{
+    decisions::swap::OrderAnswered answer;
+};
+
+struct TargetReported
+{
+    decisions::swap::ReportArrived report;
+};
+
+struct CoordinatedTargetsMoved
+{
+    TargetEntriesPointer entries;
+};
+
+struct CoordinatedConfigurationMoved
+{
+    RouteTablePointer table;
+};
+
+struct StopCoordinating
+{
+};
+
+using CoordinatorMessage =
+    std::variant<ReportReceived, OrderFinished, TargetReported, CoordinatedTargetsMoved,
+                 CoordinatedConfigurationMoved, StopCoordinating>;
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -0,0 +1,272 @@
+#include "CoordinatorTask.h"
+
+#include <algorithm>
+#include <string>
+
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::gateway {
+
+namespace {
+
+namespace swap = decisions::swap;
+
+constexpr std::size_t kMailboxCapacity = 1024;
+/// Timers of the planner are due within this time.
+constexpr std::chrono::milliseconds kTick(25);
+/// A report that takes longer is lost.
+constexpr std::chrono::milliseconds kReportTimeout(700);
+/// An order that takes longer is lost. The lease allows an order only if this time ends within it.
+constexpr std::chrono::milliseconds kOrderTimeout = decisions::LeaseTimes().orderTimeout;
+/// Each node reports this often; with many nodes less often, so that the coordinator's work and
+/// traffic do not grow with their number.
+constexpr std::chrono::milliseconds kReportInterval(100);
+constexpr std::chrono::milliseconds kReportIntervalPerNode(8);
+/// Deaths of targets after which a request is refused on all nodes.
+constexpr std::uint32_t kDeathsToQuarantine = 3;
+/// Part of the quota's tolerance with which the buckets of a new term start. Two changes of the
+/// coordinator within one window then stay within the tolerance.
+constexpr std::int64_t kToleranceParts = 3;
+
+std::string describe(const decisions::Artifact &artifact)
+{
+    return artifact.model.value + (artifact.isAdapter() ? "/" + artifact.adapter.value : "");
+}
+
+std::string_view nameOf(swap::OrderOutcome outcome)
+{
+    switch (outcome) {
+    case swap::OrderOutcome::Accepted:
+        return "accepted";
+    case swap::OrderOutcome::AlreadyHeld:
+        return "already_held";
+    case swap::OrderOutcome::Conflict:
+        return "conflict";
+    case swap::OrderOutcome::Rejected:
+        return "rejected";
+    case swap::OrderOutcome::NotSent:
+        return "not_sent";
+    case swap::OrderOutcome::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+CoordinatorTask::CoordinatorTask(const core::InstanceId &self, const LeaseTask &lease,
+                                 TargetControl &control,
+                                 std::shared_ptr<const decisions::TargetOrderBinding> chart,
+                                 std::int64_t quotaTolerance, const core::Clock &clock,
+                                 runtime::Metrics &metrics)
+    : self_(self)
+    , lease_(lease)
+    , control_(control)
+    , chart_(std::move(chart))
+    , quotaTolerance_(quotaTolerance)
+    , clock_(clock)
+    , metrics_(metrics)
+    , mailbox_(kMailboxCapacity)
+    , entries_(std::make_shared<const decisions::TargetEntries>())
+{
+}
+
+CoordinatorTask::~CoordinatorTask()
+{
+    stop();
+    if (fiber_.joinable())
+        fiber_.join();
+}
+
+void CoordinatorTask::start()
+{
+    fiber_ = boost::fibers::fiber([this] { run(); });
+}
+
+void CoordinatorTask::stop()
+{
+    if (!mailbox_.trySend(StopCoordinating()))
+        mailbox_.close();
+}
+
+bool CoordinatorTask::trySend(CoordinatorMessage message)
+{
+    return mailbox_.trySend(std::move(message));
+}
+
+void CoordinatorTask::run()
+{
+    while (isRunning_ && !mailbox_.isClosed()) {
+        auto message = mailbox_.receiveUntil(std::chrono::steady_clock::now() + kTick);
+        followLease();
+        if (message)
+            std::visit([this](auto &concrete) { on(concrete); }, *message);
+        else if (term_)
+            plan(swap::Tick());
+    }
+}
+
+void CoordinatorTask::followLease()
+{
+    const std::uint64_t fence = lease_.lease().fence();
+    if ((term_ ? term_->fence : 0) != fence) {
+        term_.reset();
+        if (fence != 0) {
+            term_ = std::make_unique<Term>(
+                Term {fence,
+                      decisions::SwapPlanner(chart_),
+                      decisions::TokenAllotment(quotaTolerance_ / kToleranceParts),
+                      {},
+                      decisions::Quarantine({.deaths = kDeathsToQuarantine}),
+                      {},
+                      false});
+            applyConfiguration();
+            plan(swap::TargetsChanged {entries_});
+        }
+    }
+    if (!term_)
+        return;
+    if (const bool mayOrder = lease_.mayOrder(); mayOrder != term_->mayOrder) {
+        term_->mayOrder = mayOrder;
+        plan(swap::OrdersAllowed {mayOrder});
+    }
+    for (const core::InstanceId &node : term_->members.expire(clock_.now())) {
+        runtime::logEvent(runtime::LogEvent::MemberLost, "instance=" + node.value);
+        plan(swap::NodeLeft {node});
+    }
+}
+
+void CoordinatorTask::applyConfiguration()
+{
+    if (!table_ || !term_)
+        return;
+    const decisions::ServingConfiguration &configuration = table_->configuration();
+    decisions::TokenAllotment::Limits limits;
+    for (const auto &organisation : configuration.organisations)
+        limits[organisation.organisation] = organisation.limit;
+    term_->allotment.setLimits(limits, clock_.now());
+    plan(swap::ServicesChanged {configuration.services});
+}
+
+void CoordinatorTask::plan(const swap::Event &event)
+{
+    for (const swap::Action &action : term_->planner.handle(event, clock_.now()))
+        std::visit([this](const auto &concrete) { perform(concrete); }, action);
+}
+
+void CoordinatorTask::on(ReportReceived &message)
+{
+    decisions::CoordinationAnswer answer;
+    if (!term_) {
+        message.receiver->receive(answer);
+        return;
+    }
+    const core::TimePoint now = clock_.now();
+    const decisions::CoordinationReport &report = message.report;
+    term_->members.report(report.member, report.isStopping, now);
+    for (const decisions::RequestDeath &death : report.deaths) {
+        const auto actions = term_->quarantine.handle(
+            decisions::quarantine::CrashReport {death.fingerprint, {death.attempt, 1}}, now);
+        if (!actions.empty() && term_->quarantined.insert(death.fingerprint).second)
+            runtime::logEvent(runtime::LogEvent::RequestQuarantined,
+                              "fingerprint=" + core::toHex(death.fingerprint).substr(0, 16));
+    }
+    plan(swap::DemandReported {report.member.instance, report.demands, report.uses});
+
+    answer.standing = lease_.isHolding() ? decisions::CoordinatorStanding::Holding
+                                         : decisions::CoordinatorStanding::Lapsed;
+    answer.term = term_->fence;
+    answer.membersVersion = term_->members.version();
+    if (report.membersVersion != answer.membersVersion)
+        answer.members = term_->members.members();
+    answer.placementVersion = term_->planner.placementVersion();
+    answer.placements = term_->planner.placementsSince(report.placementVersion);
+    for (const decisions::TokenAmount &wanted : report.wanted)
+        answer.granted.push_back(term_->allotment.grant(wanted, now));
+    answer.quarantined = {term_->quarantined.begin(), term_->quarantined.end()};
+    answer.reportAfter =
+        std::max(kReportInterval, kReportIntervalPerNode * static_cast<int>(term_->members.size()));
+    message.receiver->receive(std::move(answer));
+}
+
+void CoordinatorTask::on(OrderFinished &message)
+{
+    if (term_)
+        plan(message.answer);
+}
+
+void CoordinatorTask::on(TargetReported &message)
+{
+    if (term_)
+        plan(message.report);
+}
+
+void CoordinatorTask::on(CoordinatedTargetsMoved &message)
+{
+    entries_ = message.entries;
+    if (term_)
+        plan(swap::TargetsChanged {entries_});
+}
+
+void CoordinatorTask::on(CoordinatedConfigurationMoved &message)
+{
+    table_ = message.table;
+    applyConfiguration();
+    // Targets of services that were not known before are taken up now.
+    if (term_)
+        plan(swap::TargetsChanged {entries_});
+}
+
+void CoordinatorTask::on(StopCoordinating &)
+{
+    isRunning_ = false;
+}
+
+void CoordinatorTask::perform(const swap::SendOrder &action)
+{
+    calls_.start([this, order = action, fence = term_->fence] {
+        const swap::OrderOutcome outcome = give(order, fence);
+        runtime::logEvent(
+            order.kind == swap::OrderKind::Load ? runtime::LogEvent::LoadOrdered
+                                                : runtime::LogEvent::UnloadOrdered,
+            "target=" + order.target.value + " artifact=" + describe(order.artifact)
+                + " sequence=" + std::to_string(order.expectedSequence)
+                + " fence=" + std::to_string(fence) + " outcome=" + std::string(nameOf(outcome)));
+        metrics_.add("boragerack_orders_total",
+                     runtime::makeLabels(
+                         {{"kind", order.kind == swap::OrderKind::Load ? "load" : "unload"},
+                          {"outcome", nameOf(outcome)}}));
+        if (!mailbox_.trySend(OrderFinished {{order.target, order.order, outcome}}))
+            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=order_finished");
+    });
+}
+
+swap::OrderOutcome CoordinatorTask::give(const swap::SendOrder &order, std::uint64_t fence)
+{
+    // The lease is checked again directly before the order is written; a process that was
+    // suspended since the decision must not order any more.
+    return control_.order(order.address, order, self_, fence,
+                          std::chrono::steady_clock::now() + kOrderTimeout,
+                          [&] { return lease_.mayOrder() && lease_.lease().fence() == fence; });
+}
+
+void CoordinatorTask::perform(const swap::AskReport &action)
+{
+    calls_.start([this, action] {
+        const auto report = control_.report(action.address, action.target,
+                                            std::chrono::steady_clock::now() + kReportTimeout);
+        swap::ReportArrived arrived {action.target, std::nullopt};
+        if (core::isOk(report))
+            arrived.report = core::valueOf(report);
+        else
+            runtime::logEvent(runtime::LogEvent::TargetLost,
+                              "target=" + action.target.value + " error=\""
+                                  + core::errorOf(report).message + "\"");
+        metrics_.add("boragerack_target_reports_total",
+                     runtime::makeLabels({{"answered", arrived.report ? "yes" : "no"}}));
+        if (!mailbox_.trySend(TargetReported {std::move(arrived)}))
+            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=target_reported");
+    });
+}
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "CoordinatorMessages.h"
+#include "LeaseTask.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/Quarantine.h"
+#include "boragerack/decisions/serving/MemberRoll.h"
+#include "boragerack/decisions/serving/SwapPlanner.h"
+#include "boragerack/decisions/serving/TokenAllotment.h"
+#include "boragerack/gateway/TargetControl.h"
+#include "boragerack/runtime/FiberGroup.h"
+#include "boragerack/runtime/Mailbox.h"
+#include "boragerack/runtime/Metrics.h"
+
+namespace boragerack::gateway {
+
+/// Does what one node does for the fleet while it holds the lease: it collects the demand of all
+/// nodes, orders loads, grants tokens and keeps the roll of live nodes. All its state can be built
+/// anew from the platform and the reports, so a successor starts empty.
+class CoordinatorTask
+{
+public:
+    /// All references must outlive the task. `clock` counts suspension.
+    CoordinatorTask(const core::InstanceId &self, const LeaseTask &lease, TargetControl &control,
+                    std::shared_ptr<const decisions::TargetOrderBinding> chart,
+                    std::int64_t quotaTolerance, const core::Clock &clock,
+                    runtime::Metrics &metrics);
+    ~CoordinatorTask();
+
+    void start();
+    void stop();
+    [[nodiscard]] bool trySend(CoordinatorMessage message);
+    /// Whether changes of the targets concern this node more than others.
+    bool isCoordinating() const { return term_ != nullptr; }
+
+private:
+    /// State of one term.
+    struct Term
+    {
+        std::uint64_t fence = 0;
+        decisions::SwapPlanner planner;
+        decisions::TokenAllotment allotment;
+        decisions::MemberRoll members;
+        decisions::Quarantine quarantine;
+        std::set<core::Digest> quarantined;
+        bool mayOrder = false;
+    };
+
+    void run();
+    void on(ReportReceived &message);
+    void on(OrderFinished &message);
+    void on(TargetReported &message);
+    void on(CoordinatedTargetsMoved &message);
+    void on(CoordinatedConfigurationMoved &message);
+    void on(StopCoordinating &message);
+
+    void followLease();
+    void applyConfiguration();
+    void plan(const decisions::swap::Event &event);
+    void perform(const decisions::swap::SendOrder &action);
+    void perform(const decisions::swap::AskReport &action);
+    decisions::swap::OrderOutcome give(const decisions::swap::SendOrder &order,
+                                       std::uint64_t fence);
+
+    core::InstanceId self_;
+    const LeaseTask &lease_;
+    TargetControl &control_;
+    std::shared_ptr<const decisions::TargetOrderBinding> chart_;
+    std::int64_t quotaTolerance_;
+    const core::Clock &clock_;
+    runtime::Metrics &metrics_;
+    runtime::Mailbox<CoordinatorMessage> mailbox_;
+    TargetEntriesPointer entries_;
+    RouteTablePointer table_;
+    std::unique_ptr<Term> term_;
+    bool isRunning_ = true;
+    boost::fibers::fiber fiber_;
+    runtime::FiberGroup calls_;
+};
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/DirectoryHandler.cpp
@@ -0,0 +1,49 @@
+#include "DirectoryHandler.h"
+
+#include "boragerack/decisions/serving/AddressChoice.h"
+#include "boragerack/runtime/HttpResponder.h"
+
+namespace boragerack::gateway {
+
+DirectoryHandler::DirectoryHandler(const CallerProtocol &protocol, const RoutingTask &routing,
+                                   const LifecycleTask &lifecycle, decisions::FleetMember self,
+                                   std::chrono::milliseconds addressLifetime)
+    : protocol_(protocol)
+    , routing_(routing)
+    , lifecycle_(lifecycle)
+    , self_(std::move(self))
+    , addressLifetime_(addressLifetime)
+{
+}
+
+void DirectoryHandler::handle(const runtime::HttpRequest &request,
+                              runtime::HttpResponder &responder)
+{
+    if (protocol_.isReadyQuery(request)) {
+        responder.send({lifecycle_.isReady() ? 200U : 503U, {}, {}});
+        return;
+    }
+    const auto query = protocol_.decodeDirectoryQuery(request);
+    if (!query) {
+        responder.send({404, {}, {}});
+        return;
+    }
+    const auto addresses = addressesFor(*query);
+    if (addresses.empty())
+        responder.send({503, {}, {}});
+    else
+        responder.send(protocol_.encodeDirectoryAnswer(addresses, addressLifetime_));
+}
+
+std::vector<std::string> DirectoryHandler::addressesFor(const DirectoryQuery &query) const
+{
+    std::vector<decisions::FleetMember> members = routing_.fleet().get()->members;
+    std::erase_if(members, [&](const decisions::FleetMember &member) {
+        return member.instance == self_.instance;
+    });
+    if (!lifecycle_.isStopping())
+        members.push_back(self_);
+    return decisions::chooseAddresses(members, query.dataCentre);
+}
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/DirectoryHandler.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <chrono>
+
+#include "LifecycleTask.h"
+#include "RoutingTask.h"
+#include "boragerack/gateway/CallerProtocol.h"
+#include "boragerack/runtime/HttpHandler.h"
+
+namespace boragerack::gateway {
+
+/// Tells callers which nodes to use, and the platform whether this one is ready.
+class DirectoryHandler final : public runtime::HttpHandler
+{
+public:
+    DirectoryHandler(const CallerProtocol &protocol, const RoutingTask &routing,
+                     const LifecycleTask &lifecycle, decisions::FleetMember self,
+                     std::chrono::milliseconds addressLifetime);
+
+    void handle(const runtime::HttpRequest &request, runtime::HttpResponder &responder) override;
+
+private:
+    std::vector<std::string> addressesFor(const DirectoryQuery &query) const;
+
+    const CallerProtocol &protocol_;
+    const RoutingTask &routing_;
+    const LifecycleTask &lifecycle_;
+    decisions::FleetMember self_;
+    std::chrono::milliseconds addressLifetime_;
+};
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/FleetSecret.cpp
@@ -0,0 +1,49 @@
+#include "FleetSecret.h"
+
+#include <array>
+#include <cstdio>
+
+namespace boragerack::gateway {
+
+namespace {
+
+const std::string kSecretKey = "coordination/secret";
+
+std::string makeSecret(core::RandomSource &random)
+{
+    std::string secret;
+    constexpr int kWords = 4;
+    for (int i = 0; i < kWords; ++i) {
+        std::array<char, 17> word;
+        std::snprintf(word.data(), word.size(), "%016llx",
+                      static_cast<unsigned long long>(random.next()));
+        secret += word.data();
+    }
+    return secret;
+}
+
+/// The value of an object is JSON text; the secret is a string without escapes.
+std::string unquote(const std::string &value)
+{
+    return value.size() > 2 ? value.substr(1, value.size() - 2) : std::string();
+}
+
+} // namespace
+
+std::optional<std::string> readFleetSecret(platform::PlatformStore &store,
+                                           core::RandomSource &random)
+{
+    const auto read = store.read(kSecretKey);
+    if (!core::isOk(read))
+        return std::nullopt;
+    if (const auto &object = core::valueOf(read))
+        return unquote(object->value);
+    const std::string secret = makeSecret(random);
+    const auto written = store.write(kSecretKey, "\"" + secret + "\"", std::nullopt);
+    if (std::holds_alternative<platform::WriteApplied>(written))
+        return secret;
+    // Another node was faster, or the outcome is not known: the next read tells.
+    return std::nullopt;
+}
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/FrontHandler.cpp
@@ -0,0 +1,162 @@
+#include "FrontHandler.h"
+
+#include <algorithm>
+
+#include "LifecycleTask.h"
+#include "boragerack/core/RendezvousHash.h"
+#include "boragerack/decisions/Quarantine.h"
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::gateway {
+
+namespace {
+
+/// A caller that does not say how long it waits is given the route's timeout; a route without one,
+/// this time.
+constexpr std::chrono::milliseconds kDefaultTimeout = std::chrono::seconds(30);
+constexpr std::chrono::milliseconds kRetryAfter(300);
+/// Urgency that targets understand, from the priority of the organisation or route.
+constexpr int kLeastUrgent = 9;
+
+core::Error notReady(std::string reason)
+{
+    return core::makeNotRunError(core::ErrorCode::Isolated, std::move(reason), kRetryAfter);
+}
+
+std::string_view verdictOf(const RequestOutcome &outcome)
+{
+    return outcome.isCallerGone ? "caller_gone" : core::verdictName(outcome.verdict);
+}
+
+} // namespace
+
+FrontHandler::FrontHandler(const RequestServices &services, LifecycleTask &lifecycle)
+    : services_(services)
+    , lifecycle_(lifecycle)
+{
+}
+
+void FrontHandler::handle(const runtime::HttpRequest &request, runtime::HttpResponder &responder)
+{
+    const core::TimePoint startedAt = services_.clock.now();
+    if (lifecycle_.isStopping())
+        responder.closeAfterAnswer();
+    if (const auto error = lifecycle_.admit()) {
+        refuse(request, *error, responder);
+        return;
+    }
+    auto job = admit(request);
+    if (!core::isOk(job)) {
+        refuse(request, core::errorOf(job), responder);
+        return;
+    }
+    lifecycle_.requestStarted();
+    RequestJob admitted = core::takeValue(std::move(job));
+    admitted.number = ++requests_;
+    RequestRun run(services_, admitted, responder);
+    const RequestOutcome outcome = run.run();
+    lifecycle_.requestEnded();
+    record(admitted, outcome, startedAt);
+}
+
+core::Result<RequestJob> FrontHandler::admit(const runtime::HttpRequest &request) const
+{
+    auto decoded = services_.protocol.decode(request);
+    if (!core::isOk(decoded))
+        return core::errorOf(decoded);
+    CallerRequest caller = core::takeValue(std::move(decoded));
+    const RouteTablePointer table = services_.configuration.table();
+    if (!table)
+        return notReady("no configuration has been read yet");
+    const auto *route = table->findRoute(caller.host, runtime::pathOf(request));
+    const bool mayServe = services_.configuration.mayServe();
+    // An outdated configuration neither proves that a route does not exist nor that a key is valid.
+    if (!mayServe && !(route && route->isOpen))
+        return notReady("the configuration has not been confirmed recently");
+    if (!route)
+        return core::makeNotRunError(core::ErrorCode::NotFound, "no route for this host and path");
+    return admitOnRoute(request, std::move(caller), *table, *route);
+}
+
+core::Result<RequestJob> FrontHandler::admitOnRoute(const runtime::HttpRequest &request,
+                                                    CallerRequest decoded,
+                                                    const decisions::RouteTable &table,
+                                                    const decisions::ServingRoute &route) const
+{
+    RequestJob job {.request = request, .decoded = std::move(decoded), .route = route};
+    std::optional<int> priority;
+    if (table.requiresKeys() && !route.isOpen) {
+        const auto *organisation = table.findKey(job.decoded.key);
+        if (!organisation)
+            return core::makeNotRunError(core::ErrorCode::Unauthenticated, "the key is not known");
+        job.organisation = organisation->organisation;
+        priority = organisation->priority;
+        job.tokens = organisation->countsTokens
+            ? job.decoded.tokens.value_or(organisation->plainTokens)
+            : 1;
+    }
+    const auto fleet = services_.routing.fleet().get();
+    if (!fleet->quarantined.empty()
+        && fleet->quarantined.contains(
+            decisions::makeFingerprint(job.organisation, request.target, request.body)))
+        return core::makeNotRunError(core::ErrorCode::Quarantined,
+                                     "several targets ended while they ran this request",
+                                     kDefaultTimeout);
+    job.service = decisions::chooseService(route, core::stableHash(job.decoded.attempt));
+    // Only model engines know urgency and artifacts.
+    const auto *service = table.findService(job.service);
+    if (!service || !service->engine)
+        job.decoded.artifact.reset();
+    else
+        job.urgency = std::clamp(priority.value_or(route.priority), 0, kLeastUrgent);
+    const auto timeout = route.timeout.count() > 0 ? route.timeout : kDefaultTimeout;
+    job.deadline =
+        services_.clock.now() + std::min(timeout, job.decoded.patience.value_or(timeout));
+    return job;
+}
+
+void FrontHandler::refuse(const runtime::HttpRequest &request, const core::Error &error,
+                          runtime::HttpResponder &responder) const
+{
+    const auto decoded = services_.protocol.decode(request);
+    const std::string attempt = core::isOk(decoded) ? core::valueOf(decoded).attempt : "";
+    const auto response = services_.protocol.encodeRefusal(error, attempt);
+    runtime::logEvent(runtime::LogEvent::RequestRefused,
+                      "request=" + attempt + " status=" + std::to_string(response.status)
+                          + " reason=" + std::string(core::errorCodeName(error.code)) + " text=\""
+                          + error.message + "\"");
+    services_.metrics.add(
+        "boragerack_refusals_total",
+        runtime::makeLabels({{"reason", core::errorCodeName(error.code)}, {"route", ""}}));
+    responder.send(response);
+}
+
+void FrontHandler::record(const RequestJob &job, const RequestOutcome &outcome,
+                          core::TimePoint startedAt) const
+{
+    const auto elapsed =
+        std::chrono::floor<std::chrono::milliseconds>(services_.clock.now() - startedAt);
+    const std::string_view reason =
+        outcome.error ? core::errorCodeName(outcome.error->code) : std::string_view("none");
+    services_.metrics.add("boragerack_requests_total",
+                          runtime::makeLabels({{"route", job.route.name},
+                                               {"organisation", job.organisation.value},
+                                               {"verdict", verdictOf(outcome)},
+                                               {"reason", reason}}));
+    services_.metrics.observe("boragerack_request_seconds",
+                              runtime::makeLabels({{"route", job.route.name}}), elapsed);
+    const RouteTablePointer table = services_.configuration.table();
+    runtime::logEvent(
+        outcome.error ? runtime::LogEvent::RequestFailed : runtime::LogEvent::RequestServed,
+        "request=" + job.decoded.attempt + " route=" + job.route.name
+            + " organisation=" + job.organisation.value
+            + (job.decoded.artifact ? " model=" + job.decoded.artifact->model.value : "")
+            + " target=" + outcome.target.value + " attempts=" + std::to_string(outcome.attempts)
+            + " status=" + std::to_string(outcome.status)
+            + " verdict=" + std::string(verdictOf(outcome)) + " reason=" + std::string(reason)
+            + " waited_ms=" + std::to_string(outcome.waited.count())
+            + " elapsed_ms=" + std::to_string(elapsed.count()) + " configuration="
+            + std::to_string(table ? table->configuration().version : 0));
+}
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/LeaseTask.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/serving/CoordinatorLease.h"
+#include "boragerack/platform/PlatformStore.h"
+#include "boragerack/runtime/Mailbox.h"
+
+namespace boragerack::gateway {
+
+/// Holds or watches the lease of the coordinator in the platform's store.
+class LeaseTask
+{
+public:
+    struct Heard
+    {
+    };
+    struct Stop
+    {
+    };
+    using Message = std::variant<Heard, Stop>;
+
+    /// `clock` counts suspension. All references must outlive the task.
+    LeaseTask(platform::PlatformStore &store, const core::Clock &clock,
+              std::shared_ptr<const decisions::CoordinatorBinding> chart,
+              const decisions::LeaseRecord &self, const decisions::LeaseTimes &times);
+    ~LeaseTask();
+
+    void start();
+    [[nodiscard]] bool trySend(Message message) { return mailbox_.trySend(message); }
+    /// Releases the lease if this node holds it, and ends the task.
+    void stop();
+
+    /// Exact at any time, also between two messages.
+    const decisions::CoordinatorLease &lease() const { return lease_; }
+    bool mayOrder() const { return lease_.mayOrder(clock_.now()); }
+    bool isHolding() const { return lease_.isHolding(clock_.now()); }
+
+private:
+    void run();
+    void handle(const decisions::lease::Event &event);
+    void perform(const decisions::lease::Read &action);
+    void perform(const decisions::lease::Write &action);
+    void logTerm(bool hadTerm);
+
+    platform::PlatformStore &store_;
+    const core::Clock &clock_;
+    decisions::CoordinatorLease lease_;
+    runtime::Mailbox<Message> mailbox_;
+    bool isRunning_ = true;
+    boost::fibers::fiber fiber_;
+};
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/LifecycleTask.cpp
@@ -0,0 +1,86 @@
+#include "LifecycleTask.h"
+
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::gateway {
+
+namespace {
+
+constexpr std::size_t kMailboxCapacity = 64;
+constexpr std::chrono::milliseconds kTick(100);
+
+} // namespace
+
+LifecycleTask::LifecycleTask(std::shared_ptr<const decisions::NodeBinding> chart,
+                             std::chrono::milliseconds drain, std::chrono::milliseconds stopTimeout,
+                             const ConfigurationTask &configuration, const core::Clock &clock)
+    : sequence_(std::move(chart), drain)
+    , stopTimeout_(stopTimeout)
+    , configuration_(configuration)
+    , clock_(clock)
+    , mailbox_(kMailboxCapacity)
+{
+}
+
+LifecycleTask::~LifecycleTask()
+{
+    mailbox_.close();
+    if (fiber_.joinable())
+        fiber_.join();
+}
+
+void LifecycleTask::start(std::function<void()> onWithdraw)
+{
+    onWithdraw_ = std::move(onWithdraw);
+    fiber_ = boost::fibers::fiber([this] { run(); });
+}
+
+void LifecycleTask::waitUntilStopped()
+{
+    if (fiber_.joinable())
+        fiber_.join();
+}
+
+bool LifecycleTask::isReady() const
+{
+    return sequence_.state() == decisions::NodeState::Serving && configuration_.mayServe();
+}
+
+void LifecycleTask::requestStarted()
+{
+    fire(decisions::drain::RequestStarted());
+}
+
+void LifecycleTask::requestEnded()
+{
+    fire(decisions::drain::RequestEnded());
+}
+
+void LifecycleTask::run()
+{
+    while (!sequence_.isFinished() && !mailbox_.isClosed()) {
+        const auto message = mailbox_.receiveUntil(std::chrono::steady_clock::now() + kTick);
+        if (message && std::holds_alternative<StopRequested>(*message)) {
+            isStopping_ = true;
+            stopAt_ = clock_.now() + stopTimeout_;
+            runtime::logEvent(runtime::LogEvent::NodeDraining, "reason=signal");
+            fire(decisions::drain::StopRequested());
+        } else if (message) {
+            fire(decisions::drain::ConfigurationLoaded());
+        }
+        fire(decisions::drain::TimerFired());
+        // Better to end than to be killed: an orderly end closes the connections.
+        if (isStopping_ && clock_.now() >= stopAt_)
+            return;
+    }
+}
+
+void LifecycleTask::fire(const decisions::DrainSequence::Event &event)
+{
+    for (const decisions::NodeStep step : sequence_.handle(event, clock_.now())) {
+        if (step == decisions::NodeStep::WithdrawAddress)
+            onWithdraw_();
+    }
+}
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/ReportTask.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "CoordinatorTask.h"
+#include "LeaseTask.h"
+#include "RoutingTask.h"
+#include "boragerack/peer/PeerNetwork.h"
+#include "boragerack/runtime/Mailbox.h"
+
+namespace boragerack::gateway {
+
+/// Carries reports to the coordinator, on this node or another one, and its answers back.
+class ReportTask
+{
+public:
+    ReportTask(LeaseTask &lease, CoordinatorTask &coordinator, RoutingTask &routing);
+    ~ReportTask();
+
+    /// The links to other nodes exist once the fleet's secret has been read.
+    void setNetwork(peer::PeerNetwork *network) { network_ = network; }
+    void start();
+    void stop() { mailbox_.close(); }
+    void send(decisions::CoordinationReport report);
+
+private:
+    void run();
+    std::optional<decisions::CoordinationAnswer> ask(decisions::CoordinationReport report);
+    std::optional<decisions::CoordinationAnswer> askHere(decisions::CoordinationReport report);
+
+    LeaseTask &lease_;
+    CoordinatorTask &coordinator_;
+    RoutingTask &routing_;
+    peer::PeerNetwork *network_ = nullptr;
+    runtime::Mailbox<decisions::CoordinationReport> mailbox_;
+    boost::fibers::fiber fiber_;
+};
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/RequestRun.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "ConfigurationTask.h"
+#include "RoutingTask.h"
+#include "boragerack/decisions/RequestAttempt.h"
+#include "boragerack/gateway/CallerProtocol.h"
+#include "boragerack/gateway/GatewayCharts.h"
+#include "boragerack/runtime/EventSplitter.h"
+#include "boragerack/runtime/HttpClient.h"
+#include "boragerack/runtime/HttpExchange.h"
+#include "boragerack/runtime/HttpResponder.h"
+
+namespace boragerack::gateway {
+
+/// What all requests of a gateway share.
+struct RequestServices
+{
+    const GatewayCharts &charts;
+    const CallerProtocol &protocol;
+    const ConfigurationTask &configuration;
+    RoutingTask &routing;
+    runtime::HttpClient &client;
+    const core::Clock &clock;
+    runtime::Metrics &metrics;
+};
+
+/// One admitted request and what is known of it.
+struct RequestJob
+{
+    std::uint64_t number = 0;
+    const runtime::HttpRequest &request;
+    CallerRequest decoded;
+    decisions::ServingRoute route;
+    core::ServiceId service;
+    core::OrganisationId organisation;
+    std::optional<int> urgency;
+    /// Tokens that the request takes from the organisation's limit.
+    std::int64_t tokens = 0;
+    core::TimePoint deadline;
+};
+
+/// How the request ended.
+struct RequestOutcome
+{
+    core::Verdict verdict = core::Verdict::NotRun;
+    std::optional<core::Error> error;
+    unsigned status = 0;
+    std::uint32_t attempts = 0;
+    core::TargetId target;
+    std::chrono::milliseconds waited = {};
+    bool isCallerGone = false;
+};
+
+/// Carries out the attempts of one request on the fiber of its caller's connection.
+class RequestRun
+{
+public:
+    RequestRun(const RequestServices &services, RequestJob job, runtime::HttpResponder &responder);
+
+    RequestOutcome run();
+
+private:
+    using Actions = std::vector<decisions::RequestAttempt::Action>;
+
+    void fire(const decisions::RequestAttempt::Event &event);
+    void waitForEvent();
+    void checkLimits();
+
+    void perform(const decisions::attempt::ChooseTarget &action);
+    void perform(const decisions::attempt::OpenConnection &action);
+    void perform(const decisions::attempt::SendRequest &action);
+    void perform(const decisions::attempt::ForwardHead &action);
+    void perform(const decisions::attempt::ForwardPart &action);
+    void perform(const decisions::attempt::CancelOnTarget &action);
+    void perform(const decisions::attempt::CloseConnection &action);
+    void perform(const decisions::attempt::ReleaseConnection &action);
+    void perform(const decisions::attempt::DiscardAnswer &action);
+    void perform(const decisions::attempt::Finish &action);
+
+    void onExchange(const runtime::HttpConnected &event);
+    void onExchange(const runtime::HttpResponseHead &event);
+    void onExchange(const runtime::HttpBodyPart &event);
+    void onExchange(const runtime::HttpCompleted &event);
+    void onExchange(const core::Error &event);
+
+    bool isRetryPermitted();
+    bool mayStillRun() const;
+    std::optional<core::Result<RouteGrant>> waitForRoute(const RouteReply &reply);
+    void loseAttempt();
+    void forwardEvents(std::string_view bytes);
+    void forwardEvent(std::string event);
+    void forwardWhole();
+    void endRoute(decisions::AttemptOutcome outcome, bool isMissing = false);
+    void onCallerGone();
+    core::TimePoint toSteady(core::TimePoint time) const;
+    decisions::AttemptId attemptId() const { return attempt_.current(); }
+
+    const RequestServices &services_;
+    RequestJob job_;
+    runtime::HttpResponder &responder_;
+    decisions::RequestAttempt attempt_;
+    RouteReply reply_;
+    std::optional<RouteGrant> grant_;
+    bool isRouteOpen_ = false;
+    std::vector<core::TargetId> tried_;
+    bool wasMisdirected_ = false;
+    std::unique_ptr<runtime::HttpExchange> exchange_;
+    runtime::HttpResponseHead head_;
+    runtime::EventSplitter splitter_;
+    std::string piece_;
+    std::string body_;
+    bool isStreaming_ = false;
+    std::uint64_t received_ = 0;
+    std::optional<std::uint64_t> lastEvent_;
+    bool isHeadSent_ = false;
+    RequestOutcome outcome_;
+};
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/RoutingMessages.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "ConfigurationTask.h"
+#include "TargetTask.h"
+#include "boragerack/core/Result.h"
+#include "boragerack/decisions/serving/CoordinationMessages.h"
+#include "boragerack/decisions/serving/RequestRouter.h"
+#include "boragerack/runtime/Reply.h"
+
+namespace boragerack::gateway {
+
+/// A target for one attempt.
+struct RouteGrant
+{
+    core::TargetId target;
+    std::string address;
+
+    friend auto operator<=>(const RouteGrant &, const RouteGrant &) = default;
+};
+
+using RouteReply = runtime::Reply<core::Result<RouteGrant>>;
+
+/// Asks for a target. The answer may come late, when a replica has been loaded; every ask is
+/// followed by one RouteEnded.
+struct AskRoute
+{
+    std::uint64_t request = 0;
+    decisions::RouteDemand demand;
+    core::OrganisationId organisation;
+    /// Tokens to take from the organisation's limit; zero for further attempts.
+    std::int64_t tokens = 0;
+    RouteReply reply;
+};
+
+/// The attempt, or the wait for a target, has ended.
+struct RouteEnded
+{
+    std::uint64_t request = 0;
+    decisions::AttemptOutcome outcome = decisions::AttemptOutcome::Abandoned;
+    bool isMissing = false;
+};
+
+/// Tokens of a request that did not run.
+struct TokensReturned
+{
+    core::OrganisationId organisation;
+    std::int64_t tokens = 0;
+};
+
+/// Asks whether a request may be sent to a service once more.
+struct AskRetry
+{
+    core::ServiceId service;
+    runtime::Reply<bool> reply;
+};
+
+struct RequestDied
+{
+    decisions::RequestDeath death;
+};
+
+struct TargetsMoved
+{
+    TargetEntriesPointer entries;
+};
+
+struct ConfigurationMoved
+{
+    RouteTablePointer table;
+};
+
+/// The coordinator's answer to the last report, or nothing if there was none.
+struct ReportAnswered
+{
+    std::optional<decisions::CoordinationAnswer> answer;
+};
+
+/// The node stops; the coordinator is told with the next report.
+struct StopAnnounced
+{
+};
+
+struct StopRouting
+{
+};
+
+using RoutingMessage =
+    std::variant<AskRoute, RouteEnded, TokensReturned, AskRetry, RequestDied, TargetsMoved,
+                 ConfigurationMoved, ReportAnswered, StopAnnounced, StopRouting>;
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -0,0 +1,325 @@
+#include "RoutingTask.h"
+
+#include <algorithm>
+
+#include "boragerack/runtime/EventLog.h"
+
+namespace boragerack::gateway {
+
+namespace {
+
+/// Requests that may wait in the mailbox; a full one refuses requests as not run.
+constexpr std::size_t kMailboxCapacity = 1024;
+/// The longest pause of the task; requests that lost their target are looked at again then.
+constexpr std::chrono::milliseconds kTick(50);
+/// Reports follow each other at least this far apart, also with urgent news.
+constexpr std::chrono::milliseconds kReportPause(15);
+/// Without news a node reports this often until the coordinator sets another interval.
+constexpr std::chrono::milliseconds kReportInterval(100);
+/// Placements of a coordinator that has been silent for this long are not trusted any more.
+constexpr std::chrono::milliseconds kCoordinatorLost(1000);
+/// Without a coordinator, a request that waits for tokens is refused after this time.
+constexpr std::chrono::milliseconds kTokenWait(250);
+/// Number of nodes that is assumed before the coordinator has told.
+constexpr std::uint32_t kAssumedNodes = 8;
+
+} // namespace
+
+RoutingTask::RoutingTask(const decisions::FleetMember &self,
+                         const decisions::RetryLimits &retryLimits, const core::Clock &clock,
+                         core::RandomSource &random, runtime::Metrics &metrics)
+    : self_(self)
+    , retryLimits_(retryLimits)
+    , clock_(clock)
+    , metrics_(metrics)
+    , router_(random)
+    , mailbox_(kMailboxCapacity)
+{
+}
+
+RoutingTask::~RoutingTask()
+{
+    stop();
+    if (fiber_.joinable())
+        fiber_.join();
+}
+
+void RoutingTask::start(SendReport sendReport)
+{
+    sendReport_ = std::move(sendReport);
+    fiber_ = boost::fibers::fiber([this] { run(); });
+}
+
+void RoutingTask::stop()
+{
+    if (!mailbox_.trySend(StopRouting()))
+        mailbox_.close();
+}
+
+bool RoutingTask::trySend(RoutingMessage message)
+{
+    return mailbox_.trySend(std::move(message));
+}
+
+void RoutingTask::run()
+{
+    core::TimePoint nextTick = clock_.now();
+    while (isRunning_ && !mailbox_.isClosed()) {
+        auto message = mailbox_.receiveUntil(std::chrono::steady_clock::now() + kTick);
+        if (message)
+            std::visit([this](auto &concrete) { on(concrete); }, *message);
+        if (const core::TimePoint now = clock_.now(); now >= nextTick) {
+            nextTick = now + kTick;
+            tick();
+        }
+        report();
+    }
+}
+
+void RoutingTask::on(AskRoute &message)
+{
+    const std::uint64_t request = message.request;
+    if (message.tokens > 0) {
+        auto retries = retries_.try_emplace(message.demand.service, retryLimits_).first;
+        retries->second.countRequest();
+        wallet_.countDemand(message.organisation, message.tokens, clock_.now());
+        if (!wallet_.take(message.organisation, message.tokens)) {
+            asks_.emplace(request, std::move(message));
+            tokenQueue_.push_back(request);
+            noteTokenQueue();
+            hasUrgentNews_ = true;
+            return;
+        }
+    }
+    passOn(asks_.emplace(request, std::move(message)).first->second);
+}
+
+void RoutingTask::passOn(AskRoute &ask)
+{
+    route(decisions::routing::Asked {ask.request, ask.demand});
+    hasUrgentNews_ = router_.takeNewlyWaiting() || hasUrgentNews_;
+}
+
+void RoutingTask::route(const decisions::routing::Event &event)
+{
+    for (const decisions::routing::Granted &granted : router_.handle(event, clock_.now())) {
+        const auto position = asks_.find(granted.request);
+        if (position == asks_.end())
+            continue;
+        const AskRoute &ask = position->second;
+        grants_[granted.request] = {granted.target, ask.demand.service, ask.demand.artifact};
+        ask.reply.set(RouteGrant {granted.target, granted.address});
+        asks_.erase(position);
+    }
+}
+
+void RoutingTask::on(RouteEnded &message)
+{
+    if (const auto grant = grants_.find(message.request); grant != grants_.end()) {
+        route(decisions::routing::Ended {grant->second.target, grant->second.service,
+                                         grant->second.artifact, message.outcome,
+                                         message.isMissing});
+        grants_.erase(grant);
+        return;
+    }
+    if (asks_.erase(message.request) == 0)
+        return;
+    if (std::erase(tokenQueue_, message.request) > 0) {
+        reportedTokenQueue_ = std::min(reportedTokenQueue_, tokenQueue_.size());
+        noteTokenQueue();
+    }
+    route(decisions::routing::Withdrawn {message.request});
+}
+
+void RoutingTask::on(TokensReturned &message)
+{
+    wallet_.giveBack(message.organisation, message.tokens);
+}
+
+void RoutingTask::on(AskRetry &message)
+{
+    auto retries = retries_.try_emplace(message.service, retryLimits_).first;
+    const bool isAllowed = retries->second.take();
+    metrics_.add("boragerack_retries_total",
+                 runtime::makeLabels({{"service", message.service.value},
+                                      {"allowed", isAllowed ? "yes" : "no"}}));
+    message.reply.set(isAllowed);
+}
+
+void RoutingTask::on(RequestDied &message)
+{
+    deaths_.push_back(std::move(message.death));
+    hasUrgentNews_ = true;
+}
+
+void RoutingTask::on(TargetsMoved &message)
+{
+    route(decisions::routing::TargetsChanged {message.entries});
+}
+
+void RoutingTask::on(ConfigurationMoved &message)
+{
+    decisions::TokenWallet::Limits limits;
+    for (const auto &organisation : message.table->configuration().organisations)
+        limits[organisation.organisation] = organisation.limit;
+    wallet_.setLimits(limits);
+}
+
+void RoutingTask::on(StopAnnounced &)
+{
+    isStopping_ = true;
+    hasUrgentNews_ = true;
+}
+
+void RoutingTask::on(StopRouting &)
+{
+    isRunning_ = false;
+}
+
+void RoutingTask::on(ReportAnswered &message)
+{
+    isReporting_ = false;
+    if (!message.answer
+        || message.answer->standing == decisions::CoordinatorStanding::Absent) {
+        nextReport_ = clock_.now() + kReportInterval;
+        return;
+    }
+    adopt(*message.answer);
+}
+
+void RoutingTask::adopt(const decisions::CoordinationAnswer &answer)
+{
+    const core::TimePoint now = clock_.now();
+    lastAnswer_ = now;
+    nextReport_ = now + answer.reportAfter;
+    if (answer.term != term_) {
+        // The versions that the report named were another coordinator's.
+        const bool isNew = term_ != 0;
+        term_ = answer.term;
+        membersVersion_ = 0;
+        placementVersion_ = 0;
+        route(decisions::routing::PlacementsLost());
+        runtime::logEvent(runtime::LogEvent::CoordinatorFollowed,
+                          "term=" + std::to_string(answer.term));
+        if (isNew) {
+            nextReport_ = now;
+            return;
+        }
+    }
+    wallet_.stopAccruing();
+    for (const decisions::TokenAmount &grant : answer.granted)
+        wallet_.credit(grant);
+    serveTokenQueue(true);
+    if (answer.membersVersion != membersVersion_ || !answer.quarantined.empty()) {
+        FleetView view = *fleet_.get();
+        if (answer.membersVersion != membersVersion_) {
+            view.members = answer.members;
+            decisions::RetryLimits limits = retryLimits_;
+            limits.nodes = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(
+                                                          answer.members.size()));
+            retryLimits_ = limits;
+            for (auto &[service, allowance] : retries_)
+                allowance.setLimits(limits);
+        }
+        view.quarantined = {answer.quarantined.begin(), answer.quarantined.end()};
+        fleet_.set(std::move(view));
+        membersVersion_ = answer.membersVersion;
+    }
+    if (answer.placementVersion != placementVersion_) {
+        placementVersion_ = answer.placementVersion;
+        route(decisions::routing::PlacementsChanged {answer.placements});
+    }
+}
+
+void RoutingTask::serveTokenQueue(bool refuseRest)
+{
+    const std::size_t reported = std::exchange(reportedTokenQueue_, 0);
+    std::vector<std::uint64_t> rest;
+    std::vector<std::uint64_t> queue = std::exchange(tokenQueue_, {});
+    for (std::size_t i = 0; i < queue.size(); ++i) {
+        const auto position = asks_.find(queue[i]);
+        if (position == asks_.end())
+            continue;
+        AskRoute &ask = position->second;
+        if (wallet_.take(ask.organisation, ask.tokens)) {
+            passOn(ask);
+        } else if (refuseRest && i < reported) {
+            // The coordinator knew of this request and had no tokens for it.
+            constexpr std::chrono::milliseconds kRetryAfter(500);
+            ask.reply.set(core::makeNotRunError(core::ErrorCode::RateLimited,
+                                                "the rate of the organisation is used up",
+                                                kRetryAfter));
+            asks_.erase(position);
+        } else {
+            rest.push_back(queue[i]);
+        }
+    }
+    tokenQueue_ = std::move(rest);
+    hasUrgentNews_ = hasUrgentNews_ || !tokenQueue_.empty();
+    noteTokenQueue();
+}
+
+void RoutingTask::noteTokenQueue()
+{
+    std::map<core::OrganisationId, std::int64_t> waiting;
+    for (const std::uint64_t request : tokenQueue_) {
+        const AskRoute &ask = asks_.at(request);
+        waiting[ask.organisation] += ask.tokens;
+    }
+    wallet_.setWaiting(waiting);
+}
+
+void RoutingTask::loseCoordinator()
+{
+    term_ = 0;
+    membersVersion_ = 0;
+    placementVersion_ = 0;
+    runtime::logEvent(runtime::LogEvent::CoordinatorLost, "reason=no_answer");
+    route(decisions::routing::PlacementsLost());
+}
+
+void RoutingTask::tick()
+{
+    const core::TimePoint now = clock_.now();
+    if (now - lastAnswer_ > kCoordinatorLost) {
+        if (term_ != 0)
+            loseCoordinator();
+        wallet_.accrue(now, nodeCount());
+        serveTokenQueue(false);
+        if (!tokenQueue_.empty() && now - lastReport_ > kTokenWait) {
+            reportedTokenQueue_ = tokenQueue_.size();
+            serveTokenQueue(true);
+        }
+    }
+    route(decisions::routing::Tick());
+}
+
+void RoutingTask::report()
+{
+    const core::TimePoint now = clock_.now();
+    const bool isDue = now >= nextReport_ || (hasUrgentNews_ && now - lastReport_ >= kReportPause);
+    if (isReporting_ || !isDue)
+        return;
+    isReporting_ = true;
+    hasUrgentNews_ = false;
+    lastReport_ = now;
+    nextReport_ = now + kReportInterval;
+    reportedTokenQueue_ = tokenQueue_.size();
+    decisions::CoordinationReport report {self_,
+                                          isStopping_,
+                                          membersVersion_,
+                                          placementVersion_,
+                                          router_.takeDemands(now),
+                                          router_.uses(),
+                                          wallet_.wanted(now),
+                                          std::exchange(deaths_, {})};
+    sendReport_(std::move(report));
+}
+
+std::uint32_t RoutingTask::nodeCount() const
+{
+    const auto members = static_cast<std::uint32_t>(fleet_.get()->members.size());
+    return members == 0 ? kAssumedNodes : members;
+}
+
+} // namespace boragerack::gateway
--- /dev/null
+++ b/packages/gateway/src/RoutingTask.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <vector>
+
+#include <boost/fiber/fiber.hpp>
+
+#include "RoutingMessages.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/core/RandomSource.h"
+#include "boragerack/decisions/serving/RequestRouter.h"
+#include "boragerack/decisions/serving/RetryAllowance.h"
+#include "boragerack/decisions/serving/TokenWallet.h"
+#include "boragerack/runtime/Mailbox.h"
+#include "boragerack/runtime/Metrics.h"
+#include "boragerack/runtime/Published.h"
+
+namespace boragerack::gateway {
+
+/// Live nodes as the coordinator knows them, and the requests that no node may run.
+struct FleetView
+{
+    std::vector<decisions::FleetMember> members;
+    std::set<core::Digest> quarantined;
+
+    friend bool operator==(const FleetView &, const FleetView &) = default;
+};
+
+/// Gives targets and tokens to this node's requests, and exchanges reports and answers with the
+/// coordinator. Owns the counts of requests in flight.
+class RoutingTask
+{
+public:
+    /// Sends a report; the answer comes back as ReportAnswered.
+    using SendReport = std::function<void(decisions::CoordinationReport)>;
+
+    RoutingTask(const decisions::FleetMember &self, const decisions::RetryLimits &retryLimits,
+                const core::Clock &clock, core::RandomSource &random, runtime::Metrics &metrics);
+    ~RoutingTask();
+
+    void start(SendReport sendReport);
+    void stop();
+    /// False if the mailbox is full.
+    [[nodiscard]] bool trySend(RoutingMessage message);
+
+    const runtime::Published<FleetView> &fleet() const { return fleet_; }
+
+private:
+    struct Grant
+    {
+        core::TargetId target;
+        core::ServiceId service;
+        std::optional<decisions::Artifact> artifact;
+    };
+
+    void run();
+    void on(AskRoute &message);
+    void on(RouteEnded &message);
+    void on(TokensReturned &message);
+    void on(AskRetry &message);
+    void on(RequestDied &message);
+    void on(TargetsMoved &message);
+    void on(ConfigurationMoved &message);
+    void on(ReportAnswered &message);
+    void on(StopAnnounced &message);
+    void on(StopRouting &message);
+
+    void route(const decisions::routing::Event &event);
+    void passOn(AskRoute &ask);
+    void serveTokenQueue(bool refuseRest);
+    void noteTokenQueue();
+    void adopt(const decisions::CoordinationAnswer &answer);
+    void loseCoordinator();
+    void tick();
+    void report();
+    std::uint32_t nodeCount() const;
+
+    decisions::FleetMember self_;
+    decisions::RetryLimits retryLimits_;
+    const core::Clock &clock_;
+    runtime::Metrics &metrics_;
+    decisions::RequestRouter router_;
+    decisions::TokenWallet wallet_;
+    std::map<core::ServiceId, decisions::RetryAllowance> retries_;
+    SendReport sendReport_;
+    runtime::Mailbox<RoutingMessage> mailbox_;
+    runtime::Published<FleetView> fleet_;
+    std::map<std::uint64_t, AskRoute> asks_;
+    std::map<std::uint64_t, Grant> grants_;
+    /// Requests that wait for tokens, by time of arrival.
+    std::vector<std::uint64_t> tokenQueue_;
+    /// How many of them the report under way speaks for.
+    std::size_t reportedTokenQueue_ = 0;
+    std::vector<decisions::RequestDeath> deaths_;
+    std::uint64_t term_ = 0;
+    std::uint64_t membersVersion_ = 0;
+    std::uint64_t placementVersion_ = 0;
+    bool isReporting_ = false;
+    bool hasUrgentNews_ = false;
+    bool isStopping_ = false;
+    bool isRunning_ = true;
+    core::TimePoint lastReport_ = {};
+    core::TimePoint nextReport_ = {};
+    core::TimePoint lastAnswer_ = {};
+    boost::fibers::fiber fiber_;
+};
+
+} // namespace boragerack::gateway
--- a/packages/node/src/AnswerFraming.cpp
+++ b/packages/node/src/AnswerFraming.cpp
@@ -6,25 +6,18 @@
 
 namespace {
 
-constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kDoneEvent = "data: [DONE]\n\n";
 
 } // namespace
 
 std::vector<AnswerPiece> EventStreamFraming::add(std::string_view bytes)
 {
-    buffer_ += bytes;
     std::vector<AnswerPiece> pieces;
-    std::size_t start = 0;
-    for (auto end = buffer_.find(kEventEnd); end != std::string::npos;
-         end = buffer_.find(kEventEnd, start)) {
-        std::string event = buffer_.substr(start, end + kEventEnd.size() - start);
-        start = end + kEventEnd.size();
+    for (std::string &event : splitter_.add(bytes)) {
         const bool isDone = event == kDoneEvent;
         isDone_ = isDone_ || isDone;
         pieces.push_back({std::move(event), isDone ? 0U : 1U});
     }
-    buffer_.erase(0, start);
     return pieces;
 }
 
--- a/packages/node/src/AnswerFraming.h
+++ b/packages/node/src/AnswerFraming.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "boragerack/runtime/EventSplitter.h"
+
 namespace boragerack::node {
 
 /// A piece of an answer that is forwarded as a whole, and how many units it counts for.
@@ -45,7 +47,7 @@
     bool isStream() const override { return true; }
 
 private:
-    std::string buffer_;
+    runtime::EventSplitter splitter_;
     bool isDone_ = false;
 };
 
--- a/packages/node/src/ModelHandler.cpp
+++ b/packages/node/src/ModelHandler.cpp
@@ -59,7 +59,7 @@
     if (!core::isOk(reservation)) {
         if (core::errorOf(reservation).code == core::ErrorCode::RateLimited) {
             services_.metrics.add("boragerack_tokens_refused_total",
-                                  makeLabels({{"organisation", context.organisation.value}}),
+                                  runtime::makeLabels({{"organisation", context.organisation.value}}),
                                   static_cast<std::uint64_t>(tokens));
         }
         refuse(core::errorOf(reservation), context, parsed, responder);
@@ -79,18 +79,18 @@
     countRequest(services_.metrics, context.organisation, parsed.model, result.verdict,
                  result.error);
     services_.metrics.add("boragerack_tokens_admitted_total",
-                          makeLabels({{"organisation", context.organisation.value}}),
+                          runtime::makeLabels({{"organisation", context.organisation.value}}),
                           static_cast<std::uint64_t>(std::min(used, tokens)));
     if (sink.firstPartAt()) {
         services_.metrics.observe(
             "boragerack_first_token_seconds",
-            makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
+            runtime::makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
             *sink.firstPartAt() - context.receivedAt);
     }
     for (const core::Duration gap : sink.gaps()) {
         services_.metrics.observe(
             "boragerack_inter_token_seconds",
-            makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
+            runtime::makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
             gap);
     }
     sink.finish(result);
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -308,7 +308,7 @@
     core::SystemRandomSource random_;
     runtime::HttpClient client_;
     platform::HttpPlatformStore store_;
-    Metrics metrics_;
+    runtime::Metrics metrics_;
     ChartSet charts_;
     bool isStopping_ = false;
     runtime::Published<bool> isStopped_;
--- a/packages/node/src/PlacementTask.cpp
+++ b/packages/node/src/PlacementTask.cpp
@@ -83,7 +83,7 @@
                              const decisions::PlannerSettings &settings,
                              platform::PlatformStore &store, runtime::HttpClient &client,
                              PlannerLink &link, const core::Clock &clock,
-                             std::chrono::milliseconds reportInterval, Metrics &metrics)
+                             std::chrono::milliseconds reportInterval, runtime::Metrics &metrics)
     : identity_(identity)
     , store_(store)
     , client_(client)
--- a/packages/node/src/PlacementTask.h
+++ b/packages/node/src/PlacementTask.h
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "ChartSet.h"
-#include "Metrics.h"
+#include "boragerack/runtime/Metrics.h"
 #include "NodeIdentity.h"
 #include "PlacementMessage.h"
 #include "PlannerLink.h"
@@ -24,7 +24,7 @@
     PlacementTask(const NodeIdentity &identity, const ChartSet &charts,
                   const decisions::PlannerSettings &settings, platform::PlatformStore &store,
                   runtime::HttpClient &client, PlannerLink &link, const core::Clock &clock,
-                  std::chrono::milliseconds reportInterval, Metrics &metrics);
+                  std::chrono::milliseconds reportInterval, runtime::Metrics &metrics);
     ~PlacementTask() override;
 
     void start();
@@ -82,7 +82,7 @@
     PlannerLink &link_;
     const core::Clock &clock_;
     std::chrono::milliseconds reportInterval_;
-    Metrics &metrics_;
+    runtime::Metrics &metrics_;
     core::TimePoint countedAt_;
     decisions::LoadPlanner loadPlanner_;
     runtime::Mailbox<PlacementMessage> mailbox_;
--- a/packages/node/src/PlacementTaskReports.cpp
+++ b/packages/node/src/PlacementTaskReports.cpp
@@ -119,7 +119,7 @@
                 const auto use = uses.find({target, artifact});
                 isUsed = isUsed || (use != uses.end() && use->second > 0);
             }
-            const std::string labels = makeLabels({{"model", artifact.model.value}});
+            const std::string labels = runtime::makeLabels({{"model", artifact.model.value}});
             const auto seconds = static_cast<std::uint64_t>(elapsed.count());
             metrics_.add("boragerack_replica_seconds_total", labels, seconds);
             metrics_.add("boragerack_idle_accelerator_seconds_total", labels, isUsed ? 0 : seconds);
--- a/packages/node/src/RequestMetrics.h
+++ b/packages/node/src/RequestMetrics.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string_view>
 
-#include "Metrics.h"
+#include "boragerack/runtime/Metrics.h"
 #include "boragerack/core/Error.h"
 #include "boragerack/core/Identifier.h"
 
@@ -11,7 +11,7 @@
 
 /// Counts a request that ended. `destination` is a model that the plan includes, or
 /// "service:<service>"; other names never become labels.
-void countRequest(Metrics &metrics, const core::OrganisationId &organisation,
+void countRequest(runtime::Metrics &metrics, const core::OrganisationId &organisation,
                   std::string_view destination, core::Verdict verdict,
                   const std::optional<core::Error> &error);
 
--- a/packages/node/src/RequestServices.h
+++ b/packages/node/src/RequestServices.h
@@ -4,7 +4,7 @@
 #include "BudgetTask.h"
 #include "ChartSet.h"
 #include "LifecycleTask.h"
-#include "Metrics.h"
+#include "boragerack/runtime/Metrics.h"
 #include "NodeIdentity.h"
 #include "QuarantineTask.h"
 #include "RoutingTask.h"
@@ -26,7 +26,7 @@
     runtime::HttpClient &client;
     core::RandomSource &random;
     const core::Clock &clock;
-    Metrics &metrics;
+    runtime::Metrics &metrics;
 };
 
 } // namespace boragerack::node
--- a/packages/node/src/RoutingTask.cpp
+++ b/packages/node/src/RoutingTask.cpp
@@ -21,7 +21,7 @@
 
 RoutingTask::RoutingTask(const NodeIdentity &identity, const runtime::Published<TargetTable> &table,
                          PlacementTask &placement, runtime::HttpClient &client,
-                         core::RandomSource &random, const core::Clock &clock, Metrics &metrics)
+                         core::RandomSource &random, const core::Clock &clock, runtime::Metrics &metrics)
     : identity_(identity)
     , table_(table)
     , placement_(placement)
@@ -155,7 +155,7 @@
     const ChooseRoute &request = message.request;
     if (const auto *artifact = std::get_if<decisions::Artifact>(&request.destination)) {
         metrics_.observe("boragerack_cold_start_seconds",
-                         makeLabels({{"model", artifact->model.value}}),
+                         runtime::makeLabels({{"model", artifact->model.value}}),
                          clock_.now() - message.startedAt);
     }
     if (!core::isOk(message.outcome)) {
--- a/packages/node/src/RoutingTask.h
+++ b/packages/node/src/RoutingTask.h
@@ -7,7 +7,7 @@
 #include <variant>
 #include <vector>
 
-#include "Metrics.h"
+#include "boragerack/runtime/Metrics.h"
 #include "NodeIdentity.h"
 #include "PlacementTask.h"
 #include "TargetWatchTask.h"
@@ -86,7 +86,7 @@
 public:
     RoutingTask(const NodeIdentity &identity, const runtime::Published<TargetTable> &table,
                 PlacementTask &placement, runtime::HttpClient &client, core::RandomSource &random,
-                const core::Clock &clock, Metrics &metrics);
+                const core::Clock &clock, runtime::Metrics &metrics);
 
     void start();
     void stop();
@@ -117,7 +117,7 @@
     PlacementTask &placement_;
     runtime::HttpClient &client_;
     const core::Clock &clock_;
-    Metrics &metrics_;
+    runtime::Metrics &metrics_;
     decisions::PowerOfTwoSelector selector_;
     decisions::TargetHealth health_;
     runtime::Mailbox<RoutingMessage> mailbox_;
--- a/packages/peer/include/boragerack/peer/Messages.h
+++ b/packages/peer/include/boragerack/peer/Messages.h
@@ -12,6 +12,7 @@
 #include "boragerack/decisions/BudgetTypes.h"
 #include "boragerack/decisions/FleetMessages.h"
 #include "boragerack/decisions/Quarantine.h"
+#include "boragerack/decisions/serving/CoordinationMessages.h"
 
 namespace boragerack::peer {
 
@@ -93,6 +94,7 @@
                  decisions::ConfigUpdate, decisions::ProbeAsk, decisions::ProbeReport,
                  decisions::BudgetAsk, decisions::BudgetGrant, decisions::BudgetReturn,
                  TargetUpdate, WakeRequest, WakeReply, ReplicaUses,
-                 decisions::quarantine::CrashReport, decisions::quarantine::Notice, core::Error>;
+                 decisions::quarantine::CrashReport, decisions::quarantine::Notice,
+                 decisions::CoordinationReport, decisions::CoordinationAnswer, core::Error>;
 
 } // namespace boragerack::peer
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -252,6 +252,66 @@
     return checked(read(in.fingerprint(), body.fingerprint), body);
 }
 
+decisions::FleetMember read(const wire::FleetMember &in)
+{
+    return {{in.instance()}, in.caller_address(), {in.data_centre()}};
+}
+
+std::optional<MessageBody> fromWire(const wire::CoordinationReport &in)
+{
+    decisions::CoordinationReport body;
+    body.member = read(in.member());
+    body.isStopping = in.stopping();
+    body.membersVersion = in.members_version();
+    body.placementVersion = in.placement_version();
+    for (const wire::ArtifactDemand &record : in.demands()) {
+        body.demands.push_back({read(record.artifact()),
+                                {record.service()},
+                                record.waiting(),
+                                record.arrived(),
+                                milliseconds(record.oldest_wait_ms()),
+                                milliseconds(record.aim_ms())});
+    }
+    for (const wire::ReplicaUse &record : in.uses())
+        body.uses.push_back({{record.target()}, read(record.artifact()), record.in_flight()});
+    for (const wire::TokenAmount &record : in.wanted())
+        body.wanted.push_back({{record.organisation()}, record.tokens()});
+    bool isValid = true;
+    for (const wire::RequestDeath &record : in.deaths()) {
+        decisions::RequestDeath death {{}, record.attempt()};
+        isValid = isValid && read(record.fingerprint(), death.fingerprint);
+        body.deaths.push_back(std::move(death));
+    }
+    return checked(isValid, body);
+}
+
+std::optional<MessageBody> fromWire(const wire::CoordinationAnswer &in)
+{
+    decisions::CoordinationAnswer body;
+    body.standing = static_cast<decisions::CoordinatorStanding>(in.standing());
+    body.term = in.term();
+    body.membersVersion = in.members_version();
+    for (const wire::FleetMember &record : in.members())
+        body.members.push_back(read(record));
+    body.placementVersion = in.placement_version();
+    for (const wire::TargetPlacement &record : in.placements()) {
+        decisions::TargetPlacement placement {{record.target()}, record.started_at(), {}};
+        for (const wire::Artifact &artifact : record.artifacts())
+            placement.artifacts.push_back(read(artifact));
+        body.placements.push_back(std::move(placement));
+    }
+    for (const wire::TokenAmount &record : in.granted())
+        body.granted.push_back({{record.organisation()}, record.tokens()});
+    bool isValid = wire::CoordinationAnswer::Standing_IsValid(in.standing());
+    for (const std::string &record : in.quarantined()) {
+        core::Digest fingerprint;
+        isValid = isValid && read(record, fingerprint);
+        body.quarantined.push_back(fingerprint);
+    }
+    body.reportAfter = milliseconds(in.report_after_ms());
+    return checked(isValid, body);
+}
+
 std::optional<MessageBody> fromWire(const wire::Refusal &in)
 {
     core::Error error;
@@ -301,6 +361,10 @@
         return fromWire(message.crash_report());
     case wire::Envelope::kQuarantineNotice:
         return fromWire(message.quarantine_notice());
+    case wire::Envelope::kCoordinationReport:
+        return fromWire(message.coordination_report());
+    case wire::Envelope::kCoordinationAnswer:
+        return fromWire(message.coordination_answer());
     case wire::Envelope::kRefusal:
         return fromWire(message.refusal());
     case wire::Envelope::BODY_NOT_SET:
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -53,6 +53,19 @@
     out.set_removed(record.isRemoved);
 }
 
+void write(const decisions::FleetMember &member, wire::FleetMember &out)
+{
+    out.set_instance(member.instance.value);
+    out.set_caller_address(member.callerAddress);
+    out.set_data_centre(member.dataCentre.value);
+}
+
+void write(const decisions::TokenAmount &amount, wire::TokenAmount &out)
+{
+    out.set_organisation(amount.organisation.value);
+    out.set_tokens(amount.tokens);
+}
+
 void write(const decisions::PortionId &id, const std::string &owner, std::uint64_t ownerIncarnation,
            wire::PortionId &out)
 {
@@ -274,6 +287,60 @@
     out.set_remaining_ms(clampMilliseconds(body.remaining));
 }
 
+void toWire(const decisions::CoordinationReport &body, wire::Envelope &message)
+{
+    wire::CoordinationReport &out = *message.mutable_coordination_report();
+    write(body.member, *out.mutable_member());
+    out.set_stopping(body.isStopping);
+    out.set_members_version(body.membersVersion);
+    out.set_placement_version(body.placementVersion);
+    for (const decisions::ArtifactDemand &demand : body.demands) {
+        wire::ArtifactDemand &record = *out.add_demands();
+        write(demand.artifact, *record.mutable_artifact());
+        record.set_service(demand.service.value);
+        record.set_waiting(demand.waiting);
+        record.set_arrived(demand.arrived);
+        record.set_oldest_wait_ms(clampMilliseconds(demand.oldestWait));
+        record.set_aim_ms(clampMilliseconds(demand.aim));
+    }
+    for (const decisions::ArtifactUse &use : body.uses) {
+        wire::ReplicaUse &record = *out.add_uses();
+        write(use.artifact, *record.mutable_artifact());
+        record.set_target(use.target.value);
+        record.set_in_flight(use.inFlight);
+    }
+    for (const decisions::TokenAmount &amount : body.wanted)
+        write(amount, *out.add_wanted());
+    for (const decisions::RequestDeath &death : body.deaths) {
+        wire::RequestDeath &record = *out.add_deaths();
+        record.set_fingerprint(toBytes(death.fingerprint));
+        record.set_attempt(death.attempt);
+    }
+}
+
+void toWire(const decisions::CoordinationAnswer &body, wire::Envelope &message)
+{
+    wire::CoordinationAnswer &out = *message.mutable_coordination_answer();
+    out.set_standing(static_cast<wire::CoordinationAnswer::Standing>(body.standing));
+    out.set_term(body.term);
+    out.set_members_version(body.membersVersion);
+    for (const decisions::FleetMember &member : body.members)
+        write(member, *out.add_members());
+    out.set_placement_version(body.placementVersion);
+    for (const decisions::TargetPlacement &placement : body.placements) {
+        wire::TargetPlacement &record = *out.add_placements();
+        record.set_target(placement.target.value);
+        record.set_started_at(placement.startedAt);
+        for (const decisions::Artifact &artifact : placement.artifacts)
+            write(artifact, *record.add_artifacts());
+    }
+    for (const decisions::TokenAmount &amount : body.granted)
+        write(amount, *out.add_granted());
+    for (const core::Digest &fingerprint : body.quarantined)
+        out.add_quarantined(toBytes(fingerprint));
+    out.set_report_after_ms(clampMilliseconds(body.reportAfter));
+}
+
 void toWire(const core::Error &body, wire::Envelope &message)
 {
     write(body, *message.mutable_refusal());
--- a/packages/peer/src/WireConversion.h
+++ b/packages/peer/src/WireConversion.h
@@ -27,6 +27,8 @@
 void toWire(const ReplicaUses &body, wire::Envelope &message);
 void toWire(const decisions::quarantine::CrashReport &body, wire::Envelope &message);
 void toWire(const decisions::quarantine::Notice &body, wire::Envelope &message);
+void toWire(const decisions::CoordinationReport &body, wire::Envelope &message);
+void toWire(const decisions::CoordinationAnswer &body, wire::Envelope &message);
 void toWire(const core::Error &body, wire::Envelope &message);
 
 /// Nothing when the body is absent, unknown, or has a value out of range.
--- a/packages/runtime/include/boragerack/runtime/HttpClient.h
+++ b/packages/runtime/include/boragerack/runtime/HttpClient.h
@@ -20,6 +20,11 @@
     std::chrono::milliseconds connectTimeout = std::chrono::seconds(2);
     /// Closes a connection on which nothing moved for this long while a response is due.
     std::chrono::milliseconds silenceTimeout = std::chrono::seconds(120);
+    /// Closes a connection whose peer has not confirmed sent bytes for this long; zero leaves the
+    /// limit to the system.
+    std::chrono::milliseconds unconfirmedTimeout = std::chrono::milliseconds(0);
+    /// A kept connection is not used again after this time without a request.
+    std::chrono::milliseconds idleTimeout = std::chrono::seconds(60);
     std::size_t maxIdleConnectionsPerAddress = 64;
     std::size_t maxResponseBytes = 16 * 1024 * 1024;
 
--- a/packages/runtime/include/boragerack/runtime/HttpServer.h
+++ b/packages/runtime/include/boragerack/runtime/HttpServer.h
@@ -19,7 +19,12 @@
     std::size_t maxHeaderBytes = 16 * 1024;
     std::size_t maxBodyBytes = 4 * 1024 * 1024;
     std::size_t maxConnections = 4096;
+    /// A kept connection may wait this long for its next request.
     std::chrono::milliseconds idleTimeout = std::chrono::seconds(60);
+    /// Time for the rest of a head once its first byte has arrived.
+    std::chrono::milliseconds headerTimeout = std::chrono::seconds(60);
+    /// Time for a body once its head has arrived.
+    std::chrono::milliseconds bodyTimeout = std::chrono::seconds(60);
     std::chrono::milliseconds writeTimeout = std::chrono::seconds(10);
 
     friend bool operator==(const HttpLimits &, const HttpLimits &) = default;
@@ -38,6 +43,9 @@
     /// Listens on "<ip>:<port>" and starts to accept; gives the address with the actual port.
     core::Result<std::string> listen(const std::string &address);
 
+    /// Applies to open connections from their next request on.
+    void updateLimits(const HttpLimits &limits);
+
     /// Stops accepting and closes idle connections; requests in progress are finished.
     void stopAccepting();
 
--- a/packages/node/src/Metrics.h
+++ b/packages/runtime/include/boragerack/runtime/Metrics.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace boragerack::node {
+namespace boragerack::runtime {
 
 /// Names and label values of one series.
 struct SeriesKey
@@ -49,4 +49,4 @@
     std::map<SeriesKey, Histogram> histograms_;
 };
 
-} // namespace boragerack::node
+} // namespace boragerack::runtime
--- a/packages/runtime/src/ConnectionPool.cpp
+++ b/packages/runtime/src/ConnectionPool.cpp
@@ -28,24 +28,27 @@
 {
 }
 
-std::unique_ptr<boost::beast::tcp_stream> HttpClient::Pool::take(const std::string &address)
+std::shared_ptr<boost::beast::tcp_stream> HttpClient::Pool::take(const std::string &address)
 {
     auto &streams = idle_[address];
     while (!streams.empty()) {
-        auto stream = std::move(streams.back());
+        Idle idle = std::move(streams.back());
         streams.pop_back();
-        if (isOpen(stream->socket()))
-            return stream;
+        if (idle.until > std::chrono::steady_clock::now() && isOpen(idle.stream->socket()))
+            return std::move(idle.stream);
     }
     return nullptr;
 }
 
 void HttpClient::Pool::keep(const std::string &address,
-                            std::unique_ptr<boost::beast::tcp_stream> stream)
+                            std::shared_ptr<boost::beast::tcp_stream> stream,
+                            core::TimePoint until)
 {
     auto &streams = idle_[address];
+    const core::TimePoint now = std::chrono::steady_clock::now();
+    std::erase_if(streams, [now](const Idle &idle) { return idle.until <= now; });
     if (streams.size() < maxIdlePerAddress_)
-        streams.push_back(std::move(stream));
+        streams.push_back({std::move(stream), until});
 }
 
 void HttpClient::Pool::drop(const std::string &address)
--- a/packages/runtime/src/ConnectionPool.h
+++ b/packages/runtime/src/ConnectionPool.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include "boragerack/core/Clock.h"
 #include "boragerack/runtime/HttpClient.h"
 
 namespace boragerack::runtime {
@@ -21,14 +22,21 @@
     boost::asio::io_context &ioContext() { return ioContext_; }
 
     /// A kept connection that its server has not closed, or null.
-    std::unique_ptr<boost::beast::tcp_stream> take(const std::string &address);
-    void keep(const std::string &address, std::unique_ptr<boost::beast::tcp_stream> stream);
+    std::shared_ptr<boost::beast::tcp_stream> take(const std::string &address);
+    /// Keeps the connection for another request until the given time.
+    void keep(const std::string &address, std::shared_ptr<boost::beast::tcp_stream> stream,
+              core::TimePoint until);
     void drop(const std::string &address);
 
 private:
     boost::asio::io_context &ioContext_;
     std::size_t maxIdlePerAddress_;
-    std::map<std::string, std::vector<std::unique_ptr<boost::beast::tcp_stream>>> idle_;
+    struct Idle
+    {
+        std::shared_ptr<boost::beast::tcp_stream> stream;
+        core::TimePoint until;
+    };
+    std::map<std::string, std::vector<Idle>> idle_;
 };
 
 } // namespace boragerack::runtime
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -41,6 +41,8 @@
         return {Severity::Warning, "platform is unavailable"};
     case LogEvent::PlatformAvailable:
         return {Severity::Info, "platform is available"};
+    case LogEvent::PlatformHistoryLost:
+        return {Severity::Info, "platform's history is lost"};
     case LogEvent::LoadOrdered:
         return {Severity::Info, "load ordered"};
     case LogEvent::LoadFinished:
@@ -59,6 +61,10 @@
         return {Severity::Warning, "request quarantined"};
     case LogEvent::ConnectionSilent:
         return {Severity::Warning, "connection is silent"};
+    case LogEvent::RequestServed:
+        return {Severity::Info, "request served"};
+    case LogEvent::RequestRefused:
+        return {Severity::Info, "request refused"};
     case LogEvent::PeerConnected:
         return {Severity::Info, "peer connected"};
     case LogEvent::PeerLost:
@@ -69,6 +75,24 @@
         return {Severity::Info, "budget share acquired"};
     case LogEvent::ShareReleased:
         return {Severity::Info, "budget share released"};
+    case LogEvent::CoordinatorStarted:
+        return {Severity::Info, "this node coordinates the fleet"};
+    case LogEvent::CoordinatorEnded:
+        return {Severity::Info, "this node no longer coordinates the fleet"};
+    case LogEvent::CoordinatorFollowed:
+        return {Severity::Info, "coordinator answers"};
+    case LogEvent::CoordinatorLost:
+        return {Severity::Warning, "coordinator does not answer"};
+    case LogEvent::CoordinatorUnknown:
+        return {Severity::Warning, "coordinator cannot be read"};
+    case LogEvent::MemberLost:
+        return {Severity::Warning, "node does not report"};
+    case LogEvent::MessageDropped:
+        return {Severity::Warning, "task's mailbox is full"};
+    case LogEvent::SettingsChanged:
+        return {Severity::Info, "settings read again"};
+    case LogEvent::LinesDropped:
+        return {Severity::Warning, "log lines dropped"};
     }
     return {Severity::Error, "unknown event"};
 }
--- /dev/null
+++ b/packages/runtime/src/EventSplitter.cpp
@@ -0,0 +1,23 @@
+#include "boragerack/runtime/EventSplitter.h"
+
+namespace boragerack::runtime {
+
+std::vector<std::string> EventSplitter::add(std::string_view bytes)
+{
+    constexpr std::string_view kEventEnd = "\n\n";
+    // The end of an event may begin with the last byte that arrived before.
+    std::size_t searchFrom = buffer_.empty() ? 0 : buffer_.size() - 1;
+    buffer_ += bytes;
+    std::vector<std::string> events;
+    std::size_t start = 0;
+    for (auto end = buffer_.find(kEventEnd, searchFrom); end != std::string::npos;
+         end = buffer_.find(kEventEnd, searchFrom)) {
+        searchFrom = end + kEventEnd.size();
+        events.push_back(buffer_.substr(start, searchFrom - start));
+        start = searchFrom;
+    }
+    buffer_.erase(0, start);
+    return events;
+}
+
+} // namespace boragerack::runtime
--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -1,8 +1,14 @@
 #include "ExchangeState.h"
 
+#include <algorithm>
 #include <array>
+#include <charconv>
+#include <optional>
 #include <utility>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/beast/http.hpp>
 
 #include "boragerack/runtime/Address.h"
@@ -25,13 +31,41 @@
     if (message.method() == http::verb::unknown)
         message.method_string(request.method);
     message.set(http::field::host, address);
-    for (const HttpHeader &header : request.headers)
-        message.set(header.name, header.value);
+    for (const HttpHeader &header : request.headers) {
+        if (boost::beast::iequals(header.name, "host"))
+            message.set(http::field::host, header.value);
+        else
+            message.insert(header.name, header.value);
+    }
     message.body() = request.body;
     message.prepare_payload();
     return message;
 }
 
+void setUnconfirmedTimeout(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds timeout)
+{
+    const auto value = static_cast<unsigned>(timeout.count());
+    // Without the option a silent peer is noticed at the end of the request's own time.
+    static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value,
+                                   sizeof(value)));
+}
+
+/// Time of "timeout=<seconds>" in a Keep-Alive header.
+std::optional<std::chrono::milliseconds> announcedIdleTime(std::string_view header)
+{
+    constexpr std::string_view kName = "timeout=";
+    const std::size_t start = header.find(kName);
+    if (start == std::string_view::npos)
+        return std::nullopt;
+    header.remove_prefix(start + kName.size());
+    unsigned seconds = 0;
+    const auto [end, error] =
+        std::from_chars(header.data(), header.data() + header.size(), seconds);
+    if (error != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 HttpResponseHead makeHead(const http::response<http::buffer_body> &message)
 {
     HttpResponseHead head;
@@ -59,8 +93,8 @@
     if (connect() && events_.send(HttpConnected())) {
         if (auto request = requests_.receive()) {
             request_ = std::move(*request);
-            if (writeRequest())
-                readResponse();
+            startWriting();
+            readResponse();
         }
     }
     events_.close();
@@ -103,7 +137,7 @@
         fail(core::ErrorCode::ConnectionFailed, "not an address <ip>:<port>");
         return false;
     }
-    stream_ = std::make_unique<boost::beast::tcp_stream>(pool_->ioContext());
+    stream_ = std::make_shared<boost::beast::tcp_stream>(pool_->ioContext());
     stream_->expires_after(options_.connectTimeout);
     const IoResult connected =
         awaitIo([&](auto handler) { stream_->async_connect(*endpoint, std::move(handler)); });
@@ -113,19 +147,23 @@
     }
     boost::system::error_code ignored;
     stream_->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    if (options_.unconfirmedTimeout.count() > 0)
+        setUnconfirmedTimeout(stream_->socket(), options_.unconfirmedTimeout);
     return !isCancelled_;
 }
 
-bool HttpExchange::State::writeRequest()
+void HttpExchange::State::startWriting()
 {
-    const auto message = makeMessage(request_, address_);
     verdict_ = core::Verdict::MayHaveRun;
     stream_->expires_after(options_.silenceTimeout);
-    const IoResult written =
-        awaitIo([&](auto handler) { http::async_write(*stream_, message, std::move(handler)); });
-    if (written.error)
-        fail(core::ErrorCode::ConnectionFailed, written.error.message());
-    return !written.error;
+    // The message lives until the write ends, which may be after the response.
+    auto message =
+        std::make_shared<http::request<http::string_body>>(makeMessage(request_, address_));
+    http::async_write(*stream_, *message,
+                      [self = shared_from_this(), message,
+                       stream = stream_](const boost::system::error_code &error, std::size_t) {
+                          self->isWritten_ = !error;
+                      });
 }
 
 void HttpExchange::State::readResponse()
@@ -142,7 +180,8 @@
         return;
     }
     verdict_ = core::Verdict::Ran;
-    if (!events_.send(makeHead(parser.get())))
+    head_ = makeHead(parser.get());
+    if (!events_.send(head_))
         return;
 
     std::array<char, kReadBytes> bytes;
@@ -162,9 +201,22 @@
             return;
     }
     stream_->expires_never();
-    if (parser.keep_alive() && buffer_.size() == 0 && !isCancelled_)
-        pool_->keep(address_, std::move(stream_));
+    if (parser.keep_alive() && buffer_.size() == 0 && !isCancelled_ && isWritten_)
+        keepConnection(head_);
+    else
+        stream_->close();
     static_cast<void>(events_.send(HttpCompleted()));
 }
 
+void HttpExchange::State::keepConnection(const HttpResponseHead &head)
+{
+    // The server closes at its own limit; a request sent at that moment would be lost.
+    constexpr std::chrono::milliseconds kMargin(1000);
+    std::chrono::milliseconds idle = options_.idleTimeout;
+    if (const auto announced = announcedIdleTime(findHeader(head.headers, "Keep-Alive")))
+        idle = std::min(idle, *announced - kMargin);
+    if (idle.count() > 0)
+        pool_->keep(address_, std::move(stream_), std::chrono::steady_clock::now() + idle);
+}
+
 } // namespace boragerack::runtime
--- a/packages/runtime/src/ExchangeState.h
+++ b/packages/runtime/src/ExchangeState.h
@@ -29,8 +29,9 @@
 
 private:
     bool connect();
-    bool writeRequest();
+    void startWriting();
     void readResponse();
+    void keepConnection(const HttpResponseHead &head);
     void fail(core::ErrorCode code, const std::string &reason);
 
     std::shared_ptr<HttpClient::Pool> pool_;
@@ -39,11 +40,14 @@
     ConnectionUse use_;
     HttpRequest request_;
     Mailbox<HttpRequest> requests_;
-    std::unique_ptr<boost::beast::tcp_stream> stream_;
+    std::shared_ptr<boost::beast::tcp_stream> stream_;
+    HttpResponseHead head_;
     boost::beast::flat_buffer buffer_;
     Mailbox<HttpEvent> events_;
     core::Verdict verdict_ = core::Verdict::NotRun;
     bool isCancelled_ = false;
+    /// A server may answer before it has read the whole request; the connection is then not kept.
+    bool isWritten_ = false;
 };
 
 } // namespace boragerack::runtime
--- a/packages/runtime/src/HttpConnection.cpp
+++ b/packages/runtime/src/HttpConnection.cpp
@@ -32,22 +32,52 @@
 void setHeaders(Message &message, const std::vector<HttpHeader> &headers)
 {
     for (const HttpHeader &header : headers)
-        message.set(header.name, header.value);
+        message.insert(header.name, header.value);
+}
+
+/// A request whose body length two readers could understand differently, or whose target is not a
+/// path. Such a request could hide another one in its body.
+bool isAmbiguous(const http::request_parser<http::string_body> &parser)
+{
+    const auto &message = parser.get();
+    if (message.count(http::field::host) > 1 || !message.target().starts_with('/'))
+        return true;
+    if (message.count(http::field::transfer_encoding) == 0)
+        return message.count(http::field::content_length) > 1;
+    return message.version() < kHttpVersion || message.count(http::field::content_length) > 0
+        || message.count(http::field::transfer_encoding) > 1
+        || !boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
 }
 
 } // namespace
 
+/// Shared with the pending wait, which may outlive the connection.
+struct HttpConnection::CallerWatch
+{
+    bool isArmed = false;
+    bool isGone = false;
+    bool isOpen = true;
+    std::function<void()> onGone;
+};
+
 HttpConnection::HttpConnection(boost::beast::tcp_stream stream, HttpHandler &handler,
                                const HttpLimits &limits)
     : stream_(std::move(stream))
     , buffer_(limits.maxHeaderBytes + limits.maxBodyBytes)
     , handler_(handler)
     , limits_(limits)
+    , watch_(std::make_shared<CallerWatch>())
 {
     boost::system::error_code ignored;
     stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
 }
 
+HttpConnection::~HttpConnection()
+{
+    watch_->isOpen = false;
+    watch_->onGone = nullptr;
+}
+
 void HttpConnection::run()
 {
     while (keepAlive_ && serveOne()) { }
@@ -63,18 +93,47 @@
         stream_.cancel();
 }
 
+bool HttpConnection::waitForRequest()
+{
+    if (buffer_.size() > 0)
+        return true;
+    constexpr std::size_t kFirstRead = 1024;
+    stream_.expires_after(limits_.idleTimeout);
+    const IoResult first = awaitIo([&](auto handler) {
+        stream_.async_read_some(buffer_.prepare(kFirstRead), std::move(handler));
+    });
+    buffer_.commit(first.size);
+    return !first.error;
+}
+
 bool HttpConnection::serveOne()
 {
+    if (!waitForRequest())
+        return false;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
     parser.body_limit(limits_.maxBodyBytes);
-    stream_.expires_after(limits_.idleTimeout);
-    const IoResult read = awaitIo(
-        [&](auto handler) { http::async_read(stream_, buffer_, parser, std::move(handler)); });
-    if (read.error) {
-        refuseMalformed(read.error);
+    stream_.expires_after(limits_.headerTimeout);
+    const IoResult head = awaitIo([&](auto handler) {
+        http::async_read_header(stream_, buffer_, parser, std::move(handler));
+    });
+    if (head.error) {
+        refuseMalformed(head.error);
+        return false;
+    }
+    if (isAmbiguous(parser)) {
+        refuse(400, "the length of the request is ambiguous");
         return false;
     }
+    if (!parser.is_done()) {
+        stream_.expires_after(limits_.bodyTimeout);
+        const IoResult body = awaitIo(
+            [&](auto handler) { http::async_read(stream_, buffer_, parser, std::move(handler)); });
+        if (body.error) {
+            refuseMalformed(body.error);
+            return false;
+        }
+    }
 
     isBusy_ = true;
     hasAnswered_ = false;
@@ -82,10 +141,45 @@
     // No read is pending while the handler works, so the idle limit must not end the connection.
     stream_.expires_never();
     handler_.handle(makeRequest(parser.release()), *this);
+    watch_->onGone = nullptr;
     isBusy_ = false;
     if (isStreaming_)
         abandon();
-    return hasAnswered_;
+    return hasAnswered_ && !watch_->isGone;
+}
+
+void HttpConnection::watchCaller(std::function<void()> onGone)
+{
+    watch_->onGone = std::move(onGone);
+    startWatch();
+}
+
+void HttpConnection::startWatch()
+{
+    // Bytes of a further request say nothing about a close, and hide it until they are read.
+    if (watch_->isArmed || buffer_.size() > 0)
+        return;
+    watch_->isArmed = true;
+    stream_.socket().async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [this, watch = watch_](const boost::system::error_code &error) {
+            watch->isArmed = false;
+            if (!watch->isOpen || !watch->onGone || error)
+                return;
+            char byte = 0;
+            boost::system::error_code peeked;
+            stream_.socket().non_blocking(true, peeked);
+            const std::size_t size = stream_.socket().receive(
+                boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, peeked);
+            if (peeked == boost::asio::error::would_block) {
+                startWatch();
+                return;
+            }
+            if (!peeked && size > 0)
+                return;
+            watch->isGone = true;
+            std::exchange(watch->onGone, nullptr)();
+        });
 }
 
 void HttpConnection::refuseMalformed(const boost::system::error_code &error)
@@ -98,12 +192,16 @@
     else if (error.category() == make_error_code(http::error::bad_method).category()
              && error != http::error::end_of_stream && error != http::error::partial_message)
         status = 400;
-    if (status == 0)
-        return;
+    if (status != 0)
+        refuse(status, error.message());
+}
+
+void HttpConnection::refuse(unsigned status, const std::string &reason)
+{
     keepAlive_ = false;
     send({status,
           {{"Content-Type", "application/json"}},
-          "{\"error\":{\"code\":\"invalid_request\",\"message\":\"" + error.message()
+          "{\"error\":{\"code\":\"invalid_request\",\"message\":\"" + reason
               + "\",\"verdict\":\"not_run\",\"retry_after_seconds\":0}}"});
 }
 
--- a/packages/runtime/src/HttpConnection.h
+++ b/packages/runtime/src/HttpConnection.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <functional>
+#include <memory>
+
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -14,7 +17,11 @@
 class HttpConnection final : public HttpResponder
 {
 public:
+    /// `limits` must outlive the connection; changes apply from the next request on.
     HttpConnection(boost::beast::tcp_stream stream, HttpHandler &handler, const HttpLimits &limits);
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
+    ~HttpConnection() override;
 
     /// Answers requests until the connection ends.
     void run();
@@ -29,17 +36,25 @@
     bool writePart(std::string_view part) override;
     bool finishStream() override;
     void abandon() override;
+    void watchCaller(std::function<void()> onGone) override;
+    void closeAfterAnswer() override { keepAlive_ = false; }
 
 private:
+    struct CallerWatch;
+
     bool serveOne();
+    bool waitForRequest();
+    void startWatch();
     void refuseMalformed(const boost::system::error_code &error);
+    void refuse(unsigned status, const std::string &reason);
     template<class Initiate>
     bool write(Initiate &&initiate);
 
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
     HttpHandler &handler_;
-    HttpLimits limits_;
+    const HttpLimits &limits_;
+    std::shared_ptr<CallerWatch> watch_;
     bool isBusy_ = false;
     bool isStreaming_ = false;
     bool keepAlive_ = true;
--- a/packages/runtime/src/HttpServer.cpp
+++ b/packages/runtime/src/HttpServer.cpp
@@ -54,6 +54,8 @@
             connection->closeWhenIdle();
     }
 
+    void updateLimits(const HttpLimits &limits) { limits_ = limits; }
+
     std::size_t connectionCount() const { return connections_.size(); }
 
     std::size_t requestsInProgress() const
@@ -121,6 +123,11 @@
     return implementation_->listen(address);
 }
 
+void HttpServer::updateLimits(const HttpLimits &limits)
+{
+    implementation_->updateLimits(limits);
+}
+
 void HttpServer::stopAccepting()
 {
     implementation_->stopAccepting();
--- a/packages/node/src/Metrics.cpp
+++ b/packages/runtime/src/Metrics.cpp
@@ -1,9 +1,9 @@
-#include "Metrics.h"
+#include "boragerack/runtime/Metrics.h"
 
 #include <set>
 #include <sstream>
 
-namespace boragerack::node {
+namespace boragerack::runtime {
 
 namespace {
 
@@ -110,4 +110,4 @@
     return stream.str();
 }
 
-} // namespace boragerack::node
+} // namespace boragerack::runtime
