Take order sequences from reports only; reload settings; refuse waiting requests before the end

Ruled out: orders of another node (one holder in the log), lost answers. Change: sequences come from reports; a load also counts as done when the list shows the model; the settings file is read again on SIGHUP and every 2 s; waiting requests are refused as not run 0.8 s before the process ends.

--- a/packages/config/include/boragerack/config/GatewaySettings.h
+++ b/packages/config/include/boragerack/config/GatewaySettings.h
@@ -32,7 +32,7 @@
     /// Time between the request to stop and the kill.
     std::chrono::milliseconds stopTimeout = std::chrono::seconds(8);
     /// How long callers keep the addresses they are given.
-    std::chrono::milliseconds addressLifetime = std::chrono::seconds(2);
+    std::chrono::milliseconds addressLifetime = std::chrono::seconds(1);
     double retryRatio = 0.2;
     std::int64_t retrySlack = 50;
     /// Tokens that an organisation may use beyond its limit before the limit counts as broken.
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -5,6 +5,8 @@
 #include <iterator>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/operations.hpp>
 #include <boost/program_options.hpp>
 
 #include <glog/logging.h>
@@ -56,14 +58,23 @@
     }
 }
 
-void waitForSignal(runtime::FiberRuntime &fiberRuntime)
+/// Waits for a signal to stop. Other signals of the set are passed to the function.
+template<class OnOther>
+void waitForStop(boost::asio::signal_set &signals, OnOther onOther)
 {
-    boost::asio::signal_set signals(fiberRuntime.ioContext(), SIGTERM, SIGINT);
-    runtime::awaitIo([&](auto completion) {
-        signals.async_wait([completion](const boost::system::error_code &error, int) mutable {
-            completion(error);
+    int received = 0;
+    while (received != SIGTERM && received != SIGINT) {
+        runtime::awaitIo([&](auto completion) {
+            signals.async_wait(
+                [completion, &received](const boost::system::error_code &error,
+                                        int number) mutable {
+                    received = number;
+                    completion(error);
+                });
         });
-    });
+        if (received == SIGHUP)
+            onOther();
+    }
 }
 
 runtime::HttpClientOptions platformClientOptions()
@@ -78,7 +89,7 @@
     return options;
 }
 
-int runNode(const config::NodeSettings &settings)
+int runNode(const std::string &, const config::NodeSettings &settings)
 {
     runtime::FiberRuntime fiberRuntime;
     boragerack::node::Node node(fiberRuntime, settings);
@@ -90,15 +101,34 @@
     }
     std::cout << "ready caller=" << core::valueOf(addresses).caller
               << " peer=" << core::valueOf(addresses).peer << std::endl;
-    waitForSignal(fiberRuntime);
+    boost::asio::signal_set signals(fiberRuntime.ioContext(), SIGTERM, SIGINT);
+    waitForStop(signals, [] {});
     node.requestStop();
     node.waitUntilStopped();
     runtime::logEvent(runtime::LogEvent::NodeStopped, settings.instance.value);
     return Stopped;
 }
 
-int runGateway(const config::GatewaySettings &settings)
+/// The settings file is compared this often.
+constexpr std::chrono::milliseconds kSettingsPoll(2000);
+
+/// Applies changed settings; invalid ones leave the current ones in force.
+void reloadSettings(const std::string &path, config::GatewaySettings &current,
+                    gateway::Gateway &gateway)
+{
+    const auto settings =
+        readSettings<config::GatewaySettings>(path, config::parseGatewaySettings);
+    if (!core::isOk(settings)) {
+        runtime::logEvent(runtime::LogEvent::SettingsInvalid, core::errorOf(settings).message);
+    } else if (core::valueOf(settings) != current) {
+        current = core::valueOf(settings);
+        gateway.updateSettings(current);
+    }
+}
+
+int runGateway(const std::string &path, const config::GatewaySettings &settings)
 {
+    config::GatewaySettings current = settings;
     runtime::FiberRuntime fiberRuntime;
     runtime::HttpClient client(fiberRuntime.ioContext(), platformClientOptions());
     const std::string platform =
@@ -113,7 +143,15 @@
         runtime::logEvent(runtime::LogEvent::StartFailed, error.message);
         return exitCodeOf(error.code);
     }
-    waitForSignal(fiberRuntime);
+    boost::asio::signal_set signals(fiberRuntime.ioContext(), SIGTERM, SIGINT, SIGHUP);
+    // The settings may also change without a signal.
+    boost::fibers::fiber([&] {
+        while (true) {
+            boost::this_fiber::sleep_for(kSettingsPoll);
+            reloadSettings(path, current, gateway);
+        }
+    }).detach();
+    waitForStop(signals, [&] { reloadSettings(path, current, gateway); });
     gateway.requestStop();
     gateway.waitUntilStopped();
     runtime::logEvent(runtime::LogEvent::NodeStopped, settings.instance.value);
@@ -124,14 +162,14 @@
 
 /// Reads the settings and runs the node; a fault of the settings is logged.
 template<class Settings>
-int runWith(const std::string &path, ParseSettings<Settings> parse, int (*run)(const Settings &))
+int runWith(const std::string &path, ParseSettings<Settings> parse, int (*run)(const std::string &, const Settings &))
 {
     const auto settings = readSettings<Settings>(path, parse);
     if (!core::isOk(settings)) {
         runtime::logEvent(runtime::LogEvent::SettingsInvalid, core::errorOf(settings).message);
         return UsageError;
     }
-    return run(core::valueOf(settings));
+    return run(path, core::valueOf(settings));
 }
 
 } // namespace
--- a/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
@@ -35,8 +35,6 @@
     /// Milliseconds since the Unix epoch at which the process started; changes at a restart under
     /// the same identifier.
     std::uint64_t startedAt = 0;
-    /// Number of orders that the target has accepted since its start.
-    std::uint64_t orderSequence = 0;
     std::vector<ModelReplica> replicas;
     /// Weights that load faster than from the weight store.
     std::vector<core::ModelId> inMemory;
@@ -53,6 +51,7 @@
 struct TargetReport
 {
     std::uint64_t startedAt = 0;
+    /// Number of orders that the target has accepted since its start.
     std::uint64_t orderSequence = 0;
     bool isBusy = false;
     std::uint32_t running = 0;
--- a/packages/decisions/include/boragerack/decisions/serving/TargetOrderChart.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetOrderChart.h
@@ -20,7 +20,6 @@
     Lost,
     Finished,
     Overdue,
-    Moved,
     Left,
 };
 
--- a/packages/decisions/src/serving/TargetOrders.cpp
+++ b/packages/decisions/src/serving/TargetOrders.cpp
@@ -25,7 +25,7 @@
     , chart_(std::move(chart))
     , askAt_(now)
 {
-    adopt(entry_.replicas, entry_.orderSequence, now);
+    adopt(entry_.replicas, 0, now);
 }
 
 bool TargetOrders::updateEntry(const TargetEntry &entry, core::TimePoint now)
@@ -33,16 +33,11 @@
     if (entry.startedAt != entry_.startedAt || entry.address != entry_.address)
         return false;
     entry_ = entry;
-    if (chart_.state() == TargetOrderState::Working) {
-        if (entry.orderSequence >= sequence_ && isEffectVisible(entry.replicas)) {
-            fire(TargetOrderTrigger::Finished, now);
-            adopt(entry.replicas, entry.orderSequence, now);
-        }
-    } else if (chart_.state() == TargetOrderState::Idle && entry.orderSequence > sequence_) {
-        // An order of an earlier coordinator was carried out late.
-        fire(TargetOrderTrigger::Moved, now);
-        askAt_ = now;
-    }
+    // Entries lag behind and do not say how many orders they include. Only the appearance of a
+    // model that was not there before is certain.
+    if (chart_.state() == TargetOrderState::Working
+        && pending_->order.kind == swap::OrderKind::Load && isEffectVisible(entry.replicas))
+        fire(TargetOrderTrigger::Finished, now);
     return true;
 }
 
--- a/packages/gateway/include/boragerack/gateway/Gateway.h
+++ b/packages/gateway/include/boragerack/gateway/Gateway.h
@@ -43,6 +43,8 @@
 
     /// Opens the listening sockets and starts all tasks.
     core::Result<core::Nothing> start();
+    /// Takes over the settings that may change while the process runs: the lifetime of addresses.
+    void updateSettings(const config::GatewaySettings &settings);
     /// Leaves the answers that callers are given; requests in progress are finished.
     void requestStop();
     void waitUntilStopped();
--- a/packages/gateway/src/DirectoryHandler.h
+++ b/packages/gateway/src/DirectoryHandler.h
@@ -19,6 +19,8 @@
 
     void handle(const runtime::HttpRequest &request, runtime::HttpResponder &responder) override;
 
+    void setAddressLifetime(std::chrono::milliseconds lifetime) { addressLifetime_ = lifetime; }
+
 private:
     std::vector<std::string> addressesFor(const DirectoryQuery &query) const;
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -100,7 +100,7 @@
         , reports(lease, coordinator, routing)
         , lifecycle(charts.node, kLifetimesToDrain * settings.addressLifetime,
                     settings.stopTimeout - kStopMargin, configuration, clock)
-        , front({charts, ports.protocol, configuration, routing, client, clock, metrics}, lifecycle)
+        , front({charts, ports.protocol, configuration, lifecycle, routing, client, clock, metrics}, lifecycle)
         , directory(ports.protocol, routing, lifecycle, self, settings.addressLifetime)
         , metricsHandler(metrics)
         , frontServer(fibers.ioContext(), front, {})
@@ -254,6 +254,13 @@
     return core::Nothing();
 }
 
+void Gateway::updateSettings(const config::GatewaySettings &settings)
+{
+    parts_->directory.setAddressLifetime(settings.addressLifetime);
+    runtime::logEvent(runtime::LogEvent::SettingsChanged,
+                      "address_lifetime_ms=" + std::to_string(settings.addressLifetime.count()));
+}
+
 void Gateway::requestStop()
 {
     if (!parts_->lifecycle.trySend(LifecycleTask::StopRequested()))
--- a/packages/gateway/src/LifecycleTask.cpp
+++ b/packages/gateway/src/LifecycleTask.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::size_t kMailboxCapacity = 64;
 constexpr std::chrono::milliseconds kTick(100);
+/// Requests without an answer are refused this long before the process ends.
+constexpr std::chrono::milliseconds kRefusalMargin(800);
 
 } // namespace
 
@@ -46,6 +48,11 @@
     return sequence_.state() == decisions::NodeState::Serving && configuration_.mayServe();
 }
 
+bool LifecycleTask::mustRefuseWaiting() const
+{
+    return isStopping_ && clock_.now() >= stopAt_ - kRefusalMargin;
+}
+
 void LifecycleTask::requestStarted()
 {
     fire(decisions::drain::RequestStarted());
--- a/packages/gateway/src/LifecycleTask.h
+++ b/packages/gateway/src/LifecycleTask.h
@@ -35,6 +35,8 @@
 
     std::optional<core::Error> admit() const { return sequence_.admit(); }
     bool isStopping() const { return isStopping_; }
+    /// Requests that still wait are refused now, so that their refusals go out before the end.
+    bool mustRefuseWaiting() const;
     /// The node serves and callers should come to it.
     bool isReady() const;
 
--- a/packages/gateway/src/RequestRun.cpp
+++ b/packages/gateway/src/RequestRun.cpp
@@ -167,7 +167,15 @@
 std::optional<core::Result<RouteGrant>> RequestRun::waitForRoute(const RouteReply &reply)
 {
     const core::TimePoint limit = attempt_.waitUntil().value_or(job_.deadline);
-    return reply.waitUntil(toSteady(limit));
+    while (services_.clock.now() < limit) {
+        const core::TimePoint wakeAt = std::min(limit, services_.clock.now() + kCheckInterval);
+        if (auto answer = reply.waitUntil(toSteady(wakeAt)))
+            return answer;
+        if (services_.lifecycle.mustRefuseWaiting())
+            return core::makeNotRunError(core::ErrorCode::Draining, "the node is stopping",
+                                         kRetryAfter);
+    }
+    return std::nullopt;
 }
 
 void RequestRun::perform(const attempt::ChooseTarget &action)
--- a/packages/gateway/src/RequestRun.h
+++ b/packages/gateway/src/RequestRun.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "ConfigurationTask.h"
+#include "LifecycleTask.h"
 #include "RoutingTask.h"
 #include "boragerack/decisions/RequestAttempt.h"
 #include "boragerack/gateway/CallerProtocol.h"
@@ -23,6 +24,7 @@
     const GatewayCharts &charts;
     const CallerProtocol &protocol;
     const ConfigurationTask &configuration;
+    const LifecycleTask &lifecycle;
     RoutingTask &routing;
     runtime::HttpClient &client;
     const core::Clock &clock;
