--- a/packages/core/src/Clock.cpp
+++ b/packages/core/src/Clock.cpp
@@ -9,8 +9,8 @@
     timespec time = {};
     // Cannot fail: Linux has had this clock since 2.6.39.
     ::clock_gettime(CLOCK_BOOTTIME, &time);
-    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
-                                                          + std::chrono::nanoseconds(time.tv_nsec)));
+    return TimePoint(std::chrono::duration_cast<Duration>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 } // namespace boragerack::core
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -65,12 +65,11 @@
     int received = 0;
     while (received != SIGTERM && received != SIGINT) {
         runtime::awaitIo([&](auto completion) {
-            signals.async_wait(
-                [completion, &received](const boost::system::error_code &error,
-                                        int number) mutable {
-                    received = number;
-                    completion(error);
-                });
+            signals.async_wait([completion, &received](const boost::system::error_code &error,
+                                                       int number) mutable {
+                received = number;
+                completion(error);
+            });
         });
         if (received == SIGHUP)
             onOther();
@@ -116,8 +115,7 @@
 void reloadSettings(const std::string &path, config::GatewaySettings &current,
                     gateway::Gateway &gateway)
 {
-    const auto settings =
-        readSettings<config::GatewaySettings>(path, config::parseGatewaySettings);
+    const auto settings = readSettings<config::GatewaySettings>(path, config::parseGatewaySettings);
     if (!core::isOk(settings)) {
         runtime::logEvent(runtime::LogEvent::SettingsInvalid, core::errorOf(settings).message);
     } else if (core::valueOf(settings) != current) {
@@ -162,7 +160,8 @@
 
 /// Reads the settings and runs the node; a fault of the settings is logged.
 template<class Settings>
-int runWith(const std::string &path, ParseSettings<Settings> parse, int (*run)(const std::string &, const Settings &))
+int runWith(const std::string &path, ParseSettings<Settings> parse,
+            int (*run)(const std::string &, const Settings &))
 {
     const auto settings = readSettings<Settings>(path, parse);
     if (!core::isOk(settings)) {
@@ -180,8 +179,8 @@
         "Usage: boragerackd --settings FILE\n       boragerackd --gateway [--settings FILE]");
     description.add_options()("settings", options::value<std::string>(),
                               "settings of the node in JSON")(
-        "gateway", "serve the users' platform; its settings file is the default")(
-        "help", "print this text");
+        "gateway",
+        "serve the users' platform; its settings file is the default")("help", "print this text");
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -91,8 +91,8 @@
     friend bool operator==(const Tick &, const Tick &) = default;
 };
 
-using Event = std::variant<ReadFinished, WriteApplied, WriteConflict, Unanswered,
-                           CoordinatorHeard, StopRequested, Tick>;
+using Event = std::variant<ReadFinished, WriteApplied, WriteConflict, Unanswered, CoordinatorHeard,
+                           StopRequested, Tick>;
 
 struct Read
 {
--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -92,8 +92,8 @@
     friend bool operator==(const Tick &, const Tick &) = default;
 };
 
-using Event = std::variant<Asked, Withdrawn, Ended, TargetsChanged, PlacementsChanged,
-                           PlacementsLost, Tick>;
+using Event =
+    std::variant<Asked, Withdrawn, Ended, TargetsChanged, PlacementsChanged, PlacementsLost, Tick>;
 
 struct Granted
 {
--- a/packages/decisions/include/boragerack/decisions/serving/SwapMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapMessages.h
@@ -82,8 +82,8 @@
     friend bool operator==(const Tick &, const Tick &) = default;
 };
 
-using Event = std::variant<TargetsChanged, ServicesChanged, DemandReported, NodeLeft,
-                           OrderAnswered, ReportArrived, OrdersAllowed, Tick>;
+using Event = std::variant<TargetsChanged, ServicesChanged, DemandReported, NodeLeft, OrderAnswered,
+                           ReportArrived, OrdersAllowed, Tick>;
 
 // Actions.
 
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -72,11 +72,10 @@
     void decide(core::TimePoint now, Actions &actions);
     std::vector<Need> modelNeeds(const std::map<Artifact, FleetDemand> &demands) const;
     void placeModel(const Need &need, core::TimePoint now, Actions &actions);
-    void placeAdapter(const Artifact &artifact, const core::ServiceId &service,
-                      core::TimePoint now, Actions &actions);
+    void placeAdapter(const Artifact &artifact, const core::ServiceId &service, core::TimePoint now,
+                      Actions &actions);
     std::optional<Option> makeOption(Target &target, const Need &need, core::TimePoint now);
-    bool addVictims(Option &option, const Need &need, std::uint64_t missingMb,
-                    core::TimePoint now);
+    bool addVictims(Option &option, const Need &need, std::uint64_t missingMb, core::TimePoint now);
     double evictionCost(const Target &target, const core::ModelId &model,
                         core::TimePoint now) const;
     void follow(const Option &option, const Need &need, core::TimePoint now, Actions &actions);
--- a/packages/decisions/src/Freshness.cpp
+++ b/packages/decisions/src/Freshness.cpp
@@ -94,8 +94,7 @@
 
 void Freshness::adopt(const BeaconSeen &beacon)
 {
-    if ((evidence_ && beacon.provenAt <= evidence_->provenAt)
-        || now_ - beacon.provenAt >= bound_)
+    if ((evidence_ && beacon.provenAt <= evidence_->provenAt) || now_ - beacon.provenAt >= bound_)
         return;
     evidence_ = beacon;
     hadReadProof_ = hadReadProof_ || beacon.kind == BeaconKind::PlatformRead;
@@ -107,8 +106,7 @@
 bool Freshness::mayServe(core::TimePoint now) const
 {
     const bool isServing = chart_.state() == State::Fresh || chart_.state() == State::Outage;
-    return isServing
-        && (!mechanisms_.freshnessBound || now - evidence_->provenAt < bound_);
+    return isServing && (!mechanisms_.freshnessBound || now - evidence_->provenAt < bound_);
 }
 
 std::optional<Beacon> Freshness::beacon(core::TimePoint now) const
--- a/packages/decisions/src/serving/CoordinatorChart.cpp
+++ b/packages/decisions/src/serving/CoordinatorChart.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-constexpr charts::EnumNames<CoordinatorState, 9> kStates {
-    {"following", "looking", "claiming", "holding", "renewing", "verifying", "doubting",
-     "releasing", "stopped"}};
+constexpr charts::EnumNames<CoordinatorState, 9> kStates {{"following", "looking", "claiming",
+                                                           "holding", "renewing", "verifying",
+                                                           "doubting", "releasing", "stopped"}};
 
 constexpr charts::EnumNames<CoordinatorTrigger, 10> kTriggers {
     {"look", "foundHeld", "foundFree", "foundOwn", "foundOther", "applied", "conflict",
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -54,8 +54,7 @@
     known_ = read.record;
     knownVersion_ = read.record ? std::optional(read.version) : std::nullopt;
     if (chart_.state() == CoordinatorState::Verifying) {
-        const bool isOwnTerm =
-            known_ && isOwn(*known_) && known_->incarnation == self_.incarnation;
+        const bool isOwnTerm = known_ && isOwn(*known_) && known_->incarnation == self_.incarnation;
         // A write that has not taken effect may still do so; the next renewal is conditional on
         // the version read here, so at most one of the two does.
         fire(isOwnTerm ? CoordinatorTrigger::FoundOwn : CoordinatorTrigger::FoundOther, now,
@@ -146,7 +145,8 @@
         return true;
     }
     if (known_->isReleased) {
-        ordersFrom_ = knownSince_ + times_.orderHandover + times_.margin;
+        // The last orders of the holder may still have been on their way when it let go.
+        ordersFrom_ = knownSince_ + times_.orderTimeout + times_.orderHandover + times_.margin;
         return true;
     }
     const core::TimePoint lapsesAt = knownSince_ + times_.validity + times_.margin;
--- a/packages/decisions/src/serving/DemandBook.cpp
+++ b/packages/decisions/src/serving/DemandBook.cpp
@@ -44,8 +44,8 @@
             if (demand.waiting == 0)
                 continue;
             FleetDemand &total = result[demand.artifact];
-            const auto wait = demand.oldestWait
-                + std::chrono::floor<std::chrono::milliseconds>(now - report.at);
+            const auto wait =
+                demand.oldestWait + std::chrono::floor<std::chrono::milliseconds>(now - report.at);
             if (total.waiting == 0 || demand.aim - wait < total.aim - total.oldestWait) {
                 total.aim = demand.aim;
                 total.oldestWait = wait;
--- a/packages/decisions/src/serving/OutlierDetector.cpp
+++ b/packages/decisions/src/serving/OutlierDetector.cpp
@@ -20,8 +20,8 @@
 
 void OutlierDetector::Rate::fade(core::TimePoint now)
 {
-    const double halfLives = std::chrono::duration<double>(now - updatedAt)
-        / std::chrono::duration<double>(kHalfLife);
+    const double halfLives =
+        std::chrono::duration<double>(now - updatedAt) / std::chrono::duration<double>(kHalfLife);
     const double factor = std::exp2(-std::max(0.0, halfLives));
     attempts *= factor;
     failures *= factor;
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -86,9 +86,8 @@
 {
     for (const TargetPlacement &placement : event.placements) {
         placements_[placement.target] = placement;
-        std::erase_if(missingUntil_, [&](const auto &item) {
-            return item.first.first == placement.target;
-        });
+        std::erase_if(missingUntil_,
+                      [&](const auto &item) { return item.first.first == placement.target; });
     }
     grantWaiting(now, actions);
 }
@@ -160,9 +159,8 @@
         const bool isSetAside = outliers_.isSetAside(target, now);
         setAside += isSetAside ? 1 : 0;
         candidates.push_back(&entry);
-        replicas.push_back({.target = target,
-                            .outstanding = outstanding(target),
-                            .isSuspected = isSetAside});
+        replicas.push_back(
+            {.target = target, .outstanding = outstanding(target), .isSuspected = isSetAside});
     }
     if (candidates.empty())
         return nullptr;
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -139,8 +139,7 @@
     // head; replicas that only add capacity go last.
     std::ranges::sort(needs, {}, [](const Need &need) {
         const bool isLate = need.timeToAim < std::chrono::milliseconds(0);
-        return std::tuple(need.isFurther, isLate, -static_cast<int>(need.waiting),
-                          need.timeToAim);
+        return std::tuple(need.isFurther, isLate, -static_cast<int>(need.waiting), need.timeToAim);
     });
     for (const Need &need : needs)
         placeModel(need, now, actions);
@@ -174,8 +173,8 @@
             continue;
         const std::uint32_t ready = readyReplicas(model);
         if (ready == 0 && demand.waiting > 0) {
-            needs.push_back({demand.service, model, demand.waiting,
-                             demand.aim - demand.oldestWait, false});
+            needs.push_back(
+                {demand.service, model, demand.waiting, demand.aim - demand.oldestWait, false});
         } else if (ready > 0 && demand.inFlight > kRequestsPerReplica * ready) {
             for (const auto &[id, target] : targets_) {
                 if (target.orders.serves(model)) {
@@ -285,8 +284,7 @@
     for (const auto &[id, other] : targets_)
         total += book_.inFlight(id, model);
     const double needed = std::ceil(total / kRequestsPerReplica * 1.5);
-    const double idleSeconds =
-        std::chrono::duration<double>(now - book_.lastUse(model)).count();
+    const double idleSeconds = std::chrono::duration<double>(now - book_.lastUse(model)).count();
     double cost = inFlight * kCostPerRequest + kRecencyCost / (1 + idleSeconds);
     if (replicas <= std::max(1.0, needed))
         cost += rate * kCostPerRate;
@@ -352,12 +350,14 @@
 }
 
 swap::SendOrder SwapPlanner::makeOrder(Target &target, swap::OrderKind kind,
-                                       const Artifact &artifact,
-                                       std::chrono::milliseconds duration, bool isFromStore)
+                                       const Artifact &artifact, std::chrono::milliseconds duration,
+                                       bool isFromStore)
 {
     const TargetEntry &entry = target.orders.entry();
-    return target.orders.begin(
-        {{nextOrder_++, entry.target, entry.address, kind, artifact, 0}, duration, isFromStore, {}});
+    return target.orders.begin({{nextOrder_++, entry.target, entry.address, kind, artifact, 0},
+                                duration,
+                                isFromStore,
+                                {}});
 }
 
 void SwapPlanner::publish()
@@ -428,10 +428,9 @@
 
 std::uint32_t SwapPlanner::readyReplicas(const core::ModelId &model) const
 {
-    return static_cast<std::uint32_t>(
-        std::ranges::count_if(targets_, [&](const auto &item) {
-            return item.second.orders.serves(model) && !item.second.orders.entry().isLeaving;
-        }));
+    return static_cast<std::uint32_t>(std::ranges::count_if(targets_, [&](const auto &item) {
+        return item.second.orders.serves(model) && !item.second.orders.entry().isLeaving;
+    }));
 }
 
 bool SwapPlanner::isBeingPlaced(const core::ModelId &model) const
--- a/packages/decisions/src/serving/TargetOrders.cpp
+++ b/packages/decisions/src/serving/TargetOrders.cpp
@@ -35,8 +35,8 @@
     entry_ = entry;
     // Entries lag behind and do not say how many orders they include. Only the appearance of a
     // model that was not there before is certain.
-    if (chart_.state() == TargetOrderState::Working
-        && pending_->order.kind == swap::OrderKind::Load && isEffectVisible(entry.replicas))
+    if (chart_.state() == TargetOrderState::Working && pending_->order.kind == swap::OrderKind::Load
+        && isEffectVisible(entry.replicas))
         fire(TargetOrderTrigger::Finished, now);
     return true;
 }
@@ -162,7 +162,8 @@
 
 bool TargetOrders::servesAdapter(const Artifact &artifact) const
 {
-    return serves(artifact.model) && holdings_.at(artifact.model).adapters.contains(artifact.adapter)
+    return serves(artifact.model)
+        && holdings_.at(artifact.model).adapters.contains(artifact.adapter)
         && (!pending_ || pending_->order.kind != swap::OrderKind::Unload
             || pending_->order.artifact != artifact);
 }
--- a/packages/decisions/src/serving/TokenWallet.cpp
+++ b/packages/decisions/src/serving/TokenWallet.cpp
@@ -96,8 +96,7 @@
     for (const auto &[organisation, account] : accounts_) {
         if (account.limit.tokensPerSecond <= 0)
             continue;
-        const auto demand =
-            static_cast<std::int64_t>(account.demandNow(now) * kReserveSeconds);
+        const auto demand = static_cast<std::int64_t>(account.demandNow(now) * kReserveSeconds);
         const std::int64_t reserve = std::min(std::max(demand, account.largestRequest),
                                               account.limit.burstTokens / kBurstParts);
         const std::int64_t missing = account.waiting + reserve - account.balance;
--- /dev/null
+++ b/packages/decisions/tests/serving/RequestRouterTest.cpp
@@ -0,0 +1,189 @@
+#include <boost/test/unit_test.hpp>
+
+#include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/decisions/serving/AddressChoice.h"
+#include "boragerack/decisions/serving/RequestRouter.h"
+#include "boragerack/decisions/serving/RetryAllowance.h"
+#include "boragerack/decisions/serving/RouteTable.h"
+
+namespace boragerack::decisions::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr core::TimePoint kNow(1h);
+const core::ServiceId kService {"engine"};
+const Artifact kModel {{"m"}, {}, {}};
+
+TargetEntry entryOf(const std::string &name, bool holdsModel, bool isLeaving = false)
+{
+    TargetEntry entry;
+    entry.target.value = name;
+    entry.service = kService;
+    entry.address = name + ":1";
+    entry.startedAt = 1;
+    entry.isLeaving = isLeaving;
+    if (holdsModel)
+        entry.replicas.push_back({{"m"}, 1, {}});
+    return entry;
+}
+
+struct Fixture
+{
+    core::SeededRandomSource random {1};
+    RequestRouter router {random};
+
+    void setTargets(const std::vector<TargetEntry> &list)
+    {
+        TargetEntries entries;
+        for (const TargetEntry &entry : list)
+            entries.emplace(entry.target, entry);
+        granted = router.handle(
+            routing::TargetsChanged {std::make_shared<const TargetEntries>(std::move(entries))},
+            kNow);
+    }
+
+    std::string ask(std::uint64_t request, RouteDemand demand = {})
+    {
+        demand.service = kService;
+        demand.artifact = kModel;
+        granted = router.handle(routing::Asked {request, demand}, kNow);
+        return granted.empty() ? "" : granted.front().target.value;
+    }
+
+    std::vector<routing::Granted> granted;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RequestRouterTest, Fixture)
+
+// Guards against requests that are sent to targets without the model, or to leaving ones.
+BOOST_AUTO_TEST_CASE(onlyReadyTargetsAreUsed)
+{
+    setTargets({entryOf("a", false), entryOf("b", true, true), entryOf("c", true)});
+    for (std::uint64_t i = 1; i <= 20; ++i)
+        BOOST_TEST(ask(i) == "c");
+}
+
+// Guards against a request that waits although a replica has become ready, and against demand that
+// the coordinator does not learn of.
+BOOST_AUTO_TEST_CASE(waitsForAReplica)
+{
+    setTargets({entryOf("a", false)});
+    BOOST_TEST(ask(1) == "");
+    BOOST_TEST(router.takeNewlyWaiting());
+    const auto demands = router.takeDemands(kNow + 100ms);
+    BOOST_REQUIRE(demands.size() == 1U);
+    BOOST_TEST(demands.front().waiting == 1U);
+    BOOST_TEST((demands.front().oldestWait == 100ms));
+    granted = router.handle(routing::PlacementsChanged {{{{"a"}, 1, {kModel}}}}, kNow);
+    BOOST_REQUIRE(granted.size() == 1U);
+    BOOST_TEST(granted.front().request == 1U);
+    BOOST_TEST(router.takeDemands(kNow).empty());
+    BOOST_TEST(router.uses().size() == 1U);
+}
+
+// Guards against requests to a model that is being unloaded: the coordinator knows first.
+BOOST_AUTO_TEST_CASE(placementGoesBeforeTheList)
+{
+    setTargets({entryOf("a", true)});
+    router.handle(routing::PlacementsChanged {{{{"a"}, 1, {}}}}, kNow);
+    BOOST_TEST(ask(1) == "");
+    // A placement of an earlier process says nothing about the restarted one.
+    router.handle(routing::PlacementsChanged {{{{"a"}, 0, {}}}}, kNow);
+    BOOST_TEST(ask(2) == "a");
+}
+
+// Guards against a target that says that it lacks the model and gets the request again at once.
+BOOST_AUTO_TEST_CASE(missingReplicaIsAvoidedForAWhile)
+{
+    setTargets({entryOf("a", true)});
+    BOOST_TEST(ask(1) == "a");
+    router.handle(routing::Ended {{"a"}, kService, kModel, AttemptOutcome::Refused, true}, kNow);
+    BOOST_TEST(ask(2) == "");
+    BOOST_TEST(router.handle(routing::Tick(), kNow + 1s).size() == 1U);
+}
+
+// Guards against a target that fails most requests while others serve them.
+BOOST_AUTO_TEST_CASE(failingTargetIsSetAside)
+{
+    setTargets({entryOf("a", true), entryOf("b", true), entryOf("c", true)});
+    for (int i = 0; i < 6; ++i) {
+        for (const char *target : {"a", "b", "c"}) {
+            const bool isBad = std::string(target) == "a";
+            router.handle(
+                routing::Ended {{target},
+                                kService,
+                                std::nullopt,
+                                isBad ? AttemptOutcome::Failed : AttemptOutcome::Succeeded,
+                                false},
+                kNow);
+        }
+    }
+    for (std::uint64_t i = 1; i <= 20; ++i)
+        BOOST_TEST(ask(i) != "a");
+}
+
+// Guards against requests with one prefix that spread over all replicas, and against a replica
+// that is overloaded because of its prefixes.
+BOOST_AUTO_TEST_CASE(sharedPrefixesStayTogether)
+{
+    setTargets({entryOf("a", true), entryOf("b", true), entryOf("c", true)});
+    RouteDemand demand;
+    demand.prefix = 77;
+    const std::string first = ask(1, demand);
+    BOOST_TEST(ask(2, demand) == first);
+    BOOST_TEST(ask(3, demand) == first);
+    bool hasMoved = false;
+    for (std::uint64_t i = 4; i < 20; ++i)
+        hasMoved = ask(i, demand) != first || hasMoved;
+    BOOST_TEST(hasMoved);
+}
+
+// Guards against more retries than this node's part of the fleet's limit.
+BOOST_AUTO_TEST_CASE(retriesAreBounded)
+{
+    RetryAllowance allowance({0.2, 50, 5});
+    int taken = 0;
+    while (allowance.take())
+        ++taken;
+    BOOST_TEST(taken <= 10);
+    for (int i = 0; i < 100; ++i)
+        allowance.countRequest();
+    while (allowance.take())
+        ++taken;
+    BOOST_TEST(taken <= 10 + 20);
+}
+
+// Guards against a shorter prefix that hides a longer one, and against keys in clear.
+BOOST_AUTO_TEST_CASE(longestPrefixWins)
+{
+    ServingConfiguration configuration;
+    configuration.routes = {{.name = "short", .host = "h", .pathPrefix = "/a/"},
+                            {.name = "long", .host = "h", .pathPrefix = "/a/b/"}};
+    configuration.organisations = {{{"yard"}, {core::makeDigest("key")}, {}, {}, false, 1}};
+    const RouteTable table(configuration);
+    BOOST_REQUIRE(table.findRoute("h", "/a/b/c"));
+    BOOST_TEST(table.findRoute("h", "/a/b/c")->name == "long");
+    BOOST_TEST(table.findRoute("h", "/a/x")->name == "short");
+    BOOST_TEST(!table.findRoute("other", "/a/x"));
+    BOOST_TEST(!table.findRoute("h", "/b/"));
+    BOOST_REQUIRE(table.findKey("key"));
+    BOOST_TEST(!table.findKey("other"));
+}
+
+// Guards against callers that are left with one address, or sent far away without need.
+BOOST_AUTO_TEST_CASE(nearAddressesWhileTheySuffice)
+{
+    std::vector<FleetMember> members {
+        {{"a"}, "1", {"x"}}, {{"b"}, "2", {"x"}}, {{"c"}, "3", {"y"}}};
+    BOOST_TEST(chooseAddresses(members, {"x"}).size() == 2U);
+    BOOST_TEST(chooseAddresses(members, {"y"}).size() == 3U);
+    BOOST_TEST(chooseAddresses({}, {"y"}).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::decisions::testing
--- /dev/null
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -0,0 +1,346 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+
+#include <rapidcheck.h>
+
+#include "RequestCharts.h"
+#include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/decisions/serving/SwapPlanner.h"
+
+namespace boragerack::decisions::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+const core::ServiceId kService {"engine"};
+constexpr std::uint64_t kWeightsMb = 200'000;
+constexpr std::uint32_t kAdapterPlaces = 4;
+constexpr std::uint32_t kModels = 14;
+constexpr std::uint32_t kTargets = 4;
+
+core::ModelId modelOf(std::uint64_t index)
+{
+    return {"m" + std::to_string(index)};
+}
+
+std::uint64_t weightsOf(const core::ModelId &model)
+{
+    return model.value.back() % 2 == 0 ? 73'000 : 43'000;
+}
+
+std::shared_ptr<const TargetOrderBinding> chart()
+{
+    static const auto binding = shareBinding(bindTargetOrderChart(readChart("targetOrder")));
+    return binding;
+}
+
+ServingService makeService()
+{
+    EngineFigures engine;
+    engine.slots = 64;
+    engine.weightsMb = kWeightsMb;
+    engine.adapterPlaces = kAdapterPlaces;
+    engine.storeLoadsPerSecond = 3;
+    for (std::uint64_t i = 0; i < kModels; ++i) {
+        const core::ModelId model = modelOf(i);
+        engine.models.push_back({model, weightsOf(model), 70, 8, 6000ms, 800ms, 500ms});
+    }
+    return {kService, 100, engine};
+}
+
+/// A target as the platform describes it: one order at a time, an expected sequence, and orders
+/// that are answered late, twice or never.
+class FakeTarget
+{
+public:
+    struct Late
+    {
+        core::TimePoint at;
+        swap::SendOrder order;
+    };
+
+    explicit FakeTarget(std::uint64_t number)
+    {
+        entry_.target.value = "t" + std::to_string(number);
+        entry_.service = kService;
+        entry_.address = "10.0.0.1:1";
+        entry_.startedAt = 1;
+        for (std::uint64_t i = 0; i < kModels; ++i) {
+            // Some models are on no disk and must come from the weight store.
+            if (i % 5 != 4)
+                entry_.onDisk.push_back(modelOf(i));
+        }
+    }
+
+    void tick(core::TimePoint now)
+    {
+        if (current_ && now >= doneAt_) {
+            applyCurrent();
+            current_.reset();
+        }
+        while (!late_.empty() && late_.front().at <= now) {
+            take(late_.front().order, now);
+            late_.pop_front();
+        }
+    }
+
+    void takeLater(const swap::SendOrder &order, core::TimePoint at)
+    {
+        late_.push_back({at, order});
+    }
+
+    swap::OrderOutcome take(const swap::SendOrder &order, core::TimePoint now)
+    {
+        if (current_ || order.expectedSequence != sequence_)
+            return swap::OrderOutcome::Conflict;
+        ++sequence_;
+        const bool isLoad = order.kind == swap::OrderKind::Load;
+        if (isLoad && !order.artifact.isAdapter()) {
+            isOverloaded_ =
+                isOverloaded_ || usedMb() + weightsOf(order.artifact.model) > kWeightsMb;
+            const bool isOnDisk =
+                std::ranges::find(entry_.onDisk, order.artifact.model) != entry_.onDisk.end();
+            storeLoads_ += isOnDisk ? 0 : 1;
+            doneAt_ = now + (isOnDisk ? 800ms : 6000ms);
+        } else if (isLoad) {
+            isOverloaded_ = isOverloaded_ || adapters() >= kAdapterPlaces;
+            doneAt_ = now + 10ms;
+        } else {
+            doneAt_ = now + 20ms;
+        }
+        current_ = order;
+        return swap::OrderOutcome::Accepted;
+    }
+
+    TargetReport report() const
+    {
+        return {1, sequence_, current_.has_value(), 0, 0, entry_.replicas, {}};
+    }
+
+    const TargetEntry &entry() const { return entry_; }
+    bool isOverloaded() const { return isOverloaded_; }
+    int storeLoads() const { return storeLoads_; }
+    bool holds(const core::ModelId &model) const { return entry_.holds({model, {}, {}}); }
+
+private:
+    std::uint64_t usedMb() const
+    {
+        std::uint64_t used = 0;
+        for (const ModelReplica &replica : entry_.replicas)
+            used += weightsOf(replica.model);
+        return used;
+    }
+
+    std::size_t adapters() const
+    {
+        std::size_t count = 0;
+        for (const ModelReplica &replica : entry_.replicas)
+            count += replica.adapters.size();
+        return count;
+    }
+
+    void applyCurrent()
+    {
+        const Artifact &artifact = current_->artifact;
+        auto replica = std::ranges::find(entry_.replicas, artifact.model, &ModelReplica::model);
+        const bool isLoad = current_->kind == swap::OrderKind::Load;
+        if (!artifact.isAdapter() && isLoad && replica == entry_.replicas.end())
+            entry_.replicas.push_back({artifact.model, 1, {}});
+        else if (!artifact.isAdapter() && !isLoad && replica != entry_.replicas.end())
+            entry_.replicas.erase(replica);
+        else if (artifact.isAdapter() && replica != entry_.replicas.end()) {
+            if (isLoad)
+                replica->adapters.push_back(artifact.adapter);
+            else
+                std::erase(replica->adapters, artifact.adapter);
+        }
+    }
+
+    TargetEntry entry_;
+    std::uint64_t sequence_ = 0;
+    std::optional<swap::SendOrder> current_;
+    core::TimePoint doneAt_ = {};
+    std::deque<Late> late_;
+    bool isOverloaded_ = false;
+    int storeLoads_ = 0;
+};
+
+/// One planner before a few targets, with random demand. The planner is replaced now and then, as
+/// if its node had died.
+class World
+{
+public:
+    World(std::uint64_t seed, bool hasFaults)
+        : random_(seed)
+        , hasFaults_(hasFaults)
+    {
+        for (std::uint64_t i = 0; i < kTargets; ++i)
+            targets_.emplace_back(i);
+        startPlanner();
+    }
+
+    void run(milliseconds time)
+    {
+        for (const core::TimePoint end = now_ + time; now_ < end; now_ += 25ms) {
+            for (FakeTarget &target : targets_)
+                target.tick(now_);
+            if (hasFaults_ && random_.next() % 400 == 0)
+                startPlanner();
+            if (random_.next() % 8 == 0)
+                pass(swap::TargetsChanged {entries()});
+            if (random_.next() % 4 == 0)
+                demand(randomArtifact());
+            pass(swap::Tick());
+        }
+    }
+
+    void demand(const Artifact &artifact)
+    {
+        pass(swap::DemandReported {{"node"}, {{artifact, kService, 1, 1, 0ms, 2500ms}}, {}});
+    }
+
+    bool isAnyOverloaded() const
+    {
+        return std::ranges::any_of(targets_, &FakeTarget::isOverloaded);
+    }
+
+    int storeLoads() const
+    {
+        int loads = 0;
+        for (const FakeTarget &target : targets_)
+            loads += target.storeLoads();
+        return loads;
+    }
+
+    bool isHeld(const core::ModelId &model) const
+    {
+        return std::ranges::any_of(targets_,
+                                   [&](const FakeTarget &target) { return target.holds(model); });
+    }
+
+    std::size_t orders() const { return orders_; }
+
+private:
+    void startPlanner()
+    {
+        planner_ = std::make_unique<SwapPlanner>(chart());
+        pass(swap::ServicesChanged {{makeService()}});
+        pass(swap::TargetsChanged {entries()});
+        pass(swap::OrdersAllowed {true});
+    }
+
+    std::shared_ptr<const TargetEntries> entries() const
+    {
+        TargetEntries entries;
+        for (const FakeTarget &target : targets_)
+            entries.emplace(target.entry().target, target.entry());
+        return std::make_shared<const TargetEntries>(std::move(entries));
+    }
+
+    Artifact randomArtifact()
+    {
+        Artifact artifact {modelOf(random_.next() % kModels), {}, {}};
+        if (random_.next() % 4 == 0)
+            artifact.adapter.value = "a" + std::to_string(random_.next() % 8);
+        return artifact;
+    }
+
+    FakeTarget &targetOf(const core::TargetId &id)
+    {
+        return *std::ranges::find_if(
+            targets_, [&](const FakeTarget &target) { return target.entry().target == id; });
+    }
+
+    void pass(const swap::Event &event)
+    {
+        for (const swap::Action &action : planner_->handle(event, now_))
+            std::visit([this](const auto &concrete) { perform(concrete); }, action);
+    }
+
+    void perform(const swap::SendOrder &order)
+    {
+        ++orders_;
+        FakeTarget &target = targetOf(order.target);
+        swap::OrderOutcome outcome = swap::OrderOutcome::Unknown;
+        switch (hasFaults_ ? random_.next() % 8 : 7) {
+        case 0:
+            target.takeLater(order, now_ + milliseconds(2000 + random_.next() % 10000));
+            break;
+        case 1:
+            static_cast<void>(target.take(order, now_));
+            break;
+        case 2:
+            outcome = target.take(order, now_);
+            target.takeLater(order, now_ + milliseconds(random_.next() % 3000));
+            break;
+        default:
+            outcome = target.take(order, now_);
+        }
+        pass(swap::OrderAnswered {order.target, order.order, outcome});
+    }
+
+    void perform(const swap::AskReport &action)
+    {
+        const bool isLost = hasFaults_ && random_.next() % 6 == 0;
+        pass(swap::ReportArrived {action.target,
+                                  isLost ? std::nullopt
+                                         : std::optional(targetOf(action.target).report())});
+    }
+
+    core::SeededRandomSource random_;
+    bool hasFaults_;
+    core::TimePoint now_ = core::TimePoint(1h);
+    std::vector<FakeTarget> targets_;
+    std::unique_ptr<SwapPlanner> planner_;
+    std::size_t orders_ = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(SwapPlannerTest)
+
+// Guards against a target that is ordered to load more weights or adapters than it has room for,
+// with orders that are lost, carried out late or twice, and planners that start without memory.
+BOOST_AUTO_TEST_CASE(memoryIsNeverOvercommitted)
+{
+    const bool isKept = rc::check([](std::uint64_t seed) {
+        World world(seed, true);
+        world.run(60s);
+        RC_ASSERT(world.orders() > 0U);
+        RC_ASSERT(!world.isAnyOverloaded());
+    });
+    BOOST_TEST(isKept);
+}
+
+// Guards against more loads from the weight store than its rate allows.
+BOOST_AUTO_TEST_CASE(storeRateIsKept)
+{
+    const bool isKept = rc::check([](std::uint64_t seed) {
+        World world(seed, false);
+        world.run(60s);
+        RC_ASSERT(world.storeLoads() <= 60 * 3 + 3);
+    });
+    BOOST_TEST(isKept);
+}
+
+// Guards against a request that waits for a model on disk longer than a swap takes.
+BOOST_AUTO_TEST_CASE(demandedModelIsReadySoon)
+{
+    World world(7, false);
+    world.run(10s);
+    const core::ModelId model = modelOf(1);
+    for (int i = 0; i < 100 && !world.isHeld(model); ++i) {
+        world.demand({model, {}, {}});
+        world.run(25ms);
+    }
+    BOOST_TEST(world.isHeld(model));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::decisions::testing
--- a/packages/gateway/include/boragerack/gateway/CallerProtocol.h
+++ b/packages/gateway/include/boragerack/gateway/CallerProtocol.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "boragerack/core/Result.h"
 #include "boragerack/core/Identifier.h"
+#include "boragerack/core/Result.h"
 #include "boragerack/decisions/Artifact.h"
 #include "boragerack/runtime/HttpExchange.h"
 #include "boragerack/runtime/HttpMessage.h"
--- a/packages/gateway/include/boragerack/gateway/TargetControl.h
+++ b/packages/gateway/include/boragerack/gateway/TargetControl.h
@@ -25,13 +25,12 @@
 
     virtual decisions::swap::OrderOutcome order(const std::string &address,
                                                 const decisions::swap::SendOrder &order,
-                                                const core::InstanceId &holder,
-                                                std::uint64_t fence, core::TimePoint deadline,
+                                                const core::InstanceId &holder, std::uint64_t fence,
+                                                core::TimePoint deadline,
                                                 const IsAllowed &isAllowed) = 0;
 
-    virtual core::Result<decisions::TargetReport> report(const std::string &address,
-                                                         const core::TargetId &target,
-                                                         core::TimePoint deadline) = 0;
+    virtual core::Result<decisions::TargetReport>
+    report(const std::string &address, const core::TargetId &target, core::TimePoint deadline) = 0;
 };
 
 } // namespace boragerack::gateway
--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -97,10 +97,9 @@
     if (!table_)
         return;
     const bool wasServing = freshness_.state() == decisions::Freshness::State::Fresh;
-    freshness_.handle(
-        decisions::Freshness::BeaconSeen {decisions::BeaconKind::PlatformRead,
-                                          table_->configuration().version, sentAt},
-        clock_.now());
+    freshness_.handle(decisions::Freshness::BeaconSeen {decisions::BeaconKind::PlatformRead,
+                                                        table_->configuration().version, sentAt},
+                      clock_.now());
     if (!wasServing && freshness_.state() == decisions::Freshness::State::Fresh)
         runtime::logEvent(runtime::LogEvent::NodeServing,
                           "version=" + std::to_string(table_->configuration().version));
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -226,16 +226,15 @@
 {
     calls_.start([this, order = action, fence = term_->fence] {
         const swap::OrderOutcome outcome = give(order, fence);
-        runtime::logEvent(
-            order.kind == swap::OrderKind::Load ? runtime::LogEvent::LoadOrdered
-                                                : runtime::LogEvent::UnloadOrdered,
-            "target=" + order.target.value + " artifact=" + describe(order.artifact)
-                + " sequence=" + std::to_string(order.expectedSequence)
-                + " fence=" + std::to_string(fence) + " outcome=" + std::string(nameOf(outcome)));
-        metrics_.add("boragerack_orders_total",
-                     runtime::makeLabels(
-                         {{"kind", order.kind == swap::OrderKind::Load ? "load" : "unload"},
-                          {"outcome", nameOf(outcome)}}));
+        runtime::logEvent(order.kind == swap::OrderKind::Load ? runtime::LogEvent::LoadOrdered
+                                                              : runtime::LogEvent::UnloadOrdered,
+                          "target=" + order.target.value + " artifact=" + describe(order.artifact)
+                              + " sequence=" + std::to_string(order.expectedSequence) + " fence="
+                              + std::to_string(fence) + " outcome=" + std::string(nameOf(outcome)));
+        metrics_.add(
+            "boragerack_orders_total",
+            runtime::makeLabels({{"kind", order.kind == swap::OrderKind::Load ? "load" : "unload"},
+                                 {"outcome", nameOf(outcome)}}));
         if (!mailbox_.trySend(OrderFinished {{order.target, order.order, outcome}}))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=order_finished");
     });
--- a/packages/gateway/src/FrontHandler.cpp
+++ b/packages/gateway/src/FrontHandler.cpp
@@ -91,9 +91,8 @@
             return core::makeNotRunError(core::ErrorCode::Unauthenticated, "the key is not known");
         job.organisation = organisation->organisation;
         priority = organisation->priority;
-        job.tokens = organisation->countsTokens
-            ? job.decoded.tokens.value_or(organisation->plainTokens)
-            : 1;
+        job.tokens =
+            organisation->countsTokens ? job.decoded.tokens.value_or(organisation->plainTokens) : 1;
     }
     const auto fleet = services_.routing.fleet().get();
     if (!fleet->quarantined.empty()
@@ -155,8 +154,8 @@
             + " status=" + std::to_string(outcome.status)
             + " verdict=" + std::string(verdictOf(outcome)) + " reason=" + std::string(reason)
             + " waited_ms=" + std::to_string(outcome.waited.count())
-            + " elapsed_ms=" + std::to_string(elapsed.count()) + " configuration="
-            + std::to_string(table ? table->configuration().version : 0));
+            + " elapsed_ms=" + std::to_string(elapsed.count())
+            + " configuration=" + std::to_string(table ? table->configuration().version : 0));
 }
 
 } // namespace boragerack::gateway
--- a/packages/gateway/src/FrontHandler.h
+++ b/packages/gateway/src/FrontHandler.h
@@ -21,8 +21,7 @@
 private:
     core::Result<RequestJob> admit(const runtime::HttpRequest &request) const;
     core::Result<RequestJob> admitOnRoute(const runtime::HttpRequest &request,
-                                          CallerRequest decoded,
-                                          const decisions::RouteTable &table,
+                                          CallerRequest decoded, const decisions::RouteTable &table,
                                           const decisions::ServingRoute &route) const;
     void refuse(const runtime::HttpRequest &request, const core::Error &error,
                 runtime::HttpResponder &responder) const;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -89,8 +89,12 @@
         , configuration(ports.source, clock, charts.freshness, settings.revocation)
         , targets(ports.source, clock)
         , lease(ports.store, clock, charts.coordinator,
-                decisions::LeaseRecord {settings.instance, textOf(settings.peerListen),
-                                        random.next() >> kIncarnationBits, 0, false, {}},
+                decisions::LeaseRecord {settings.instance,
+                                        textOf(settings.peerListen),
+                                        random.next() >> kIncarnationBits,
+                                        0,
+                                        false,
+                                        {}},
                 leaseTimesOf(settings))
         , coordinator(settings.instance, lease, ports.control, charts.targetOrder,
                       settings.quotaTolerance, clock, metrics)
@@ -100,7 +104,8 @@
         , reports(lease, coordinator, routing)
         , lifecycle(charts.node, kLifetimesToDrain * settings.addressLifetime,
                     settings.stopTimeout - kStopMargin, configuration, clock)
-        , front({charts, ports.protocol, configuration, lifecycle, routing, client, clock, metrics}, lifecycle)
+        , front({charts, ports.protocol, configuration, lifecycle, routing, client, clock, metrics},
+                lifecycle)
         , directory(ports.protocol, routing, lifecycle, self, settings.addressLifetime)
         , metricsHandler(metrics)
         , frontServer(fibers.ioContext(), front, {})
@@ -149,7 +154,8 @@
 
 void Gateway::Parts::startTasks()
 {
-    routing.start([this](decisions::CoordinationReport report) { reports.send(std::move(report)); });
+    routing.start(
+        [this](decisions::CoordinationReport report) { reports.send(std::move(report)); });
     reports.start();
     coordinator.start();
     lifecycle.start([this] {
@@ -192,14 +198,12 @@
     // the time; the random part keeps two starts at one revision apart.
     const std::uint64_t incarnation = (configuration.firstRevision() << kIncarnationBits)
         | (random.next() >> (64 - kIncarnationBits));
-    auto authenticator =
-        peer::MessageAuthenticator::make(*secret, settings.instance, incarnation);
+    auto authenticator = peer::MessageAuthenticator::make(*secret, settings.instance, incarnation);
     if (!core::isOk(authenticator)) {
         runtime::logEvent(runtime::LogEvent::PeerRejected, core::errorOf(authenticator).message);
         return;
     }
-    network = std::make_unique<peer::PeerNetwork>(fibers.ioContext(),
-                                                  core::valueOf(authenticator),
+    network = std::make_unique<peer::PeerNetwork>(fibers.ioContext(), core::valueOf(authenticator),
                                                   peer::PeerLinkOptions(), charts.peer, random);
     peerServer =
         std::make_unique<peer::PeerServer>(fibers.ioContext(), gate, core::valueOf(authenticator),
--- a/packages/gateway/src/LeaseTask.cpp
+++ b/packages/gateway/src/LeaseTask.cpp
@@ -88,8 +88,7 @@
 
 void LeaseTask::perform(const decisions::lease::Write &action)
 {
-    const auto result =
-        store_.write(kLeaseKey, serialiseLease(action.record), action.ifVersion);
+    const auto result = store_.write(kLeaseKey, serialiseLease(action.record), action.ifVersion);
     if (const auto *applied = std::get_if<platform::WriteApplied>(&result))
         handle(decisions::lease::WriteApplied {applied->version});
     else if (std::holds_alternative<platform::WriteConflict>(result))
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -73,8 +73,7 @@
                                  std::chrono::steady_clock::now() + kAnswerTimeout);
     if (!core::isOk(answer))
         return std::nullopt;
-    if (const auto *body =
-            std::get_if<decisions::CoordinationAnswer>(&core::valueOf(answer).body))
+    if (const auto *body = std::get_if<decisions::CoordinationAnswer>(&core::valueOf(answer).body))
         return *body;
     return std::nullopt;
 }
--- a/packages/gateway/src/RequestRun.cpp
+++ b/packages/gateway/src/RequestRun.cpp
@@ -47,11 +47,11 @@
 {
     const decisions::ServingRoute &route = job.route;
     const bool isStream = route.kind == decisions::RequestKind::Stream;
-    const bool mayRepeat = route.kind == decisions::RequestKind::Repeatable
-        || (isStream && route.isResumable);
+    const bool mayRepeat =
+        route.kind == decisions::RequestKind::Repeatable || (isStream && route.isResumable);
     return {.request = job.decoded.attempt,
-            .policy = mayRepeat ? decisions::SendPolicy::Repeatable
-                                : decisions::SendPolicy::AtMostOnce,
+            .policy =
+                mayRepeat ? decisions::SendPolicy::Repeatable : decisions::SendPolicy::AtMostOnce,
             .canResume = isStream && route.isResumable,
             .deadline = job.deadline,
             .maxAttempts = std::max(1U, route.maxAttempts),
@@ -377,8 +377,8 @@
     if (outcome_.isCallerGone)
         return;
     if (event.verdict != core::Verdict::NotRun) {
-        const core::Digest fingerprint = decisions::makeFingerprint(
-            job_.organisation, job_.request.target, job_.request.body);
+        const core::Digest fingerprint =
+            decisions::makeFingerprint(job_.organisation, job_.request.target, job_.request.body);
         if (!services_.routing.trySend(RequestDied {{fingerprint, job_.decoded.attempt}}))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=request_died");
     }
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -141,8 +141,8 @@
     auto retries = retries_.try_emplace(message.service, retryLimits_).first;
     const bool isAllowed = retries->second.take();
     metrics_.add("boragerack_retries_total",
-                 runtime::makeLabels({{"service", message.service.value},
-                                      {"allowed", isAllowed ? "yes" : "no"}}));
+                 runtime::makeLabels(
+                     {{"service", message.service.value}, {"allowed", isAllowed ? "yes" : "no"}}));
     message.reply.set(isAllowed);
 }
 
@@ -179,8 +179,7 @@
 void RoutingTask::on(ReportAnswered &message)
 {
     isReporting_ = false;
-    if (!message.answer
-        || message.answer->standing == decisions::CoordinatorStanding::Absent) {
+    if (!message.answer || message.answer->standing == decisions::CoordinatorStanding::Absent) {
         nextReport_ = clock_.now() + kReportInterval;
         return;
     }
@@ -215,8 +214,8 @@
         if (answer.membersVersion != membersVersion_) {
             view.members = answer.members;
             decisions::RetryLimits limits = retryLimits_;
-            limits.nodes = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(
-                                                          answer.members.size()));
+            limits.nodes =
+                std::max<std::uint32_t>(1, static_cast<std::uint32_t>(answer.members.size()));
             retryLimits_ = limits;
             for (auto &[service, allowance] : retries_)
                 allowance.setLimits(limits);
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -56,8 +56,8 @@
 
 bool TargetTask::readOnce()
 {
-    const auto read = revision_ == 0 ? source_.listTargets()
-                                     : source_.watchTargets(revision_, kWatchWait);
+    const auto read =
+        revision_ == 0 ? source_.listTargets() : source_.watchTargets(revision_, kWatchWait);
     const core::TimePoint now = clock_.now();
     if (!core::isOk(read)) {
         if (failures_++ == 0)
--- a/packages/node/src/CallerHandler.cpp
+++ b/packages/node/src/CallerHandler.cpp
@@ -121,13 +121,15 @@
     for (const Member &member : members->members)
         ++(member.isSuspected ? suspected : alive);
     services_.metrics.set("boragerack_members", runtime::makeLabels({{"state", "alive"}}), alive);
-    services_.metrics.set("boragerack_members", runtime::makeLabels({{"state", "suspected"}}), suspected);
+    services_.metrics.set("boragerack_members", runtime::makeLabels({{"state", "suspected"}}),
+                          suspected);
     for (const decisions::Organisation &organisation :
          configuration->catalogue.contents().organisations) {
         if (const auto *plan = configuration->catalogue.findPlan(organisation.organisation)) {
-            services_.metrics.set("boragerack_plan_tokens_per_second",
-                                  runtime::makeLabels({{"organisation", organisation.organisation.value}}),
-                                  plan->tokensPerSecond);
+            services_.metrics.set(
+                "boragerack_plan_tokens_per_second",
+                runtime::makeLabels({{"organisation", organisation.organisation.value}}),
+                plan->tokensPerSecond);
         }
     }
 }
--- a/packages/node/src/ModelHandler.cpp
+++ b/packages/node/src/ModelHandler.cpp
@@ -58,9 +58,10 @@
     const auto reservation = reserve(tokens, context);
     if (!core::isOk(reservation)) {
         if (core::errorOf(reservation).code == core::ErrorCode::RateLimited) {
-            services_.metrics.add("boragerack_tokens_refused_total",
-                                  runtime::makeLabels({{"organisation", context.organisation.value}}),
-                                  static_cast<std::uint64_t>(tokens));
+            services_.metrics.add(
+                "boragerack_tokens_refused_total",
+                runtime::makeLabels({{"organisation", context.organisation.value}}),
+                static_cast<std::uint64_t>(tokens));
         }
         refuse(core::errorOf(reservation), context, parsed, responder);
         return;
@@ -82,16 +83,16 @@
                           runtime::makeLabels({{"organisation", context.organisation.value}}),
                           static_cast<std::uint64_t>(std::min(used, tokens)));
     if (sink.firstPartAt()) {
-        services_.metrics.observe(
-            "boragerack_first_token_seconds",
-            runtime::makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
-            *sink.firstPartAt() - context.receivedAt);
+        services_.metrics.observe("boragerack_first_token_seconds",
+                                  runtime::makeLabels({{"organisation", context.organisation.value},
+                                                       {"model", parsed.model}}),
+                                  *sink.firstPartAt() - context.receivedAt);
     }
     for (const core::Duration gap : sink.gaps()) {
-        services_.metrics.observe(
-            "boragerack_inter_token_seconds",
-            runtime::makeLabels({{"organisation", context.organisation.value}, {"model", parsed.model}}),
-            gap);
+        services_.metrics.observe("boragerack_inter_token_seconds",
+                                  runtime::makeLabels({{"organisation", context.organisation.value},
+                                                       {"model", parsed.model}}),
+                                  gap);
     }
     sink.finish(result);
 }
--- a/packages/node/src/PlacementTask.h
+++ b/packages/node/src/PlacementTask.h
@@ -5,7 +5,6 @@
 #include <set>
 
 #include "ChartSet.h"
-#include "boragerack/runtime/Metrics.h"
 #include "NodeIdentity.h"
 #include "PlacementMessage.h"
 #include "PlannerLink.h"
@@ -13,6 +12,7 @@
 #include "boragerack/decisions/LoadPlanner.h"
 #include "boragerack/runtime/FiberGroup.h"
 #include "boragerack/runtime/HttpClient.h"
+#include "boragerack/runtime/Metrics.h"
 
 namespace boragerack::node {
 
--- a/packages/node/src/RequestMetrics.cpp
+++ b/packages/node/src/RequestMetrics.cpp
@@ -9,9 +9,9 @@
     const std::string_view outcome = error ? core::errorCodeName(error->code) : "completed";
     metrics.add("boragerack_requests_total",
                 runtime::makeLabels({{"organisation", organisation.value},
-                            {"model", destination},
-                            {"outcome", outcome},
-                            {"verdict", core::verdictName(verdict)}}));
+                                     {"model", destination},
+                                     {"outcome", outcome},
+                                     {"verdict", core::verdictName(verdict)}}));
 }
 
 } // namespace boragerack::node
--- a/packages/node/src/RequestMetrics.h
+++ b/packages/node/src/RequestMetrics.h
@@ -3,9 +3,9 @@
 #include <optional>
 #include <string_view>
 
-#include "boragerack/runtime/Metrics.h"
 #include "boragerack/core/Error.h"
 #include "boragerack/core/Identifier.h"
+#include "boragerack/runtime/Metrics.h"
 
 namespace boragerack::node {
 
--- a/packages/node/src/RequestServices.h
+++ b/packages/node/src/RequestServices.h
@@ -4,10 +4,10 @@
 #include "BudgetTask.h"
 #include "ChartSet.h"
 #include "LifecycleTask.h"
-#include "boragerack/runtime/Metrics.h"
 #include "NodeIdentity.h"
 #include "QuarantineTask.h"
 #include "RoutingTask.h"
+#include "boragerack/runtime/Metrics.h"
 
 namespace boragerack::node {
 
--- a/packages/node/src/RoutingTask.cpp
+++ b/packages/node/src/RoutingTask.cpp
@@ -21,7 +21,8 @@
 
 RoutingTask::RoutingTask(const NodeIdentity &identity, const runtime::Published<TargetTable> &table,
                          PlacementTask &placement, runtime::HttpClient &client,
-                         core::RandomSource &random, const core::Clock &clock, runtime::Metrics &metrics)
+                         core::RandomSource &random, const core::Clock &clock,
+                         runtime::Metrics &metrics)
     : identity_(identity)
     , table_(table)
     , placement_(placement)
--- a/packages/node/src/RoutingTask.h
+++ b/packages/node/src/RoutingTask.h
@@ -7,7 +7,6 @@
 #include <variant>
 #include <vector>
 
-#include "boragerack/runtime/Metrics.h"
 #include "NodeIdentity.h"
 #include "PlacementTask.h"
 #include "TargetWatchTask.h"
@@ -15,6 +14,7 @@
 #include "boragerack/decisions/AttemptId.h"
 #include "boragerack/decisions/ReplicaSelector.h"
 #include "boragerack/decisions/TargetHealth.h"
+#include "boragerack/runtime/Metrics.h"
 
 namespace boragerack::node {
 
--- a/packages/runtime/src/ConnectionPool.cpp
+++ b/packages/runtime/src/ConnectionPool.cpp
@@ -41,8 +41,7 @@
 }
 
 void HttpClient::Pool::keep(const std::string &address,
-                            std::shared_ptr<boost::beast::tcp_stream> stream,
-                            core::TimePoint until)
+                            std::shared_ptr<boost::beast::tcp_stream> stream, core::TimePoint until)
 {
     auto &streams = idle_[address];
     const core::TimePoint now = std::chrono::steady_clock::now();
--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -46,8 +46,8 @@
 {
     const auto value = static_cast<unsigned>(timeout.count());
     // Without the option a silent peer is noticed at the end of the request's own time.
-    static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value,
-                                   sizeof(value)));
+    static_cast<void>(
+        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value)));
 }
 
 /// Time of "timeout=<seconds>" in a Keep-Alive header.
--- a/packages/runtime/src/HttpConnection.cpp
+++ b/packages/runtime/src/HttpConnection.cpp
@@ -160,26 +160,26 @@
     if (watch_->isArmed || buffer_.size() > 0)
         return;
     watch_->isArmed = true;
-    stream_.socket().async_wait(
-        boost::asio::ip::tcp::socket::wait_read,
-        [this, watch = watch_](const boost::system::error_code &error) {
-            watch->isArmed = false;
-            if (!watch->isOpen || !watch->onGone || error)
-                return;
-            char byte = 0;
-            boost::system::error_code peeked;
-            stream_.socket().non_blocking(true, peeked);
-            const std::size_t size = stream_.socket().receive(
-                boost::asio::buffer(&byte, 1), boost::asio::ip::tcp::socket::message_peek, peeked);
-            if (peeked == boost::asio::error::would_block) {
-                startWatch();
-                return;
-            }
-            if (!peeked && size > 0)
-                return;
-            watch->isGone = true;
-            std::exchange(watch->onGone, nullptr)();
-        });
+    stream_.socket().async_wait(boost::asio::ip::tcp::socket::wait_read,
+                                [this, watch = watch_](const boost::system::error_code &error) {
+                                    watch->isArmed = false;
+                                    if (!watch->isOpen || !watch->onGone || error)
+                                        return;
+                                    char byte = 0;
+                                    boost::system::error_code peeked;
+                                    stream_.socket().non_blocking(true, peeked);
+                                    const std::size_t size = stream_.socket().receive(
+                                        boost::asio::buffer(&byte, 1),
+                                        boost::asio::ip::tcp::socket::message_peek, peeked);
+                                    if (peeked == boost::asio::error::would_block) {
+                                        startWatch();
+                                        return;
+                                    }
+                                    if (!peeked && size > 0)
+                                        return;
+                                    watch->isGone = true;
+                                    std::exchange(watch->onGone, nullptr)();
+                                });
 }
 
 void HttpConnection::refuseMalformed(const boost::system::error_code &error)
