Pass on what the coordinator reads of the platform

Ruled out: longer watches (a departure must be known within 2 s), stale reads (up to 3 s behind). Change: the coordinator's answers carry the list of targets, the confirmed version of the configuration and the age of both; a node reads the platform itself when they are too old.

--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -8,6 +8,7 @@
 #include "boragerack/core/Digest.h"
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/serving/TargetEntry.h"
 
 namespace boragerack::decisions {
 
@@ -71,6 +72,7 @@
     bool isStopping = false;
     std::uint64_t membersVersion = 0;
     std::uint64_t placementVersion = 0;
+    std::uint64_t targetsVersion = 0;
     std::vector<ArtifactDemand> demands;
     std::vector<ArtifactUse> uses;
     std::vector<TokenAmount> wanted;
@@ -95,8 +97,20 @@
     friend auto operator<=>(const TargetPlacement &, const TargetPlacement &) = default;
 };
 
-/// The coordinator's answer to a report. Members and placements are left out if they have not
-/// changed since the versions that the report names.
+/// What the coordinator last read of the platform, so that the other nodes need not read the same.
+struct PlatformProof
+{
+    std::uint64_t configurationVersion = 0;
+    /// Age of the call that confirmed the configuration.
+    std::chrono::milliseconds configurationAge = {};
+    /// Age of the last answer about the targets.
+    std::chrono::milliseconds targetsAge = {};
+
+    friend auto operator<=>(const PlatformProof &, const PlatformProof &) = default;
+};
+
+/// The coordinator's answer to a report. Members, placements and targets are left out if they have
+/// not changed since the versions that the report names.
 struct CoordinationAnswer
 {
     CoordinatorStanding standing = CoordinatorStanding::Absent;
@@ -106,6 +120,10 @@
     std::vector<FleetMember> members;
     std::uint64_t placementVersion = 0;
     std::vector<TargetPlacement> placements;
+    std::uint64_t targetsVersion = 0;
+    /// All targets without their replicas, which the placements tell.
+    std::vector<TargetEntry> targets;
+    PlatformProof proof;
     std::vector<TokenAmount> granted;
     std::vector<core::Digest> quarantined;
     /// Time until the next report if nothing happens.
--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -71,6 +71,8 @@
 struct TargetsChanged
 {
     std::shared_ptr<const TargetEntries> entries;
+    /// The entries tell what the targets hold; otherwise only the placements do.
+    bool hasReplicas = true;
     friend bool operator==(const TargetsChanged &, const TargetsChanged &) = default;
 };
 
@@ -81,7 +83,8 @@
     friend bool operator==(const PlacementsChanged &, const PlacementsChanged &) = default;
 };
 
-/// There is no coordinator whose placements are current; only the targets' own word counts.
+/// There is no coordinator whose placements are current. They are used on until a coordinator sends
+/// others or the targets' own entries arrive.
 struct PlacementsLost
 {
     friend bool operator==(const PlacementsLost &, const PlacementsLost &) = default;
@@ -165,6 +168,7 @@
     std::unique_ptr<ReplicaSelector> selector_;
     std::shared_ptr<const TargetEntries> entries_;
     std::map<core::TargetId, TargetPlacement> placements_;
+    bool arePlacementsOld_ = false;
     std::map<std::uint64_t, Waiting> waiting_;
     bool isNewlyWaiting_ = false;
     std::map<core::TargetId, std::uint32_t> outstanding_;
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -78,12 +78,16 @@
                        std::vector<Action> &actions)
 {
     entries_ = event.entries;
+    if (arePlacementsOld_ && event.hasReplicas)
+        placements_.clear();
     grantWaiting(now, actions);
 }
 
 void RequestRouter::on(const routing::PlacementsChanged &event, core::TimePoint now,
                        std::vector<Action> &actions)
 {
+    if (std::exchange(arePlacementsOld_, false))
+        placements_.clear();
     for (const TargetPlacement &placement : event.placements) {
         placements_[placement.target] = placement;
         std::erase_if(missingUntil_,
@@ -92,11 +96,9 @@
     grantWaiting(now, actions);
 }
 
-void RequestRouter::on(const routing::PlacementsLost &, core::TimePoint now,
-                       std::vector<Action> &actions)
+void RequestRouter::on(const routing::PlacementsLost &, core::TimePoint, std::vector<Action> &)
 {
-    placements_.clear();
-    grantWaiting(now, actions);
+    arePlacementsOld_ = true;
 }
 
 void RequestRouter::on(const routing::Tick &, core::TimePoint now, std::vector<Action> &actions)
--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -11,7 +11,12 @@
 
 /// Proofs are renewed this many times within the time a withdrawn key may be used, so that one call
 /// may be lost and its successor still arrives in time.
-constexpr int kProofsPerRevocation = 4;
+constexpr int kProofsPerRevocation = 8;
+/// Proofs that the coordinator passes on are enough while they are not older than this part of the
+/// time a withdrawn key may be used; the rest is for reading the platform itself.
+constexpr double kRelayedPart = 0.4;
+constexpr std::size_t kMailboxCapacity = 16;
+constexpr std::chrono::milliseconds kRelayTick(100);
 /// Time for a request to reach its target after the check.
 constexpr std::chrono::milliseconds kSendMargin(200);
 
@@ -24,6 +29,8 @@
     , clock_(clock)
     , freshness_(std::move(chart), {}, revocation - kSendMargin)
     , watchWait_(revocation / kProofsPerRevocation)
+    , relayTrust_(std::chrono::duration_cast<std::chrono::milliseconds>(revocation * kRelayedPart))
+    , mailbox_(kMailboxCapacity)
 {
 }
 
@@ -48,7 +55,16 @@
 void ConfigurationTask::run()
 {
     while (isRunning_) {
-        readOnce();
+        takeRelayed();
+        if (isRelayed()) {
+            // The history may be gone when this node reads the platform again.
+            revision_ = 0;
+            if (auto proof = mailbox_.receiveUntil(std::chrono::steady_clock::now() + kRelayTick))
+                relayed_ = *proof;
+            prove(relayed_.version, relayed_.provenAt);
+        } else {
+            readOnce();
+        }
         const bool wasServing = freshness_.state() == decisions::Freshness::State::Fresh;
         freshness_.handle(decisions::Freshness::Tick(), clock_.now());
         if (wasServing && freshness_.state() != decisions::Freshness::State::Fresh)
@@ -58,6 +74,18 @@
     }
 }
 
+void ConfigurationTask::takeRelayed()
+{
+    while (const auto proof = mailbox_.tryReceive())
+        relayed_ = *proof;
+}
+
+bool ConfigurationTask::isRelayed() const
+{
+    return table_ && relayed_.version == table_->configuration().version
+        && clock_.now() - relayed_.provenAt < relayTrust_;
+}
+
 void ConfigurationTask::readOnce()
 {
     const core::TimePoint sentAt = clock_.now();
@@ -94,12 +122,16 @@
                               + " routes=" + std::to_string(read.configuration->routes.size()));
         listener_(table_);
     }
-    if (!table_)
-        return;
+    if (table_)
+        prove(table_->configuration().version, sentAt);
+}
+
+void ConfigurationTask::prove(std::uint64_t version, core::TimePoint provenAt)
+{
     const bool wasServing = freshness_.state() == decisions::Freshness::State::Fresh;
-    freshness_.handle(decisions::Freshness::BeaconSeen {decisions::BeaconKind::PlatformRead,
-                                                        table_->configuration().version, sentAt},
-                      clock_.now());
+    freshness_.handle(
+        decisions::Freshness::BeaconSeen {decisions::BeaconKind::PlatformRead, version, provenAt},
+        clock_.now());
     if (!wasServing && freshness_.state() == decisions::Freshness::State::Fresh)
         runtime::logEvent(runtime::LogEvent::NodeServing,
                           "version=" + std::to_string(table_->configuration().version));
--- a/packages/gateway/src/ConfigurationTask.h
+++ b/packages/gateway/src/ConfigurationTask.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/fiber/fiber.hpp>
 
@@ -9,6 +10,7 @@
 #include "boragerack/decisions/Freshness.h"
 #include "boragerack/decisions/serving/RouteTable.h"
 #include "boragerack/gateway/ServingSource.h"
+#include "boragerack/runtime/Mailbox.h"
 
 namespace boragerack::gateway {
 
@@ -22,6 +24,13 @@
 public:
     using Listener = std::function<void(const RouteTablePointer &)>;
 
+    /// The coordinator has read the platform: this version was the accepted one at the time.
+    struct RelayedProof
+    {
+        std::uint64_t version = 0;
+        core::TimePoint provenAt = {};
+    };
+
     /// `clock` counts suspension. All references must outlive the task.
     ConfigurationTask(ServingSource &source, const core::Clock &clock,
                       std::shared_ptr<const decisions::Freshness::Binding> chart,
@@ -31,7 +40,10 @@
     /// `listener` is told of each accepted configuration, from the fiber of the task.
     void start(Listener listener);
     void stop();
+    [[nodiscard]] bool trySend(const RelayedProof &proof) { return mailbox_.trySend(proof); }
 
+    /// When the configuration was last confirmed; nothing before the first time.
+    std::optional<core::TimePoint> provenAt() const { return freshness_.provenAt(); }
     /// Null before the first configuration.
     RouteTablePointer table() const { return table_; }
     bool mayServe() const { return freshness_.mayServe(clock_.now()); }
@@ -41,6 +53,9 @@
 private:
     void run();
     void readOnce();
+    void takeRelayed();
+    bool isRelayed() const;
+    void prove(std::uint64_t version, core::TimePoint provenAt);
     void accept(const ConfigurationRead &read, core::TimePoint sentAt);
     void fail(const core::Error &error);
 
@@ -48,10 +63,13 @@
     const core::Clock &clock_;
     decisions::Freshness freshness_;
     std::chrono::milliseconds watchWait_;
+    std::chrono::milliseconds relayTrust_;
     Listener listener_;
     RouteTablePointer table_;
     std::uint64_t revision_ = 0;
     std::uint64_t firstRevision_ = 0;
+    runtime::Mailbox<RelayedProof> mailbox_;
+    RelayedProof relayed_;
     std::uint32_t failures_ = 0;
     bool isRunning_ = true;
     boost::fibers::fiber fiber_;
--- a/packages/gateway/src/CoordinatorMessages.h
+++ b/packages/gateway/src/CoordinatorMessages.h
@@ -44,6 +44,8 @@
 struct CoordinatedTargetsMoved
 {
     TargetEntriesPointer entries;
+    /// Without them the entries came from another coordinator and cannot be planned with.
+    bool hasReplicas = true;
 };
 
 struct CoordinatedConfigurationMoved
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -55,19 +55,21 @@
 } // namespace
 
 CoordinatorTask::CoordinatorTask(const core::InstanceId &self, const LeaseTask &lease,
+                                 const ConfigurationTask &configuration, const TargetTask &targets,
                                  TargetControl &control,
                                  std::shared_ptr<const decisions::TargetOrderBinding> chart,
                                  std::int64_t quotaTolerance, const core::Clock &clock,
                                  runtime::Metrics &metrics)
     : self_(self)
     , lease_(lease)
+    , configuration_(configuration)
+    , targets_(targets)
     , control_(control)
     , chart_(std::move(chart))
     , quotaTolerance_(quotaTolerance)
     , clock_(clock)
     , metrics_(metrics)
     , mailbox_(kMailboxCapacity)
-    , entries_(std::make_shared<const decisions::TargetEntries>())
 {
 }
 
@@ -119,9 +121,11 @@
                       {},
                       decisions::Quarantine({.deaths = kDeathsToQuarantine}),
                       {},
-                      false});
+                      false,
+                      {},
+                      0});
             applyConfiguration();
-            plan(swap::TargetsChanged {entries_});
+            applyTargets();
         }
     }
     if (!term_)
@@ -148,6 +152,39 @@
     plan(swap::ServicesChanged {configuration.services});
 }
 
+void CoordinatorTask::applyTargets()
+{
+    if (!entries_ || !term_)
+        return;
+    plan(swap::TargetsChanged {entries_});
+    std::vector<decisions::TargetEntry> listed;
+    for (const auto &[target, entry] : *entries_) {
+        listed.push_back(entry);
+        listed.back().replicas.clear();
+        listed.back().inMemory.clear();
+        listed.back().onDisk.clear();
+    }
+    if (listed != term_->listed || term_->listedVersion == 0) {
+        term_->listed = std::move(listed);
+        ++term_->listedVersion;
+    }
+}
+
+decisions::PlatformProof CoordinatorTask::proof() const
+{
+    // An age that no node trusts.
+    const std::chrono::milliseconds kUnknown = std::chrono::hours(1);
+    const core::TimePoint now = clock_.now();
+    const auto ageOf = [now, kUnknown](core::TimePoint time) {
+        return std::min(kUnknown, std::chrono::ceil<std::chrono::milliseconds>(now - time));
+    };
+    const auto provenAt = configuration_.provenAt();
+    const RouteTablePointer table = configuration_.table();
+    return {table ? table->configuration().version : 0,
+            provenAt ? ageOf(*provenAt) : kUnknown,
+            term_->listedVersion > 0 ? ageOf(targets_.readAt()) : kUnknown};
+}
+
 void CoordinatorTask::plan(const swap::Event &event)
 {
     for (const swap::Action &action : term_->planner.handle(event, clock_.now()))
@@ -181,6 +218,10 @@
         answer.members = term_->members.members();
     answer.placementVersion = term_->planner.placementVersion();
     answer.placements = term_->planner.placementsSince(report.placementVersion);
+    answer.targetsVersion = term_->listedVersion;
+    if (report.targetsVersion != answer.targetsVersion)
+        answer.targets = term_->listed;
+    answer.proof = proof();
     for (const decisions::TokenAmount &wanted : report.wanted)
         answer.granted.push_back(term_->allotment.grant(wanted, now));
     answer.quarantined = {term_->quarantined.begin(), term_->quarantined.end()};
@@ -203,9 +244,11 @@
 
 void CoordinatorTask::on(CoordinatedTargetsMoved &message)
 {
-    entries_ = message.entries;
-    if (term_)
-        plan(swap::TargetsChanged {entries_});
+    if (message.hasReplicas)
+        entries_ = message.entries;
+    else
+        entries_.reset();
+    applyTargets();
 }
 
 void CoordinatorTask::on(CoordinatedConfigurationMoved &message)
@@ -213,8 +256,7 @@
     table_ = message.table;
     applyConfiguration();
     // Targets of services that were not known before are taken up now.
-    if (term_)
-        plan(swap::TargetsChanged {entries_});
+    applyTargets();
 }
 
 void CoordinatorTask::on(StopCoordinating &)
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -29,7 +29,9 @@
 {
 public:
     /// All references must outlive the task. `clock` counts suspension.
-    CoordinatorTask(const core::InstanceId &self, const LeaseTask &lease, TargetControl &control,
+    CoordinatorTask(const core::InstanceId &self, const LeaseTask &lease,
+                    const ConfigurationTask &configuration, const TargetTask &targets,
+                    TargetControl &control,
                     std::shared_ptr<const decisions::TargetOrderBinding> chart,
                     std::int64_t quotaTolerance, const core::Clock &clock,
                     runtime::Metrics &metrics);
@@ -52,6 +54,9 @@
         decisions::Quarantine quarantine;
         std::set<core::Digest> quarantined;
         bool mayOrder = false;
+        /// Targets as last passed on to the nodes, and the number of their changes.
+        std::vector<decisions::TargetEntry> listed;
+        std::uint64_t listedVersion = 0;
     };
 
     void run();
@@ -64,6 +69,8 @@
 
     void followLease();
     void applyConfiguration();
+    void applyTargets();
+    decisions::PlatformProof proof() const;
     void plan(const decisions::swap::Event &event);
     void perform(const decisions::swap::SendOrder &action);
     void perform(const decisions::swap::AskReport &action);
@@ -72,12 +79,15 @@
 
     core::InstanceId self_;
     const LeaseTask &lease_;
+    const ConfigurationTask &configuration_;
+    const TargetTask &targets_;
     TargetControl &control_;
     std::shared_ptr<const decisions::TargetOrderBinding> chart_;
     std::int64_t quotaTolerance_;
     const core::Clock &clock_;
     runtime::Metrics &metrics_;
     runtime::Mailbox<CoordinatorMessage> mailbox_;
+    /// Null until this node has read the list itself.
     TargetEntriesPointer entries_;
     RouteTablePointer table_;
     std::unique_ptr<Term> term_;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -96,12 +96,12 @@
                                         false,
                                         {}},
                 leaseTimesOf(settings))
-        , coordinator(settings.instance, lease, ports.control, charts.targetOrder,
+        , coordinator(settings.instance, lease, configuration, targets, ports.control, charts.targetOrder,
                       settings.quotaTolerance, clock, metrics)
         , routing(self,
                   {settings.retryRatio, static_cast<double>(settings.retrySlack), kAssumedNodes},
                   clock, random, metrics)
-        , reports(lease, coordinator, routing)
+        , reports(lease, coordinator, routing, clock)
         , lifecycle(charts.node, kLifetimesToDrain * settings.addressLifetime,
                     settings.stopTimeout - kStopMargin, configuration, clock)
         , front({charts, ports.protocol, configuration, lifecycle, routing, client, clock, metrics},
@@ -120,6 +120,7 @@
     static constexpr std::uint32_t kAssumedNodes = 8;
 
     void startTasks();
+    void passOn(RoutingTask::Relay relay);
     void connectPeers();
 
     runtime::FiberRuntime &fibers;
@@ -155,7 +156,8 @@
 void Gateway::Parts::startTasks()
 {
     routing.start(
-        [this](decisions::CoordinationReport report) { reports.send(std::move(report)); });
+        [this](decisions::CoordinationReport report) { reports.send(std::move(report)); },
+        [this](RoutingTask::Relay relay) { passOn(std::move(relay)); });
     reports.start();
     coordinator.start();
     lifecycle.start([this] {
@@ -171,9 +173,9 @@
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=configuration_moved");
     });
     targets.start(
-        [this](const TargetEntriesPointer &entries) {
-            const bool isTaken = routing.trySend(TargetsMoved {entries})
-                && coordinator.trySend(CoordinatedTargetsMoved {entries});
+        [this](const TargetEntriesPointer &entries, bool hasReplicas) {
+            const bool isTaken = routing.trySend(TargetsMoved {entries, hasReplicas})
+                && coordinator.trySend(CoordinatedTargetsMoved {entries, hasReplicas});
             if (!isTaken)
                 runtime::logEvent(runtime::LogEvent::MessageDropped, "message=targets_moved");
         },
@@ -181,6 +183,18 @@
     peerFiber = boost::fibers::fiber([this] { connectPeers(); });
 }
 
+void Gateway::Parts::passOn(RoutingTask::Relay relay)
+{
+    const bool isTaken =
+        configuration.trySend(ConfigurationTask::RelayedProof {relay.configurationVersion,
+                                                               relay.configurationProvenAt})
+        && targets.trySend(
+            TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt});
+    // A task that waits for the platform takes the next message; a lost list of targets does not
+    // matter, because the task then reads the list itself.
+    static_cast<void>(isTaken);
+}
+
 void Gateway::Parts::connectPeers()
 {
     constexpr std::chrono::milliseconds kPause(100);
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -23,10 +23,12 @@
 
 } // namespace
 
-ReportTask::ReportTask(LeaseTask &lease, CoordinatorTask &coordinator, RoutingTask &routing)
+ReportTask::ReportTask(LeaseTask &lease, CoordinatorTask &coordinator, RoutingTask &routing,
+                       const core::Clock &clock)
     : lease_(lease)
     , coordinator_(coordinator)
     , routing_(routing)
+    , clock_(clock)
     , mailbox_(kMailboxCapacity)
 {
 }
@@ -52,11 +54,13 @@
 void ReportTask::run()
 {
     while (auto report = mailbox_.receive()) {
+        const core::TimePoint reportedAt = clock_.now();
+        const bool isLocal = lease_.lease().hasTerm();
         const auto answer = ask(std::move(*report));
         if (answer && answer->standing == decisions::CoordinatorStanding::Holding
             && !lease_.trySend(LeaseTask::Heard()))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=coordinator_heard");
-        if (!routing_.trySend(ReportAnswered {answer}))
+        if (!routing_.trySend(ReportAnswered {answer, reportedAt, isLocal}))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=report_answered");
     }
 }
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -17,7 +17,8 @@
 class ReportTask
 {
 public:
-    ReportTask(LeaseTask &lease, CoordinatorTask &coordinator, RoutingTask &routing);
+    ReportTask(LeaseTask &lease, CoordinatorTask &coordinator, RoutingTask &routing,
+               const core::Clock &clock);
     ~ReportTask();
 
     /// The links to other nodes exist once the fleet's secret has been read.
@@ -34,6 +35,7 @@
     LeaseTask &lease_;
     CoordinatorTask &coordinator_;
     RoutingTask &routing_;
+    const core::Clock &clock_;
     peer::PeerNetwork *network_ = nullptr;
     runtime::Mailbox<decisions::CoordinationReport> mailbox_;
     boost::fibers::fiber fiber_;
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -66,6 +66,7 @@
 struct TargetsMoved
 {
     TargetEntriesPointer entries;
+    bool hasReplicas = true;
 };
 
 struct ConfigurationMoved
@@ -77,6 +78,9 @@
 struct ReportAnswered
 {
     std::optional<decisions::CoordinationAnswer> answer;
+    core::TimePoint reportedAt = {};
+    /// The coordinator is this node, which reads the platform itself.
+    bool isLocal = false;
 };
 
 /// The node stops; the coordinator is told with the next report.
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -44,9 +44,10 @@
         fiber_.join();
 }
 
-void RoutingTask::start(SendReport sendReport)
+void RoutingTask::start(SendReport sendReport, OnRelay onRelay)
 {
     sendReport_ = std::move(sendReport);
+    onRelay_ = std::move(onRelay);
     fiber_ = boost::fibers::fiber([this] { run(); });
 }
 
@@ -154,7 +155,7 @@
 
 void RoutingTask::on(TargetsMoved &message)
 {
-    route(decisions::routing::TargetsChanged {message.entries});
+    route(decisions::routing::TargetsChanged {message.entries, message.hasReplicas});
 }
 
 void RoutingTask::on(ConfigurationMoved &message)
@@ -183,10 +184,11 @@
         nextReport_ = clock_.now() + kReportInterval;
         return;
     }
-    adopt(*message.answer);
+    adopt(message, *message.answer);
 }
 
-void RoutingTask::adopt(const decisions::CoordinationAnswer &answer)
+void RoutingTask::adopt(const ReportAnswered &message,
+                        const decisions::CoordinationAnswer &answer)
 {
     const core::TimePoint now = clock_.now();
     lastAnswer_ = now;
@@ -197,6 +199,7 @@
         term_ = answer.term;
         membersVersion_ = 0;
         placementVersion_ = 0;
+        targetsVersion_ = 0;
         route(decisions::routing::PlacementsLost());
         runtime::logEvent(runtime::LogEvent::CoordinatorFollowed,
                           "term=" + std::to_string(answer.term));
@@ -205,6 +208,7 @@
             return;
         }
     }
+    relay(message, answer);
     wallet_.stopAccruing();
     for (const decisions::TokenAmount &grant : answer.granted)
         wallet_.credit(grant);
@@ -230,6 +234,23 @@
     }
 }
 
+void RoutingTask::relay(const ReportAnswered &message,
+                        const decisions::CoordinationAnswer &answer)
+{
+    if (message.isLocal || answer.standing != decisions::CoordinatorStanding::Holding)
+        return;
+    // The ages count from the answer; the time of the report is earlier, which is on the safe side.
+    Relay relay {answer.proof.configurationVersion,
+                 message.reportedAt - answer.proof.configurationAge,
+                 message.reportedAt - answer.proof.targetsAge,
+                 std::nullopt};
+    if (answer.targetsVersion != targetsVersion_) {
+        relay.targets = answer.targets;
+        targetsVersion_ = answer.targetsVersion;
+    }
+    onRelay_(std::move(relay));
+}
+
 void RoutingTask::serveTokenQueue(bool refuseRest)
 {
     const std::size_t reported = std::exchange(reportedTokenQueue_, 0);
@@ -273,6 +294,7 @@
     term_ = 0;
     membersVersion_ = 0;
     placementVersion_ = 0;
+    targetsVersion_ = 0;
     runtime::logEvent(runtime::LogEvent::CoordinatorLost, "reason=no_answer");
     route(decisions::routing::PlacementsLost());
 }
@@ -308,6 +330,7 @@
                                           isStopping_,
                                           membersVersion_,
                                           placementVersion_,
+                                          targetsVersion_,
                                           router_.takeDemands(now),
                                           router_.uses(),
                                           wallet_.wanted(now),
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -36,12 +36,21 @@
 public:
     /// Sends a report; the answer comes back as ReportAnswered.
     using SendReport = std::function<void(decisions::CoordinationReport)>;
+    /// Gets what the coordinator read of the platform. `targets` is empty if they are unchanged.
+    struct Relay
+    {
+        std::uint64_t configurationVersion = 0;
+        core::TimePoint configurationProvenAt = {};
+        core::TimePoint targetsReadAt = {};
+        std::optional<std::vector<decisions::TargetEntry>> targets;
+    };
+    using OnRelay = std::function<void(Relay)>;
 
     RoutingTask(const decisions::FleetMember &self, const decisions::RetryLimits &retryLimits,
                 const core::Clock &clock, core::RandomSource &random, runtime::Metrics &metrics);
     ~RoutingTask();
 
-    void start(SendReport sendReport);
+    void start(SendReport sendReport, OnRelay onRelay);
     void stop();
     /// False if the mailbox is full.
     [[nodiscard]] bool trySend(RoutingMessage message);
@@ -72,7 +81,8 @@
     void passOn(AskRoute &ask);
     void serveTokenQueue(bool refuseRest);
     void noteTokenQueue();
-    void adopt(const decisions::CoordinationAnswer &answer);
+    void adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
+    void relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
     void loseCoordinator();
     void tick();
     void report();
@@ -86,6 +96,7 @@
     decisions::TokenWallet wallet_;
     std::map<core::ServiceId, decisions::RetryAllowance> retries_;
     SendReport sendReport_;
+    OnRelay onRelay_;
     runtime::Mailbox<RoutingMessage> mailbox_;
     runtime::Published<FleetView> fleet_;
     std::map<std::uint64_t, AskRoute> asks_;
@@ -98,6 +109,7 @@
     std::uint64_t term_ = 0;
     std::uint64_t membersVersion_ = 0;
     std::uint64_t placementVersion_ = 0;
+    std::uint64_t targetsVersion_ = 0;
     bool isReporting_ = false;
     bool hasUrgentNews_ = false;
     bool isStopping_ = false;
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -1,5 +1,7 @@
 #include "TargetTask.h"
 
+#include <algorithm>
+
 #include <boost/fiber/operations.hpp>
 
 #include "Backoff.h"
@@ -16,6 +18,10 @@
 constexpr std::chrono::milliseconds kPause(450);
 /// The coordinator learns of finished loads from the same list.
 constexpr std::chrono::milliseconds kUrgentPause(60);
+/// The list of the coordinator is enough while it is not older than this.
+constexpr std::chrono::milliseconds kRelayTrust(900);
+constexpr std::chrono::milliseconds kRelayTick(100);
+constexpr std::size_t kMailboxCapacity = 16;
 
 } // namespace
 
@@ -23,6 +29,7 @@
     : source_(source)
     , clock_(clock)
     , published_(std::make_shared<const decisions::TargetEntries>())
+    , mailbox_(kMailboxCapacity)
 {
 }
 
@@ -43,10 +50,23 @@
 void TargetTask::run()
 {
     while (isRunning_) {
-        if (readOnce()) {
-            published_ = std::make_shared<const decisions::TargetEntries>(directory_.entries());
-            listener_(published_);
+        bool isChanged = false;
+        while (const auto relayed = mailbox_.tryReceive())
+            isChanged = take(*relayed) || isChanged;
+        if (isChanged)
+            publish(false);
+        if (clock_.now() - relayedAt_ < kRelayTrust && !isUrgent_()) {
+            // The history may be gone when this node reads the platform again.
+            revision_ = 0;
+            if (const auto relayed =
+                    mailbox_.receiveUntil(std::chrono::steady_clock::now() + kRelayTick);
+                relayed && take(*relayed))
+                publish(false);
+            continue;
         }
+        const bool isWholeList = revision_ == 0;
+        if (readOnce() || (isWholeList && failures_ == 0))
+            publish(true);
         if (failures_ > 0)
             boost::this_fiber::sleep_for(backoff(failures_));
         else
@@ -54,6 +74,19 @@
     }
 }
 
+bool TargetTask::take(const RelayedTargets &relayed)
+{
+    relayedAt_ = std::max(relayedAt_, relayed.readAt);
+    return relayed.entries
+        && directory_.handle(decisions::targets::Listed {*relayed.entries}, clock_.now());
+}
+
+void TargetTask::publish(bool hasReplicas)
+{
+    published_ = std::make_shared<const decisions::TargetEntries>(directory_.entries());
+    listener_(published_, hasReplicas);
+}
+
 bool TargetTask::readOnce()
 {
     const auto read =
@@ -71,6 +104,7 @@
         runtime::logEvent(runtime::LogEvent::PlatformAvailable,
                           "list=targets failures=" + std::to_string(failures_));
     failures_ = 0;
+    readAt_ = now;
     const TargetsRead &targets = core::valueOf(read);
     if (targets.isExpired) {
         runtime::logEvent(runtime::LogEvent::PlatformHistoryLost,
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -2,12 +2,15 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <vector>
 
 #include <boost/fiber/fiber.hpp>
 
 #include "boragerack/core/Clock.h"
 #include "boragerack/decisions/serving/TargetDirectory.h"
 #include "boragerack/gateway/ServingSource.h"
+#include "boragerack/runtime/Mailbox.h"
 
 namespace boragerack::gateway {
 
@@ -17,7 +20,15 @@
 class TargetTask
 {
 public:
-    using Listener = std::function<void(const TargetEntriesPointer &)>;
+    /// `hasReplicas` says whether the entries tell what the targets hold.
+    using Listener = std::function<void(const TargetEntriesPointer &, bool hasReplicas)>;
+
+    /// The coordinator has read the list; nothing if it has not changed since its last message.
+    struct RelayedTargets
+    {
+        std::optional<std::vector<decisions::TargetEntry>> entries;
+        core::TimePoint readAt = {};
+    };
     /// Whether the node needs changes at once; otherwise several are read together.
     using IsUrgent = std::function<bool()>;
 
@@ -26,12 +37,20 @@
 
     void start(Listener listener, IsUrgent isUrgent);
     void stop() { isRunning_ = false; }
+    [[nodiscard]] bool trySend(RelayedTargets targets)
+    {
+        return mailbox_.trySend(std::move(targets));
+    }
+    /// When the platform last answered.
+    core::TimePoint readAt() const { return readAt_; }
 
     TargetEntriesPointer entries() const { return published_; }
 
 private:
     void run();
     bool readOnce();
+    bool take(const RelayedTargets &relayed);
+    void publish(bool hasReplicas);
 
     ServingSource &source_;
     const core::Clock &clock_;
@@ -40,6 +59,9 @@
     IsUrgent isUrgent_;
     TargetEntriesPointer published_;
     std::uint64_t revision_ = 0;
+    runtime::Mailbox<RelayedTargets> mailbox_;
+    core::TimePoint relayedAt_ = {};
+    core::TimePoint readAt_ = {};
     std::uint32_t failures_ = 0;
     bool isRunning_ = true;
     boost::fibers::fiber fiber_;
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -264,6 +264,7 @@
     body.isStopping = in.stopping();
     body.membersVersion = in.members_version();
     body.placementVersion = in.placement_version();
+    body.targetsVersion = in.targets_version();
     for (const wire::ArtifactDemand &record : in.demands()) {
         body.demands.push_back({read(record.artifact()),
                                 {record.service()},
@@ -300,6 +301,21 @@
             placement.artifacts.push_back(read(artifact));
         body.placements.push_back(std::move(placement));
     }
+    body.targetsVersion = in.targets_version();
+    for (const wire::ListedTarget &record : in.targets()) {
+        decisions::TargetEntry entry;
+        entry.target.value = record.target();
+        entry.service.value = record.service();
+        entry.address = record.address();
+        entry.dataCentre.value = record.data_centre();
+        entry.slots = record.slots();
+        entry.isLeaving = record.leaving();
+        entry.startedAt = record.started_at();
+        body.targets.push_back(std::move(entry));
+    }
+    body.proof = {in.proof().configuration_version(),
+                  milliseconds(in.proof().configuration_age_ms()),
+                  milliseconds(in.proof().targets_age_ms())};
     for (const wire::TokenAmount &record : in.granted())
         body.granted.push_back({{record.organisation()}, record.tokens()});
     bool isValid = wire::CoordinationAnswer::Standing_IsValid(in.standing());
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -294,6 +294,7 @@
     out.set_stopping(body.isStopping);
     out.set_members_version(body.membersVersion);
     out.set_placement_version(body.placementVersion);
+    out.set_targets_version(body.targetsVersion);
     for (const decisions::ArtifactDemand &demand : body.demands) {
         wire::ArtifactDemand &record = *out.add_demands();
         write(demand.artifact, *record.mutable_artifact());
@@ -334,6 +335,20 @@
         for (const decisions::Artifact &artifact : placement.artifacts)
             write(artifact, *record.add_artifacts());
     }
+    out.set_targets_version(body.targetsVersion);
+    for (const decisions::TargetEntry &entry : body.targets) {
+        wire::ListedTarget &record = *out.add_targets();
+        record.set_target(entry.target.value);
+        record.set_service(entry.service.value);
+        record.set_address(entry.address);
+        record.set_data_centre(entry.dataCentre.value);
+        record.set_slots(entry.slots);
+        record.set_leaving(entry.isLeaving);
+        record.set_started_at(entry.startedAt);
+    }
+    out.mutable_proof()->set_configuration_version(body.proof.configurationVersion);
+    out.mutable_proof()->set_configuration_age_ms(ageMilliseconds(body.proof.configurationAge));
+    out.mutable_proof()->set_targets_age_ms(ageMilliseconds(body.proof.targetsAge));
     for (const decisions::TokenAmount &amount : body.granted)
         write(amount, *out.add_granted());
     for (const core::Digest &fingerprint : body.quarantined)
