Count orders of known duration as done on time; route by the loads of all nodes; shorten the takeover

Ruled out: more replicas alone (the load was uneven, not high). Change: loads from memory or disk and idle unloads count as done after their time; the coordinator's answers carry the loads of all targets and its last renewal; reserves of tokens are not granted while a bucket is low.

--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -46,6 +46,38 @@
     friend auto operator<=>(const TokenAmount &, const TokenAmount &) = default;
 };
 
+/// Tokens that a node asks for.
+struct TokenAsk
+{
+    core::OrganisationId organisation;
+    /// For requests that wait.
+    std::int64_t waiting = 0;
+    /// For requests that are expected; granted only while there is plenty.
+    std::int64_t reserve = 0;
+
+    friend auto operator<=>(const TokenAsk &, const TokenAsk &) = default;
+};
+
+/// Requests in flight of all nodes at one target.
+struct TargetLoad
+{
+    core::TargetId target;
+    std::uint32_t inFlight = 0;
+
+    friend auto operator<=>(const TargetLoad &, const TargetLoad &) = default;
+};
+
+/// The last renewal of the coordinator's lease that the platform confirmed.
+struct LeaseProof
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t renewal = 0;
+    /// Time since the renewal was sent.
+    std::chrono::milliseconds age = {};
+
+    friend auto operator<=>(const LeaseProof &, const LeaseProof &) = default;
+};
+
 /// A target ended while it ran the request.
 struct RequestDeath
 {
@@ -75,7 +107,7 @@
     std::uint64_t targetsVersion = 0;
     std::vector<ArtifactDemand> demands;
     std::vector<ArtifactUse> uses;
-    std::vector<TokenAmount> wanted;
+    std::vector<TokenAsk> wanted;
     std::vector<RequestDeath> deaths;
 
     friend bool operator==(const CoordinationReport &, const CoordinationReport &) = default;
@@ -124,6 +156,9 @@
     /// All targets without their replicas, which the placements tell.
     std::vector<TargetEntry> targets;
     PlatformProof proof;
+    LeaseProof lease;
+    /// Targets with requests in flight.
+    std::vector<TargetLoad> loads;
     std::vector<TokenAmount> granted;
     std::vector<core::Digest> quarantined;
     /// Time until the next report if nothing happens.
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -11,6 +11,7 @@
 #include "boragerack/charts/ChartInstance.h"
 #include "boragerack/core/Clock.h"
 #include "boragerack/core/Identifier.h"
+#include "boragerack/decisions/serving/CoordinationMessages.h"
 #include "boragerack/decisions/serving/CoordinatorChart.h"
 
 namespace boragerack::decisions {
@@ -36,11 +37,11 @@
 struct LeaseTimes
 {
     /// A holder acts for this long after it sent its last confirmed renewal.
-    std::chrono::milliseconds validity = std::chrono::milliseconds(1500);
-    std::chrono::milliseconds renewEvery = std::chrono::milliseconds(400);
+    std::chrono::milliseconds validity = std::chrono::milliseconds(1300);
+    std::chrono::milliseconds renewEvery = std::chrono::milliseconds(350);
     /// An order may be on its way for this long after it was allowed.
-    std::chrono::milliseconds orderTimeout = std::chrono::milliseconds(700);
-    std::chrono::milliseconds lookEvery = std::chrono::milliseconds(300);
+    std::chrono::milliseconds orderTimeout = std::chrono::milliseconds(500);
+    std::chrono::milliseconds lookEvery = std::chrono::milliseconds(200);
     /// No two holders may give one target orders within this time.
     std::chrono::milliseconds orderHandover = std::chrono::milliseconds(3000);
     /// Added to both waits of a successor; covers timers that fire late.
@@ -75,9 +76,15 @@
     friend bool operator==(const Unanswered &, const Unanswered &) = default;
 };
 
-/// The coordinator answered a report of this node and says that its lease is fresh.
+/// The coordinator answered a report of this node.
 struct CoordinatorHeard
 {
+    /// Its lease is fresh, so there is no need to look at it.
+    bool isHolding = false;
+    std::uint64_t incarnation = 0;
+    /// Its last confirmed renewal, and the latest time at which it can have been sent.
+    std::uint64_t renewal = 0;
+    core::TimePoint renewedBefore = {};
     friend bool operator==(const CoordinatorHeard &, const CoordinatorHeard &) = default;
 };
 
@@ -129,6 +136,8 @@
     bool mayOrder(core::TimePoint now) const;
     /// Version of the write that began the term; grows from one holder to the next.
     std::uint64_t fence() const { return fence_; }
+    /// The last renewal that the platform confirmed, and when it was sent.
+    LeaseProof proof(core::TimePoint now) const;
     /// Holder as last read or written; nothing before the first read.
     const std::optional<LeaseRecord> &holder() const { return known_; }
     bool isStopped() const { return chart_.isFinished(); }
@@ -141,6 +150,7 @@
     void onTick(core::TimePoint now, std::vector<lease::Action> &actions);
     bool isOwn(const LeaseRecord &record) const;
     bool isFree(core::TimePoint now);
+    core::TimePoint lastRenewalBefore() const;
 
     charts::ChartInstance<CoordinatorState, CoordinatorTrigger, CoordinatorStep> chart_;
     LeaseRecord self_;
@@ -150,11 +160,13 @@
     /// When the known version was first seen.
     core::TimePoint knownSince_ = {};
     std::optional<core::TimePoint> heardAt_;
+    lease::CoordinatorHeard heard_;
     core::TimePoint nextLook_ = {};
     std::uint64_t fence_ = 0;
     core::TimePoint ordersFrom_ = {};
     core::TimePoint writeSentAt_ = {};
     core::TimePoint confirmedAt_ = {};
+    std::uint64_t confirmedRenewal_ = 0;
     bool isStopRequested_ = false;
 };
 
--- a/packages/decisions/include/boragerack/decisions/serving/DemandBook.h
+++ b/packages/decisions/include/boragerack/decisions/serving/DemandBook.h
@@ -35,6 +35,7 @@
     std::map<Artifact, FleetDemand> demands(core::TimePoint now) const;
     std::uint32_t inFlight(const core::TargetId &target, const core::ModelId &model) const;
     std::uint32_t inFlight(const core::TargetId &target) const;
+    std::vector<TargetLoad> loads() const;
     /// Requests a second for a model, adapters included, averaged over some seconds.
     double rate(const core::ModelId &model, core::TimePoint now) const;
     /// When the model was last asked for or in use; the epoch if never.
--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -90,13 +90,20 @@
     friend bool operator==(const PlacementsLost &, const PlacementsLost &) = default;
 };
 
+/// Requests in flight of all nodes, some hundred ms old; replaces the earlier loads.
+struct LoadsReported
+{
+    std::vector<TargetLoad> loads;
+    friend bool operator==(const LoadsReported &, const LoadsReported &) = default;
+};
+
 struct Tick
 {
     friend bool operator==(const Tick &, const Tick &) = default;
 };
 
 using Event =
-    std::variant<Asked, Withdrawn, Ended, TargetsChanged, PlacementsChanged, PlacementsLost, Tick>;
+    std::variant<Asked, Withdrawn, Ended, TargetsChanged, PlacementsChanged, PlacementsLost, LoadsReported, Tick>;
 
 struct Granted
 {
@@ -153,6 +160,8 @@
             std::vector<Action> &actions);
     void on(const routing::PlacementsLost &event, core::TimePoint now,
             std::vector<Action> &actions);
+    void on(const routing::LoadsReported &event, core::TimePoint now,
+            std::vector<Action> &actions);
     void on(const routing::Tick &event, core::TimePoint now, std::vector<Action> &actions);
 
     bool isUsable(const TargetEntry &entry, const RouteDemand &demand, core::TimePoint now) const;
@@ -161,6 +170,8 @@
     const TargetEntry *choosePrefixHolder(const RouteDemand &demand,
                                           const std::vector<const TargetEntry *> &candidates) const;
     std::uint32_t outstanding(const core::TargetId &target) const;
+    /// Requests in flight of all nodes, as far as this one knows.
+    std::uint32_t loadOf(const core::TargetId &target) const;
     void grant(std::uint64_t request, const RouteDemand &demand, const TargetEntry &entry,
                std::vector<Action> &actions);
     void grantWaiting(core::TimePoint now, std::vector<Action> &actions);
@@ -172,6 +183,7 @@
     std::map<std::uint64_t, Waiting> waiting_;
     bool isNewlyWaiting_ = false;
     std::map<core::TargetId, std::uint32_t> outstanding_;
+    std::map<core::TargetId, std::uint32_t> reportedLoads_;
     std::map<Key, std::uint32_t> uses_;
     std::map<Artifact, Counter> arrivals_;
     std::map<Key, core::TimePoint> missingUntil_;
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -27,6 +27,8 @@
     /// Targets whose served artifacts changed after the version.
     std::vector<TargetPlacement> placementsSince(std::uint64_t version) const;
 
+    std::vector<TargetLoad> loads() const { return book_.loads(); }
+
 private:
     using Actions = std::vector<swap::Action>;
 
@@ -90,8 +92,9 @@
     bool isAtHandElsewhere(const core::ServiceId &service, const core::ModelId &model) const;
     bool mayLoadFromStore(core::TimePoint now);
     std::uint32_t storeLoads() const;
+    /// Begins an order at the target; `pending` says how long it takes.
     swap::SendOrder makeOrder(Target &target, swap::OrderKind kind, const Artifact &artifact,
-                              std::chrono::milliseconds duration, bool isFromStore);
+                              PendingOrder pending);
 
     std::shared_ptr<const TargetOrderBinding> chart_;
     std::map<core::ServiceId, EngineFigures> figures_;
--- a/packages/decisions/include/boragerack/decisions/serving/TargetOrders.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetOrders.h
@@ -22,6 +22,9 @@
     /// How long the target needs for it.
     std::chrono::milliseconds duration = {};
     bool isFromStore = false;
+    /// The order is taken as done after its duration. If it is not, the next order meets a conflict,
+    /// and a request that comes too early is refused without being run.
+    bool isDurationCertain = false;
     /// When it should be done; set once the target has accepted it.
     core::TimePoint doneAt = {};
 
--- a/packages/decisions/include/boragerack/decisions/serving/TokenAllotment.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TokenAllotment.h
@@ -11,18 +11,21 @@
 
 /// The token buckets of all organisations, held by the coordinator. What it grants counts as spent.
 /// A new coordinator does not know what its predecessor granted, so its buckets start with a part
-/// of the burst that the quota's tolerance covers.
+/// of the burst that the quota's tolerance covers. Another part of the tolerance enlarges the buckets:
+/// grants reach the nodes in steps, and a request within the limit must not be refused for that.
 class TokenAllotment
 {
 public:
     using Limits = std::map<core::OrganisationId, RateLimit>;
 
-    explicit TokenAllotment(std::int64_t startTokens);
+    /// `tolerance`: tokens beyond the limit of an organisation before it counts as broken.
+    explicit TokenAllotment(std::int64_t tolerance);
 
     void setLimits(const Limits &limits, core::TimePoint now);
 
-    /// Tokens granted, at most what is wanted.
-    TokenAmount grant(const TokenAmount &wanted, core::TimePoint now);
+    /// Tokens granted, at most what is asked for. When the bucket runs low, reserves are not granted,
+    /// so that tokens do not lie idle on one node while requests wait on another.
+    TokenAmount grant(const TokenAsk &ask, core::TimePoint now);
 
 private:
     struct Bucket
@@ -30,11 +33,13 @@
         RateLimit limit;
         double level = 0;
         core::TimePoint accruedAt = {};
-
-        void accrue(core::TimePoint now);
     };
 
+    void accrue(Bucket &bucket, core::TimePoint now) const;
+    double sizeOf(const RateLimit &limit) const;
+
     std::int64_t startTokens_;
+    std::int64_t extraTokens_;
     std::map<core::OrganisationId, Bucket> buckets_;
 };
 
--- a/packages/decisions/include/boragerack/decisions/serving/TokenWallet.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TokenWallet.h
@@ -36,7 +36,7 @@
     void stopAccruing() { accruedAt_.reset(); }
 
     /// Amounts to ask the coordinator for, from recent demand and the requests that wait.
-    std::vector<TokenAmount> wanted(core::TimePoint now) const;
+    std::vector<TokenAsk> wanted(core::TimePoint now) const;
     /// Tokens of the requests that wait; organisations that are not named have none waiting.
     void setWaiting(const std::map<core::OrganisationId, std::int64_t> &tokens);
 
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -25,8 +25,12 @@
         fire(CoordinatorTrigger::Conflict, now, actions);
     } else if (std::holds_alternative<lease::Unanswered>(event)) {
         fire(CoordinatorTrigger::Unanswered, now, actions);
-    } else if (std::holds_alternative<lease::CoordinatorHeard>(event)) {
-        heardAt_ = now;
+    } else if (const auto *heard = std::get_if<lease::CoordinatorHeard>(&event)) {
+        heard_ = *heard;
+        if (heard->isHolding)
+            heardAt_ = now;
+        else
+            heardAt_.reset();
     } else if (std::holds_alternative<lease::StopRequested>(event)) {
         isStopRequested_ = true;
         fire(CoordinatorTrigger::Stop, now, actions);
@@ -114,11 +118,14 @@
     case CoordinatorStep::StartTerm:
         fence_ = *knownVersion_;
         confirmedAt_ = writeSentAt_;
+        confirmedRenewal_ = self_.renewal;
         break;
     case CoordinatorStep::ExtendTerm:
         // An older renewal that is read back proves nothing about the time of the last one.
-        if (known_->renewal == self_.renewal)
+        if (known_->renewal == self_.renewal) {
             confirmedAt_ = writeSentAt_;
+            confirmedRenewal_ = self_.renewal;
+        }
         break;
     case CoordinatorStep::EndTerm:
         fence_ = 0;
@@ -131,6 +138,21 @@
     return record.holder == self_.holder && record.peerAddress == self_.peerAddress;
 }
 
+core::TimePoint CoordinatorLease::lastRenewalBefore() const
+{
+    // The holder said itself when it sent the renewal that the record shows. If it has renewed the
+    // lease since, the version has changed and a claim fails.
+    const bool isToldByHolder =
+        heard_.incarnation == known_->incarnation && heard_.renewal == known_->renewal;
+    return isToldByHolder ? std::min(knownSince_, heard_.renewedBefore) : knownSince_;
+}
+
+LeaseProof CoordinatorLease::proof(core::TimePoint now) const
+{
+    return {self_.incarnation, confirmedRenewal_,
+            std::chrono::floor<std::chrono::milliseconds>(now - confirmedAt_)};
+}
+
 bool CoordinatorLease::isFree(core::TimePoint now)
 {
     if (!known_) {
@@ -149,7 +171,7 @@
         ordersFrom_ = knownSince_ + times_.orderTimeout + times_.orderHandover + times_.margin;
         return true;
     }
-    const core::TimePoint lapsesAt = knownSince_ + times_.validity + times_.margin;
+    const core::TimePoint lapsesAt = lastRenewalBefore() + times_.validity + times_.margin;
     ordersFrom_ = lapsesAt + times_.orderHandover;
     return now >= lapsesAt;
 }
--- a/packages/decisions/src/serving/DemandBook.cpp
+++ b/packages/decisions/src/serving/DemandBook.cpp
@@ -81,6 +81,19 @@
     return count;
 }
 
+std::vector<TargetLoad> DemandBook::loads() const
+{
+    std::map<core::TargetId, std::uint32_t> counts;
+    for (const auto &[node, report] : nodes_) {
+        for (const ArtifactUse &use : report.uses)
+            counts[use.target] += use.inFlight;
+    }
+    std::vector<TargetLoad> loads;
+    for (const auto &[target, count] : counts)
+        loads.push_back({target, count});
+    return loads;
+}
+
 double DemandBook::rate(const core::ModelId &model, core::TimePoint now) const
 {
     const auto position = usage_.find(model);
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -15,7 +15,7 @@
 constexpr std::chrono::milliseconds kMissingDuration(400);
 
 /// A target that holds the prefix of a prompt is preferred as long as it has at most this many more
-/// requests of this node than the least loaded one.
+/// requests in flight than the least loaded one.
 constexpr std::uint32_t kPrefixSlack = 3;
 
 } // namespace
@@ -101,6 +101,14 @@
     arePlacementsOld_ = true;
 }
 
+void RequestRouter::on(const routing::LoadsReported &event, core::TimePoint,
+                       std::vector<Action> &)
+{
+    reportedLoads_.clear();
+    for (const TargetLoad &load : event.loads)
+        reportedLoads_[load.target] = load.inFlight;
+}
+
 void RequestRouter::on(const routing::Tick &, core::TimePoint now, std::vector<Action> &actions)
 {
     std::erase_if(missingUntil_, [now](const auto &item) { return item.second <= now; });
@@ -162,7 +170,7 @@
         setAside += isSetAside ? 1 : 0;
         candidates.push_back(&entry);
         replicas.push_back(
-            {.target = target, .outstanding = outstanding(target), .isSuspected = isSetAside});
+            {.target = target, .outstanding = outstanding(target), .reported = loadOf(target), .isSuspected = isSetAside});
     }
     if (candidates.empty())
         return nullptr;
@@ -188,9 +196,9 @@
         return core::stableHash(entry->target.value, demand.prefix);
     });
     const auto least = std::ranges::min_element(
-        candidates, {}, [&](const TargetEntry *entry) { return outstanding(entry->target); });
+        candidates, {}, [&](const TargetEntry *entry) { return loadOf(entry->target); });
     const bool isOverloaded =
-        outstanding((*preferred)->target) > outstanding((*least)->target) + kPrefixSlack;
+        loadOf((*preferred)->target) > loadOf((*least)->target) + kPrefixSlack;
     return isOverloaded ? nullptr : *preferred;
 }
 
@@ -200,6 +208,13 @@
     return position == outstanding_.end() ? 0 : position->second;
 }
 
+std::uint32_t RequestRouter::loadOf(const core::TargetId &target) const
+{
+    const auto position = reportedLoads_.find(target);
+    return std::max(outstanding(target),
+                    position == reportedLoads_.end() ? 0 : position->second);
+}
+
 std::vector<ArtifactDemand> RequestRouter::takeDemands(core::TimePoint now)
 {
     std::map<Artifact, ArtifactDemand> demands;
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -11,6 +11,9 @@
 constexpr double kRequestsPerReplica = 10;
 /// Time to unload a model without requests in flight.
 constexpr std::chrono::milliseconds kUnloadTime(150);
+constexpr std::chrono::milliseconds kIdleUnloadTime(20);
+/// Added to the time of a load from memory or disk, which is known exactly.
+constexpr std::chrono::milliseconds kLoadMargin(20);
 /// Cost of one request a second that loses its last needed replica, in milliseconds of load time.
 constexpr double kCostPerRate = 300;
 /// Cost of one request in flight, which delays an unload.
@@ -297,8 +300,12 @@
     Target &target = *option.target;
     if (!option.victims.empty()) {
         target.reservedFor = need.model;
-        actions.emplace_back(makeOrder(target, swap::OrderKind::Unload,
-                                       {option.victims.front(), {}, {}}, kUnloadTime, false));
+        const core::ModelId &victim = option.victims.front();
+        // An unload waits for the requests that run; without any it takes effect at once.
+        const bool isIdle = book_.inFlight(target.orders.entry().target, victim) == 0;
+        actions.emplace_back(makeOrder(target, swap::OrderKind::Unload, {victim, {}, {}},
+                                       {.duration = isIdle ? kIdleUnloadTime : kUnloadTime,
+                                        .isDurationCertain = isIdle}));
         return;
     }
     target.reservedFor.reset();
@@ -306,7 +313,9 @@
         storeTokens_ -= 1;
     static_cast<void>(now);
     actions.emplace_back(makeOrder(target, swap::OrderKind::Load, {need.model, {}, {}},
-                                   option.loadTime, option.isFromStore));
+                                   {.duration = option.loadTime + kLoadMargin,
+                                    .isFromStore = option.isFromStore,
+                                    .isDurationCertain = !option.isFromStore}));
 }
 
 void SwapPlanner::placeAdapter(const Artifact &artifact, const core::ServiceId &service,
@@ -332,7 +341,8 @@
         return;
     if (usedAdapterPlaces(*best) < engine->adapterPlaces) {
         actions.emplace_back(
-            makeOrder(*best, swap::OrderKind::Load, artifact, kAdapterLoadTime, false));
+            makeOrder(*best, swap::OrderKind::Load, artifact,
+                      {.duration = kAdapterLoadTime, .isDurationCertain = true}));
         return;
     }
     // Any adapter that no request uses makes way.
@@ -343,21 +353,19 @@
             if (demands.contains(victim))
                 continue;
             actions.emplace_back(
-                makeOrder(*best, swap::OrderKind::Unload, victim, kAdapterLoadTime, false));
+                makeOrder(*best, swap::OrderKind::Unload, victim,
+                          {.duration = kAdapterLoadTime, .isDurationCertain = true}));
             return;
         }
     }
 }
 
 swap::SendOrder SwapPlanner::makeOrder(Target &target, swap::OrderKind kind,
-                                       const Artifact &artifact, std::chrono::milliseconds duration,
-                                       bool isFromStore)
+                                       const Artifact &artifact, PendingOrder pending)
 {
     const TargetEntry &entry = target.orders.entry();
-    return target.orders.begin({{nextOrder_++, entry.target, entry.address, kind, artifact, 0},
-                                duration,
-                                isFromStore,
-                                {}});
+    pending.order = {nextOrder_++, entry.target, entry.address, kind, artifact, 0};
+    return target.orders.begin(std::move(pending));
 }
 
 void SwapPlanner::publish()
--- a/packages/decisions/src/serving/TargetOrders.cpp
+++ b/packages/decisions/src/serving/TargetOrders.cpp
@@ -115,7 +115,7 @@
     if (isQuestionOpen_ || now < askAt_)
         return std::nullopt;
     const bool isDue = chart_.state() == TargetOrderState::Unknown
-        || (chart_.state() == TargetOrderState::Working && !pending_->order.artifact.isAdapter());
+        || (chart_.state() == TargetOrderState::Working && !pending_->isDurationCertain);
     if (!isDue)
         return std::nullopt;
     fire(TargetOrderTrigger::Ask, now);
@@ -127,8 +127,7 @@
 {
     if (chart_.state() != TargetOrderState::Working)
         return;
-    if (pending_->order.artifact.isAdapter()) {
-        // Adapters take a few ms, and no heartbeat announces them.
+    if (pending_->isDurationCertain) {
         if (now >= pending_->doneAt)
             fire(TargetOrderTrigger::Finished, now);
     } else if (now >= pending_->doneAt + kOverdue) {
--- a/packages/decisions/src/serving/TokenAllotment.cpp
+++ b/packages/decisions/src/serving/TokenAllotment.cpp
@@ -4,17 +4,30 @@
 
 namespace boragerack::decisions {
 
-TokenAllotment::TokenAllotment(std::int64_t startTokens)
-    : startTokens_(startTokens)
+namespace {
+
+/// Below this part of its size a bucket is low.
+constexpr double kLowPart = 0.3;
+/// Parts of the tolerance with which the buckets of a new coordinator start, so that two changes of
+/// the coordinator within one window stay within it, and by which the buckets are larger.
+constexpr std::int64_t kStartParts = 3;
+constexpr std::int64_t kExtraParts = 8;
+
+} // namespace
+
+TokenAllotment::TokenAllotment(std::int64_t tolerance)
+    : startTokens_(tolerance / kStartParts)
+    , extraTokens_(tolerance / kExtraParts)
 {
 }
 
-void TokenAllotment::Bucket::accrue(core::TimePoint now)
+void TokenAllotment::accrue(Bucket &bucket, core::TimePoint now) const
 {
-    const double seconds = std::chrono::duration<double>(now - accruedAt).count();
-    level = std::min(level + static_cast<double>(limit.tokensPerSecond) * std::max(0.0, seconds),
-                     static_cast<double>(limit.burstTokens));
-    accruedAt = now;
+    const double seconds = std::chrono::duration<double>(now - bucket.accruedAt).count();
+    const double accrued =
+        static_cast<double>(bucket.limit.tokensPerSecond) * std::max(0.0, seconds);
+    bucket.level = std::min(bucket.level + accrued, sizeOf(bucket.limit));
+    bucket.accruedAt = now;
 }
 
 void TokenAllotment::setLimits(const Limits &limits, core::TimePoint now)
@@ -27,24 +40,31 @@
             bucket.level = static_cast<double>(std::min(startTokens_, limit.burstTokens));
             bucket.accruedAt = now;
         } else {
-            bucket.accrue(now);
-            bucket.level = std::min(bucket.level, static_cast<double>(limit.burstTokens));
+            accrue(bucket, now);
+            bucket.level = std::min(bucket.level, sizeOf(limit));
         }
         bucket.limit = limit;
     }
 }
 
-TokenAmount TokenAllotment::grant(const TokenAmount &wanted, core::TimePoint now)
+double TokenAllotment::sizeOf(const RateLimit &limit) const
+{
+    return static_cast<double>(limit.burstTokens + extraTokens_);
+}
+
+TokenAmount TokenAllotment::grant(const TokenAsk &ask, core::TimePoint now)
 {
-    const auto position = buckets_.find(wanted.organisation);
+    const auto position = buckets_.find(ask.organisation);
     if (position == buckets_.end())
-        return {wanted.organisation, 0};
+        return {ask.organisation, 0};
     Bucket &bucket = position->second;
-    bucket.accrue(now);
+    accrue(bucket, now);
+    const bool isLow = bucket.level < kLowPart * sizeOf(bucket.limit);
+    const std::int64_t wanted = ask.waiting + (isLow ? 0 : ask.reserve);
     const std::int64_t tokens =
-        std::clamp<std::int64_t>(static_cast<std::int64_t>(bucket.level), 0, wanted.tokens);
+        std::clamp<std::int64_t>(static_cast<std::int64_t>(bucket.level), 0, wanted);
     bucket.level -= static_cast<double>(tokens);
-    return {wanted.organisation, tokens};
+    return {ask.organisation, tokens};
 }
 
 } // namespace boragerack::decisions
--- a/packages/decisions/src/serving/TokenWallet.cpp
+++ b/packages/decisions/src/serving/TokenWallet.cpp
@@ -90,22 +90,23 @@
     }
 }
 
-std::vector<TokenAmount> TokenWallet::wanted(core::TimePoint now) const
+std::vector<TokenAsk> TokenWallet::wanted(core::TimePoint now) const
 {
-    std::vector<TokenAmount> amounts;
+    std::vector<TokenAsk> asks;
     for (const auto &[organisation, account] : accounts_) {
         if (account.limit.tokensPerSecond <= 0)
             continue;
         const auto demand = static_cast<std::int64_t>(account.demandNow(now) * kReserveSeconds);
         const std::int64_t reserve = std::min(std::max(demand, account.largestRequest),
                                               account.limit.burstTokens / kBurstParts);
-        const std::int64_t missing = account.waiting + reserve - account.balance;
+        TokenAsk ask {organisation, std::max<std::int64_t>(0, account.waiting - account.balance),
+                      std::max<std::int64_t>(
+                          0, reserve - std::max<std::int64_t>(0, account.balance - account.waiting))};
         // Small amounts can wait for the next report.
-        if (account.waiting > 0 || missing > reserve / 4)
-            amounts.push_back({organisation, missing});
+        if (ask.waiting > 0 || ask.reserve > reserve / 4)
+            asks.push_back(ask);
     }
-    std::erase_if(amounts, [](const TokenAmount &amount) { return amount.tokens <= 0; });
-    return amounts;
+    return asks;
 }
 
 void TokenWallet::setWaiting(const std::map<core::OrganisationId, std::int64_t> &tokens)
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -22,11 +22,10 @@
 /// traffic do not grow with their number.
 constexpr std::chrono::milliseconds kReportInterval(100);
 constexpr std::chrono::milliseconds kReportIntervalPerNode(8);
+/// Longer intervals would let the nodes read the platform themselves.
+constexpr std::chrono::milliseconds kLongestReportInterval(700);
 /// Deaths of targets after which a request is refused on all nodes.
 constexpr std::uint32_t kDeathsToQuarantine = 3;
-/// Part of the quota's tolerance with which the buckets of a new term start. Two changes of the
-/// coordinator within one window then stay within the tolerance.
-constexpr std::int64_t kToleranceParts = 3;
 
 std::string describe(const decisions::Artifact &artifact)
 {
@@ -117,7 +116,7 @@
             term_ = std::make_unique<Term>(
                 Term {fence,
                       decisions::SwapPlanner(chart_),
-                      decisions::TokenAllotment(quotaTolerance_ / kToleranceParts),
+                      decisions::TokenAllotment(quotaTolerance_),
                       {},
                       decisions::Quarantine({.deaths = kDeathsToQuarantine}),
                       {},
@@ -222,11 +221,14 @@
     if (report.targetsVersion != answer.targetsVersion)
         answer.targets = term_->listed;
     answer.proof = proof();
-    for (const decisions::TokenAmount &wanted : report.wanted)
-        answer.granted.push_back(term_->allotment.grant(wanted, now));
+    answer.lease = lease_.lease().proof(now);
+    answer.loads = term_->planner.loads();
+    for (const decisions::TokenAsk &ask : report.wanted)
+        answer.granted.push_back(term_->allotment.grant(ask, now));
     answer.quarantined = {term_->quarantined.begin(), term_->quarantined.end()};
-    answer.reportAfter =
-        std::max(kReportInterval, kReportIntervalPerNode * static_cast<int>(term_->members.size()));
+    answer.reportAfter = std::clamp(
+        kReportIntervalPerNode * static_cast<int>(term_->members.size()), kReportInterval,
+        kLongestReportInterval);
     message.receiver->receive(std::move(answer));
 }
 
--- a/packages/gateway/src/LeaseTask.cpp
+++ b/packages/gateway/src/LeaseTask.cpp
@@ -48,8 +48,8 @@
         const auto message = mailbox_.receiveUntil(std::chrono::steady_clock::now() + kTick);
         if (!message)
             handle(decisions::lease::Tick());
-        else if (std::holds_alternative<Heard>(*message))
-            handle(decisions::lease::CoordinatorHeard());
+        else if (const auto *heard = std::get_if<Heard>(&*message))
+            handle(*heard);
         else
             handle(decisions::lease::StopRequested());
         isRunning_ = !lease_.isStopped();
--- a/packages/gateway/src/LeaseTask.h
+++ b/packages/gateway/src/LeaseTask.h
@@ -17,9 +17,7 @@
 class LeaseTask
 {
 public:
-    struct Heard
-    {
-    };
+    using Heard = decisions::lease::CoordinatorHeard;
     struct Stop
     {
     };
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -57,14 +57,23 @@
         const core::TimePoint reportedAt = clock_.now();
         const bool isLocal = lease_.lease().hasTerm();
         const auto answer = ask(std::move(*report));
-        if (answer && answer->standing == decisions::CoordinatorStanding::Holding
-            && !lease_.trySend(LeaseTask::Heard()))
-            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=coordinator_heard");
+        if (answer && answer->standing != decisions::CoordinatorStanding::Absent && !isLocal)
+            noteHolder(*answer);
         if (!routing_.trySend(ReportAnswered {answer, reportedAt, isLocal}))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=report_answered");
     }
 }
 
+void ReportTask::noteHolder(const decisions::CoordinationAnswer &answer)
+{
+    // The age counts from the answer, which was sent before now.
+    const LeaseTask::Heard heard {answer.standing == decisions::CoordinatorStanding::Holding,
+                                  answer.lease.incarnation, answer.lease.renewal,
+                                  clock_.now() - answer.lease.age};
+    if (!lease_.trySend(heard))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=coordinator_heard");
+}
+
 std::optional<decisions::CoordinationAnswer> ReportTask::ask(decisions::CoordinationReport report)
 {
     if (lease_.lease().hasTerm())
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -29,6 +29,7 @@
 
 private:
     void run();
+    void noteHolder(const decisions::CoordinationAnswer &answer);
     std::optional<decisions::CoordinationAnswer> ask(decisions::CoordinationReport report);
     std::optional<decisions::CoordinationAnswer> askHere(decisions::CoordinationReport report);
 
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -228,6 +228,7 @@
         fleet_.set(std::move(view));
         membersVersion_ = answer.membersVersion;
     }
+    route(decisions::routing::LoadsReported {answer.loads});
     if (answer.placementVersion != placementVersion_) {
         placementVersion_ = answer.placementVersion;
         route(decisions::routing::PlacementsChanged {answer.placements});
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -16,10 +16,10 @@
 /// Each call has a price, and targets write all the time. A departure must be known within two
 /// seconds, of which this pause takes a quarter.
 constexpr std::chrono::milliseconds kPause(450);
-/// The coordinator learns of finished loads from the same list.
-constexpr std::chrono::milliseconds kUrgentPause(60);
+/// The coordinator passes the list on, which takes up to a second more.
+constexpr std::chrono::milliseconds kUrgentPause(200);
 /// The list of the coordinator is enough while it is not older than this.
-constexpr std::chrono::milliseconds kRelayTrust(900);
+constexpr std::chrono::milliseconds kRelayTrust(1200);
 constexpr std::chrono::milliseconds kRelayTick(100);
 constexpr std::size_t kMailboxCapacity = 16;
 
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -275,8 +275,10 @@
     }
     for (const wire::ReplicaUse &record : in.uses())
         body.uses.push_back({{record.target()}, read(record.artifact()), record.in_flight()});
-    for (const wire::TokenAmount &record : in.wanted())
-        body.wanted.push_back({{record.organisation()}, record.tokens()});
+    for (const wire::TokenAsk &record : in.wanted())
+        body.wanted.push_back({{record.organisation()},
+                               static_cast<std::int64_t>(record.waiting()),
+                               static_cast<std::int64_t>(record.reserve())});
     bool isValid = true;
     for (const wire::RequestDeath &record : in.deaths()) {
         decisions::RequestDeath death {{}, record.attempt()};
@@ -316,6 +318,10 @@
     body.proof = {in.proof().configuration_version(),
                   milliseconds(in.proof().configuration_age_ms()),
                   milliseconds(in.proof().targets_age_ms())};
+    body.lease = {in.lease().incarnation(), in.lease().renewal(),
+                  milliseconds(in.lease().age_ms())};
+    for (const wire::TargetLoad &record : in.loads())
+        body.loads.push_back({{record.target()}, record.in_flight()});
     for (const wire::TokenAmount &record : in.granted())
         body.granted.push_back({{record.organisation()}, record.tokens()});
     bool isValid = wire::CoordinationAnswer::Standing_IsValid(in.standing());
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -310,8 +310,12 @@
         record.set_target(use.target.value);
         record.set_in_flight(use.inFlight);
     }
-    for (const decisions::TokenAmount &amount : body.wanted)
-        write(amount, *out.add_wanted());
+    for (const decisions::TokenAsk &ask : body.wanted) {
+        wire::TokenAsk &record = *out.add_wanted();
+        record.set_organisation(ask.organisation.value);
+        record.set_waiting(static_cast<std::uint64_t>(ask.waiting));
+        record.set_reserve(static_cast<std::uint64_t>(ask.reserve));
+    }
     for (const decisions::RequestDeath &death : body.deaths) {
         wire::RequestDeath &record = *out.add_deaths();
         record.set_fingerprint(toBytes(death.fingerprint));
@@ -349,6 +353,14 @@
     out.mutable_proof()->set_configuration_version(body.proof.configurationVersion);
     out.mutable_proof()->set_configuration_age_ms(ageMilliseconds(body.proof.configurationAge));
     out.mutable_proof()->set_targets_age_ms(ageMilliseconds(body.proof.targetsAge));
+    out.mutable_lease()->set_incarnation(body.lease.incarnation);
+    out.mutable_lease()->set_renewal(body.lease.renewal);
+    out.mutable_lease()->set_age_ms(clampMilliseconds(body.lease.age));
+    for (const decisions::TargetLoad &load : body.loads) {
+        wire::TargetLoad &record = *out.add_loads();
+        record.set_target(load.target.value);
+        record.set_in_flight(load.inFlight);
+    }
     for (const decisions::TokenAmount &amount : body.granted)
         write(amount, *out.add_granted());
     for (const core::Digest &fingerprint : body.quarantined)
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -47,6 +47,14 @@
                                                  {{"plans/a", "{}"}},
                                                  {"plans/b"},
                                                  digest};
+    decisions::TargetEntry listed;
+    listed.target.value = "t";
+    listed.service.value = "s";
+    listed.address = "127.0.0.1:2";
+    listed.dataCentre.value = "d";
+    listed.slots = 3;
+    listed.isLeaving = true;
+    listed.startedAt = 4;
     const std::vector<peer::MessageBody> bodies = {
         decisions::Heartbeat {1, report},
         decisions::HeartbeatReply {1, {12, 0, 3, 4, std::nullopt}},
@@ -76,6 +84,30 @@
         peer::ReplicaUses {{{artifact, core::TargetId {"t"}, 5}}},
         decisions::quarantine::CrashReport {digest, {"r", 12}},
         decisions::quarantine::Notice {digest, milliseconds(600000)},
+        decisions::CoordinationReport {
+            {kSender, "10.0.0.1:1", {"d"}},
+            true,
+            1,
+            2,
+            3,
+            {{artifact, {"s"}, 4, 5, milliseconds(6), milliseconds(7)}},
+            {{core::TargetId {"t"}, artifact, 8}},
+            {{organisation, 9, 10}},
+            {{digest, "r"}}},
+        decisions::CoordinationAnswer {decisions::CoordinatorStanding::Lapsed,
+                                       1,
+                                       2,
+                                       {{kSender, "10.0.0.1:1", {"d"}}},
+                                       3,
+                                       {{core::TargetId {"t"}, 4, {artifact}}},
+                                       5,
+                                       {listed},
+                                       {6, milliseconds(7), milliseconds(8)},
+                                       {9, 10, milliseconds(11)},
+                                       {{core::TargetId {"t"}, 12}},
+                                       {{organisation, 13}},
+                                       {digest},
+                                       milliseconds(14)},
         error};
     std::set<std::size_t> kinds;
     for (const peer::MessageBody &body : bodies)
