Retry an order that met a conflict before asking for a report

Ruled out: wrong sequences (the same order passed later with the same sequence). Change: an idle unload is given 60 ms, and an order that met a conflict is repeated after 50 ms up to three times.

--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -102,8 +102,8 @@
     friend bool operator==(const Tick &, const Tick &) = default;
 };
 
-using Event =
-    std::variant<Asked, Withdrawn, Ended, TargetsChanged, PlacementsChanged, PlacementsLost, LoadsReported, Tick>;
+using Event = std::variant<Asked, Withdrawn, Ended, TargetsChanged, PlacementsChanged,
+                           PlacementsLost, LoadsReported, Tick>;
 
 struct Granted
 {
@@ -160,8 +160,7 @@
             std::vector<Action> &actions);
     void on(const routing::PlacementsLost &event, core::TimePoint now,
             std::vector<Action> &actions);
-    void on(const routing::LoadsReported &event, core::TimePoint now,
-            std::vector<Action> &actions);
+    void on(const routing::LoadsReported &event, core::TimePoint now, std::vector<Action> &actions);
     void on(const routing::Tick &event, core::TimePoint now, std::vector<Action> &actions);
 
     bool isUsable(const TargetEntry &entry, const RouteDemand &demand, core::TimePoint now) const;
--- a/packages/decisions/include/boragerack/decisions/serving/TargetOrderChart.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetOrderChart.h
@@ -16,6 +16,7 @@
     Accepted,
     AlreadyHeld,
     NotSent,
+    Busy,
     Refused,
     Lost,
     Finished,
--- a/packages/decisions/include/boragerack/decisions/serving/TargetOrders.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetOrders.h
@@ -22,8 +22,8 @@
     /// How long the target needs for it.
     std::chrono::milliseconds duration = {};
     bool isFromStore = false;
-    /// The order is taken as done after its duration. If it is not, the next order meets a conflict,
-    /// and a request that comes too early is refused without being run.
+    /// The order is taken as done after its duration. If it is not, the next order meets a
+    /// conflict, and a request that comes too early is refused without being run.
     bool isDurationCertain = false;
     /// When it should be done; set once the target has accepted it.
     core::TimePoint doneAt = {};
@@ -86,6 +86,7 @@
     core::TimePoint askAt_ = {};
     bool isQuestionOpen_ = false;
     core::TimePoint avoidUntil_ = {};
+    int conflicts_ = 0;
     std::uint64_t changes_ = 1;
 };
 
--- a/packages/decisions/include/boragerack/decisions/serving/TokenAllotment.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TokenAllotment.h
@@ -11,8 +11,9 @@
 
 /// The token buckets of all organisations, held by the coordinator. What it grants counts as spent.
 /// A new coordinator does not know what its predecessor granted, so its buckets start with a part
-/// of the burst that the quota's tolerance covers. Another part of the tolerance enlarges the buckets:
-/// grants reach the nodes in steps, and a request within the limit must not be refused for that.
+/// of the burst that the quota's tolerance covers. Another part of the tolerance enlarges the
+/// buckets: grants reach the nodes in steps, and a request within the limit must not be refused for
+/// that.
 class TokenAllotment
 {
 public:
@@ -23,8 +24,8 @@
 
     void setLimits(const Limits &limits, core::TimePoint now);
 
-    /// Tokens granted, at most what is asked for. When the bucket runs low, reserves are not granted,
-    /// so that tokens do not lie idle on one node while requests wait on another.
+    /// Tokens granted, at most what is asked for. When the bucket runs low, reserves are not
+    /// granted, so that tokens do not lie idle on one node while requests wait on another.
     TokenAmount grant(const TokenAsk &ask, core::TimePoint now);
 
 private:
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -101,8 +101,7 @@
     arePlacementsOld_ = true;
 }
 
-void RequestRouter::on(const routing::LoadsReported &event, core::TimePoint,
-                       std::vector<Action> &)
+void RequestRouter::on(const routing::LoadsReported &event, core::TimePoint, std::vector<Action> &)
 {
     reportedLoads_.clear();
     for (const TargetLoad &load : event.loads)
@@ -169,8 +168,10 @@
         const bool isSetAside = outliers_.isSetAside(target, now);
         setAside += isSetAside ? 1 : 0;
         candidates.push_back(&entry);
-        replicas.push_back(
-            {.target = target, .outstanding = outstanding(target), .reported = loadOf(target), .isSuspected = isSetAside});
+        replicas.push_back({.target = target,
+                            .outstanding = outstanding(target),
+                            .reported = loadOf(target),
+                            .isSuspected = isSetAside});
     }
     if (candidates.empty())
         return nullptr;
@@ -211,8 +212,7 @@
 std::uint32_t RequestRouter::loadOf(const core::TargetId &target) const
 {
     const auto position = reportedLoads_.find(target);
-    return std::max(outstanding(target),
-                    position == reportedLoads_.end() ? 0 : position->second);
+    return std::max(outstanding(target), position == reportedLoads_.end() ? 0 : position->second);
 }
 
 std::vector<ArtifactDemand> RequestRouter::takeDemands(core::TimePoint now)
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -11,7 +11,7 @@
 constexpr double kRequestsPerReplica = 10;
 /// Time to unload a model without requests in flight.
 constexpr std::chrono::milliseconds kUnloadTime(150);
-constexpr std::chrono::milliseconds kIdleUnloadTime(20);
+constexpr std::chrono::milliseconds kIdleUnloadTime(60);
 /// Added to the time of a load from memory or disk, which is known exactly.
 constexpr std::chrono::milliseconds kLoadMargin(20);
 /// Cost of one request a second that loses its last needed replica, in milliseconds of load time.
@@ -303,9 +303,9 @@
         const core::ModelId &victim = option.victims.front();
         // An unload waits for the requests that run; without any it takes effect at once.
         const bool isIdle = book_.inFlight(target.orders.entry().target, victim) == 0;
-        actions.emplace_back(makeOrder(target, swap::OrderKind::Unload, {victim, {}, {}},
-                                       {.duration = isIdle ? kIdleUnloadTime : kUnloadTime,
-                                        .isDurationCertain = isIdle}));
+        actions.emplace_back(makeOrder(
+            target, swap::OrderKind::Unload, {victim, {}, {}},
+            {.duration = isIdle ? kIdleUnloadTime : kUnloadTime, .isDurationCertain = isIdle}));
         return;
     }
     target.reservedFor.reset();
@@ -340,9 +340,8 @@
     if (!best)
         return;
     if (usedAdapterPlaces(*best) < engine->adapterPlaces) {
-        actions.emplace_back(
-            makeOrder(*best, swap::OrderKind::Load, artifact,
-                      {.duration = kAdapterLoadTime, .isDurationCertain = true}));
+        actions.emplace_back(makeOrder(*best, swap::OrderKind::Load, artifact,
+                                       {.duration = kAdapterLoadTime, .isDurationCertain = true}));
         return;
     }
     // Any adapter that no request uses makes way.
--- a/packages/decisions/src/serving/TargetOrderChart.cpp
+++ b/packages/decisions/src/serving/TargetOrderChart.cpp
@@ -7,9 +7,9 @@
 constexpr charts::EnumNames<TargetOrderState, 6> kStates {
     {"unknown", "asking", "idle", "ordering", "working", "gone"}};
 
-constexpr charts::EnumNames<TargetOrderTrigger, 13> kTriggers {
+constexpr charts::EnumNames<TargetOrderTrigger, 14> kTriggers {
     {"ask", "reported", "reportedBusy", "unanswered", "order", "accepted", "alreadyHeld", "notSent",
-     "refused", "lost", "finished", "overdue", "left"}};
+     "busy", "refused", "lost", "finished", "overdue", "left"}};
 
 constexpr charts::EnumNames<TargetOrderStep, 3> kSteps {{"askReport", "sendOrder", "applyOrder"}};
 
--- a/packages/decisions/src/serving/TargetOrders.cpp
+++ b/packages/decisions/src/serving/TargetOrders.cpp
@@ -8,6 +8,10 @@
 
 /// A report may be this old, so it shows the effect of an order only after this time.
 constexpr std::chrono::milliseconds kReportLag(250);
+/// Pause before an order that met a conflict is tried again, and the conflicts in a row after which
+/// the target is asked for its state instead.
+constexpr std::chrono::milliseconds kBusyPause(50);
+constexpr int kConflictsToAsk = 4;
 /// Pause between two questions to a target whose order should be done.
 constexpr std::chrono::milliseconds kAskEvery(100);
 /// Pause after a question that was not answered.
@@ -45,6 +49,7 @@
 {
     switch (outcome) {
     case swap::OrderOutcome::Accepted:
+        conflicts_ = 0;
         ++sequence_;
         pending_->doneAt = now + pending_->duration;
         askAt_ = pending_->doneAt + kReportLag;
@@ -66,10 +71,18 @@
         avoidUntil_ = now + kAvoidAfterRejection;
         [[fallthrough]];
     case swap::OrderOutcome::Conflict:
-        fire(TargetOrderTrigger::Refused, now);
         pending_.reset();
         ++changes_;
+        // The order before may take a little longer than expected. A report would lag behind, so
+        // the order is tried again before one is asked for.
+        if (outcome == swap::OrderOutcome::Conflict && ++conflicts_ < kConflictsToAsk) {
+            avoidUntil_ = now + kBusyPause;
+            fire(TargetOrderTrigger::Busy, now);
+            break;
+        }
+        conflicts_ = 0;
         askAt_ = now + kReportLag;
+        fire(TargetOrderTrigger::Refused, now);
         break;
     case swap::OrderOutcome::Unknown:
         // The memory of the order stays reserved until a report shows what became of it.
--- a/packages/decisions/src/serving/TokenWallet.cpp
+++ b/packages/decisions/src/serving/TokenWallet.cpp
@@ -99,9 +99,10 @@
         const auto demand = static_cast<std::int64_t>(account.demandNow(now) * kReserveSeconds);
         const std::int64_t reserve = std::min(std::max(demand, account.largestRequest),
                                               account.limit.burstTokens / kBurstParts);
-        TokenAsk ask {organisation, std::max<std::int64_t>(0, account.waiting - account.balance),
-                      std::max<std::int64_t>(
-                          0, reserve - std::max<std::int64_t>(0, account.balance - account.waiting))};
+        TokenAsk ask {
+            organisation, std::max<std::int64_t>(0, account.waiting - account.balance),
+            std::max<std::int64_t>(
+                0, reserve - std::max<std::int64_t>(0, account.balance - account.waiting))};
         // Small amounts can wait for the next report.
         if (ask.waiting > 0 || ask.reserve > reserve / 4)
             asks.push_back(ask);
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -113,16 +113,16 @@
     if ((term_ ? term_->fence : 0) != fence) {
         term_.reset();
         if (fence != 0) {
-            term_ = std::make_unique<Term>(
-                Term {fence,
-                      decisions::SwapPlanner(chart_),
-                      decisions::TokenAllotment(quotaTolerance_),
-                      {},
-                      decisions::Quarantine({.deaths = kDeathsToQuarantine}),
-                      {},
-                      false,
-                      {},
-                      0});
+            term_ =
+                std::make_unique<Term>(Term {fence,
+                                             decisions::SwapPlanner(chart_),
+                                             decisions::TokenAllotment(quotaTolerance_),
+                                             {},
+                                             decisions::Quarantine({.deaths = kDeathsToQuarantine}),
+                                             {},
+                                             false,
+                                             {},
+                                             0});
             applyConfiguration();
             applyTargets();
         }
@@ -179,8 +179,7 @@
     };
     const auto provenAt = configuration_.provenAt();
     const RouteTablePointer table = configuration_.table();
-    return {table ? table->configuration().version : 0,
-            provenAt ? ageOf(*provenAt) : kUnknown,
+    return {table ? table->configuration().version : 0, provenAt ? ageOf(*provenAt) : kUnknown,
             term_->listedVersion > 0 ? ageOf(targets_.readAt()) : kUnknown};
 }
 
@@ -226,9 +225,9 @@
     for (const decisions::TokenAsk &ask : report.wanted)
         answer.granted.push_back(term_->allotment.grant(ask, now));
     answer.quarantined = {term_->quarantined.begin(), term_->quarantined.end()};
-    answer.reportAfter = std::clamp(
-        kReportIntervalPerNode * static_cast<int>(term_->members.size()), kReportInterval,
-        kLongestReportInterval);
+    answer.reportAfter =
+        std::clamp(kReportIntervalPerNode * static_cast<int>(term_->members.size()),
+                   kReportInterval, kLongestReportInterval);
     message.receiver->receive(std::move(answer));
 }
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -96,8 +96,8 @@
                                         false,
                                         {}},
                 leaseTimesOf(settings))
-        , coordinator(settings.instance, lease, configuration, targets, ports.control, charts.targetOrder,
-                      settings.quotaTolerance, clock, metrics)
+        , coordinator(settings.instance, lease, configuration, targets, ports.control,
+                      charts.targetOrder, settings.quotaTolerance, clock, metrics)
         , routing(self,
                   {settings.retryRatio, static_cast<double>(settings.retrySlack), kAssumedNodes},
                   clock, random, metrics)
@@ -155,9 +155,8 @@
 
 void Gateway::Parts::startTasks()
 {
-    routing.start(
-        [this](decisions::CoordinationReport report) { reports.send(std::move(report)); },
-        [this](RoutingTask::Relay relay) { passOn(std::move(relay)); });
+    routing.start([this](decisions::CoordinationReport report) { reports.send(std::move(report)); },
+                  [this](RoutingTask::Relay relay) { passOn(std::move(relay)); });
     reports.start();
     coordinator.start();
     lifecycle.start([this] {
@@ -185,9 +184,8 @@
 
 void Gateway::Parts::passOn(RoutingTask::Relay relay)
 {
-    const bool isTaken =
-        configuration.trySend(ConfigurationTask::RelayedProof {relay.configurationVersion,
-                                                               relay.configurationProvenAt})
+    const bool isTaken = configuration.trySend(ConfigurationTask::RelayedProof {
+                             relay.configurationVersion, relay.configurationProvenAt})
         && targets.trySend(
             TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt});
     // A task that waits for the platform takes the next message; a lost list of targets does not
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -187,8 +187,7 @@
     adopt(message, *message.answer);
 }
 
-void RoutingTask::adopt(const ReportAnswered &message,
-                        const decisions::CoordinationAnswer &answer)
+void RoutingTask::adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer)
 {
     const core::TimePoint now = clock_.now();
     lastAnswer_ = now;
@@ -235,16 +234,14 @@
     }
 }
 
-void RoutingTask::relay(const ReportAnswered &message,
-                        const decisions::CoordinationAnswer &answer)
+void RoutingTask::relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer)
 {
     if (message.isLocal || answer.standing != decisions::CoordinatorStanding::Holding)
         return;
     // The ages count from the answer; the time of the report is earlier, which is on the safe side.
     Relay relay {answer.proof.configurationVersion,
                  message.reportedAt - answer.proof.configurationAge,
-                 message.reportedAt - answer.proof.targetsAge,
-                 std::nullopt};
+                 message.reportedAt - answer.proof.targetsAge, std::nullopt};
     if (answer.targetsVersion != targetsVersion_) {
         relay.targets = answer.targets;
         targetsVersion_ = answer.targetsVersion;
