--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -35,6 +35,11 @@
 }
 
 ConfigurationTask::~ConfigurationTask()
+{
+    shutDown();
+}
+
+void ConfigurationTask::shutDown()
 {
     stop();
     if (fiber_.joinable())
--- a/packages/gateway/src/ConfigurationTask.h
+++ b/packages/gateway/src/ConfigurationTask.h
@@ -40,6 +40,8 @@
     /// `listener` is told of each accepted configuration, from the fiber of the task.
     void start(Listener listener);
     void stop();
+    /// Stops and waits until the task has ended.
+    void shutDown();
     [[nodiscard]] bool trySend(const RelayedProof &proof) { return mailbox_.trySend(proof); }
 
     /// When the configuration was last confirmed; nothing before the first time.
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -240,10 +240,15 @@
 
 Gateway::~Gateway()
 {
-    if (parts_ && parts_->peerFiber.joinable()) {
-        parts_->isStopping = true;
+    if (!parts_)
+        return;
+    // These tasks send messages to the others, so they end first.
+    parts_->isStopping = true;
+    if (parts_->peerFiber.joinable())
         parts_->peerFiber.join();
-    }
+    parts_->configuration.shutDown();
+    parts_->targets.shutDown();
+    parts_->reports.shutDown();
 }
 
 core::Result<core::Nothing> Gateway::start()
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -34,6 +34,11 @@
 }
 
 ReportTask::~ReportTask()
+{
+    shutDown();
+}
+
+void ReportTask::shutDown()
 {
     stop();
     if (fiber_.joinable())
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -25,6 +25,8 @@
     void setNetwork(peer::PeerNetwork *network) { network_ = network; }
     void start();
     void stop() { mailbox_.close(); }
+    /// Stops and waits until the task has ended.
+    void shutDown();
     void send(decisions::CoordinationReport report);
 
 private:
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -34,6 +34,11 @@
 }
 
 TargetTask::~TargetTask()
+{
+    shutDown();
+}
+
+void TargetTask::shutDown()
 {
     stop();
     if (fiber_.joinable())
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -37,6 +37,8 @@
 
     void start(Listener listener, IsUrgent isUrgent);
     void stop() { isRunning_ = false; }
+    /// Stops and waits until the task has ended.
+    void shutDown();
     [[nodiscard]] bool trySend(RelayedTargets targets)
     {
         return mailbox_.trySend(std::move(targets));
