Write logs to standard output, bounded; larger token buckets within the tolerance

Ruled out: hoarded reserves (they are not granted while a bucket is low). Change: half of the quota's tolerance enlarges the buckets; request lines are bounded at 200 a second and the dropped ones are counted; writes to standard output never block.

--- a/packages/decisions/src/serving/TokenAllotment.cpp
+++ b/packages/decisions/src/serving/TokenAllotment.cpp
@@ -11,7 +11,7 @@
 /// Parts of the tolerance with which the buckets of a new coordinator start, so that two changes of
 /// the coordinator within one window stay within it, and by which the buckets are larger.
 constexpr std::int64_t kStartParts = 3;
-constexpr std::int64_t kExtraParts = 8;
+constexpr std::int64_t kExtraParts = 2;
 
 } // namespace
 
--- a/packages/gateway/src/FrontHandler.cpp
+++ b/packages/gateway/src/FrontHandler.cpp
@@ -120,7 +120,7 @@
     const auto decoded = services_.protocol.decode(request);
     const std::string attempt = core::isOk(decoded) ? core::valueOf(decoded).attempt : "";
     const auto response = services_.protocol.encodeRefusal(error, attempt);
-    runtime::logEvent(runtime::LogEvent::RequestRefused,
+    runtime::logRequestEvent(runtime::LogEvent::RequestRefused,
                       "request=" + attempt + " status=" + std::to_string(response.status)
                           + " reason=" + std::string(core::errorCodeName(error.code)) + " text=\""
                           + error.message + "\"");
@@ -145,7 +145,7 @@
     services_.metrics.observe("boragerack_request_seconds",
                               runtime::makeLabels({{"route", job.route.name}}), elapsed);
     const RouteTablePointer table = services_.configuration.table();
-    runtime::logEvent(
+    runtime::logRequestEvent(
         outcome.error ? runtime::LogEvent::RequestFailed : runtime::LogEvent::RequestServed,
         "request=" + job.decoded.attempt + " route=" + job.route.name
             + " organisation=" + job.organisation.value
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -271,7 +271,8 @@
     parts_->startTasks();
     runtime::logEvent(runtime::LogEvent::NodeReady,
                       "instance=" + settings.instance.value
-                          + " caller=" + textOf(settings.callerListen));
+                          + " caller=" + textOf(settings.callerListen)
+                          + " metrics=" + textOf(settings.metricsListen));
     return core::Nothing();
 }
 
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -1,7 +1,15 @@
 #include "boragerack/runtime/EventLog.h"
 
+#include <chrono>
+#include <cstdio>
+
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <glog/logging.h>
 
+#include "LineBudget.h"
+
 namespace boragerack::runtime {
 
 namespace {
@@ -97,14 +105,32 @@
     return {Severity::Error, "unknown event"};
 }
 
+/// Lines about requests that one process writes; the metrics count all of them.
+constexpr double kRequestLinesPerSecond = 200;
+constexpr double kRequestLineBurst = 400;
+
 } // namespace
 
 void initializeLog(const char *programName)
 {
-    FLAGS_logtostderr = true;
+    FLAGS_logtostdout = true;
+    // A reader that does not keep up must not stop the process; lines that find no room are lost.
+    static_cast<void>(::fcntl(STDOUT_FILENO, F_SETFL,
+                              ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK));
+    static_cast<void>(std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ));
     google::InitGoogleLogging(programName);
 }
 
+void logRequestEvent(LogEvent event, std::string_view details)
+{
+    static LineBudget budget(kRequestLinesPerSecond, kRequestLineBurst);
+    const auto now = std::chrono::steady_clock::now();
+    if (const std::uint64_t dropped = budget.takeDropped(now); dropped > 0)
+        logEvent(LogEvent::LinesDropped, "lines=" + std::to_string(dropped));
+    if (budget.take(now))
+        logEvent(event, details);
+}
+
 void logEvent(LogEvent event, std::string_view details)
 {
     const auto [severity, summary] = describe(event);
--- /dev/null
+++ b/packages/runtime/tests/LineBudgetTest.cpp
@@ -0,0 +1,26 @@
+#include <boost/test/unit_test.hpp>
+
+#include "LineBudget.h"
+
+namespace boragerack::runtime::testing {
+
+BOOST_AUTO_TEST_SUITE(LineBudgetTest)
+
+// Guards against a log that grows with the load, and against lines that vanish without a count.
+BOOST_AUTO_TEST_CASE(linesAreBoundedAndCounted)
+{
+    using namespace std::chrono_literals;
+    LineBudget budget(10, 20);
+    const core::TimePoint start(1h);
+    int written = 0;
+    for (int i = 0; i < 1000; ++i)
+        written += budget.take(start + std::chrono::milliseconds(i)) ? 1 : 0;
+    BOOST_TEST(written >= 20);
+    BOOST_TEST(written <= 31);
+    BOOST_TEST(budget.takeDropped(start + 1s) == static_cast<std::uint64_t>(1000 - written));
+    BOOST_TEST(budget.takeDropped(start + 2s) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::runtime::testing
