Give relayed data the age of its own reading; fewer reports and decisions with many nodes

The coordinator used up its 0.09 cores at 76 nodes. Ruled out: a late watch of the coordinator (its calls returned in time). Change: the reading time travels with the entries; proofs are trusted for a quarter of the revocation time; reports with news, and decisions, are further apart with many nodes and targets.

--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -101,6 +101,7 @@
     std::map<core::TargetId, Target> targets_;
     DemandBook book_;
     bool mayOrder_ = false;
+    core::TimePoint nextDecision_ = {};
     std::uint64_t nextOrder_ = 1;
     std::uint64_t version_ = 1;
     double storeTokens_ = 0;
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -35,6 +35,16 @@
 /// An adapter of some ten MB is loaded within this time.
 constexpr std::chrono::milliseconds kAdapterLoadTime(20);
 
+/// Requests wait for the model or run on it.
+bool isWanted(const core::ModelId &model, const std::map<Artifact, FleetDemand> &demands)
+{
+    return std::ranges::any_of(demands,
+                               [&](const auto &item) { return item.first.model == model; });
+}
+
+/// A decision looks at all targets, so with many targets there are fewer decisions.
+constexpr std::chrono::microseconds kDecisionPausePerTarget(300);
+
 bool contains(const std::vector<core::ModelId> &models, const core::ModelId &model)
 {
     return std::ranges::find(models, model) != models.end();
@@ -54,7 +64,10 @@
     for (auto &[id, target] : targets_)
         target.orders.tick(now);
     if (mayOrder_) {
-        decide(now, actions);
+        if (now >= nextDecision_) {
+            nextDecision_ = now + kDecisionPausePerTarget * targets_.size();
+            decide(now, actions);
+        }
         for (auto &[id, target] : targets_) {
             if (auto question = target.orders.nextQuestion(now))
                 actions.emplace_back(std::move(*question));
@@ -123,15 +136,10 @@
 {
     const auto demands = book_.demands(now);
     for (auto &[id, target] : targets_) {
-        // The requests for which room was made have gone, or another target serves them.
-        if (target.reservedFor) {
-            const auto demand = demands.find(Artifact {*target.reservedFor, {}, {}});
-            const bool isWanted = std::ranges::any_of(demands, [&](const auto &item) {
-                return item.first.model == *target.reservedFor && item.second.waiting > 0;
-            });
-            if ((!isWanted && demand == demands.end()) || target.orders.entry().isLeaving)
-                target.reservedFor.reset();
-        }
+        // The requests for which room was made have gone.
+        if (target.reservedFor
+            && (!isWanted(*target.reservedFor, demands) || target.orders.entry().isLeaving))
+            target.reservedFor.reset();
     }
     for (const auto &[artifact, demand] : demands) {
         if (artifact.isAdapter() && demand.waiting > 0)
--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -11,10 +11,11 @@
 
 /// Proofs are renewed this many times within the time a withdrawn key may be used, so that one call
 /// may be lost and its successor still arrives in time.
-constexpr int kProofsPerRevocation = 8;
+constexpr int kProofsPerRevocation = 12;
 /// Proofs that the coordinator passes on are enough while they are not older than this part of the
-/// time a withdrawn key may be used; the rest is for reading the platform itself.
-constexpr double kRelayedPart = 0.4;
+/// time a withdrawn key may be used. A change must be in effect on all nodes within two seconds, so
+/// a node whose coordinator hangs reads the platform itself well before.
+constexpr double kRelayedPart = 0.25;
 constexpr std::size_t kMailboxCapacity = 16;
 constexpr std::chrono::milliseconds kRelayTick(100);
 /// Time for a request to reach its target after the check.
--- a/packages/gateway/src/CoordinatorMessages.h
+++ b/packages/gateway/src/CoordinatorMessages.h
@@ -43,9 +43,7 @@
 
 struct CoordinatedTargetsMoved
 {
-    TargetEntriesPointer entries;
-    /// Without them the entries came from another coordinator and cannot be planned with.
-    bool hasReplicas = true;
+    TargetTask::Update update;
 };
 
 struct CoordinatedConfigurationMoved
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -23,7 +23,7 @@
 constexpr std::chrono::milliseconds kReportInterval(100);
 constexpr std::chrono::milliseconds kReportIntervalPerNode(8);
 /// Longer intervals would let the nodes read the platform themselves.
-constexpr std::chrono::milliseconds kLongestReportInterval(700);
+constexpr std::chrono::milliseconds kLongestReportInterval(500);
 /// Deaths of targets after which a request is refused on all nodes.
 constexpr std::uint32_t kDeathsToQuarantine = 3;
 
@@ -54,15 +54,13 @@
 } // namespace
 
 CoordinatorTask::CoordinatorTask(const core::InstanceId &self, const LeaseTask &lease,
-                                 const ConfigurationTask &configuration, const TargetTask &targets,
-                                 TargetControl &control,
+                                 const ConfigurationTask &configuration, TargetControl &control,
                                  std::shared_ptr<const decisions::TargetOrderBinding> chart,
                                  std::int64_t quotaTolerance, const core::Clock &clock,
                                  runtime::Metrics &metrics)
     : self_(self)
     , lease_(lease)
     , configuration_(configuration)
-    , targets_(targets)
     , control_(control)
     , chart_(std::move(chart))
     , quotaTolerance_(quotaTolerance)
@@ -180,7 +178,7 @@
     const auto provenAt = configuration_.provenAt();
     const RouteTablePointer table = configuration_.table();
     return {table ? table->configuration().version : 0, provenAt ? ageOf(*provenAt) : kUnknown,
-            term_->listedVersion > 0 ? ageOf(targets_.readAt()) : kUnknown};
+            term_->listedVersion > 0 ? ageOf(targetsReadAt_) : kUnknown};
 }
 
 void CoordinatorTask::plan(const swap::Event &event)
@@ -245,10 +243,13 @@
 
 void CoordinatorTask::on(CoordinatedTargetsMoved &message)
 {
-    if (message.hasReplicas)
-        entries_ = message.entries;
-    else
-        entries_.reset();
+    const TargetTask::Update &update = message.update;
+    targetsReadAt_ = update.readAt;
+    // Entries that came from another coordinator do not tell what the targets hold.
+    const TargetEntriesPointer entries = update.hasReplicas ? update.entries : nullptr;
+    if (entries == entries_)
+        return;
+    entries_ = entries;
     applyTargets();
 }
 
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -30,8 +30,7 @@
 public:
     /// All references must outlive the task. `clock` counts suspension.
     CoordinatorTask(const core::InstanceId &self, const LeaseTask &lease,
-                    const ConfigurationTask &configuration, const TargetTask &targets,
-                    TargetControl &control,
+                    const ConfigurationTask &configuration, TargetControl &control,
                     std::shared_ptr<const decisions::TargetOrderBinding> chart,
                     std::int64_t quotaTolerance, const core::Clock &clock,
                     runtime::Metrics &metrics);
@@ -80,7 +79,6 @@
     core::InstanceId self_;
     const LeaseTask &lease_;
     const ConfigurationTask &configuration_;
-    const TargetTask &targets_;
     TargetControl &control_;
     std::shared_ptr<const decisions::TargetOrderBinding> chart_;
     std::int64_t quotaTolerance_;
@@ -89,6 +87,8 @@
     runtime::Mailbox<CoordinatorMessage> mailbox_;
     /// Null until this node has read the list itself.
     TargetEntriesPointer entries_;
+    /// When the platform answered with these entries.
+    core::TimePoint targetsReadAt_ = {};
     RouteTablePointer table_;
     std::unique_ptr<Term> term_;
     bool isRunning_ = true;
--- a/packages/gateway/src/FrontHandler.cpp
+++ b/packages/gateway/src/FrontHandler.cpp
@@ -121,9 +121,9 @@
     const std::string attempt = core::isOk(decoded) ? core::valueOf(decoded).attempt : "";
     const auto response = services_.protocol.encodeRefusal(error, attempt);
     runtime::logRequestEvent(runtime::LogEvent::RequestRefused,
-                      "request=" + attempt + " status=" + std::to_string(response.status)
-                          + " reason=" + std::string(core::errorCodeName(error.code)) + " text=\""
-                          + error.message + "\"");
+                             "request=" + attempt + " status=" + std::to_string(response.status)
+                                 + " reason=" + std::string(core::errorCodeName(error.code))
+                                 + " text=\"" + error.message + "\"");
     services_.metrics.add(
         "boragerack_refusals_total",
         runtime::makeLabels({{"reason", core::errorCodeName(error.code)}, {"route", ""}}));
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -96,8 +96,8 @@
                                         false,
                                         {}},
                 leaseTimesOf(settings))
-        , coordinator(settings.instance, lease, configuration, targets, ports.control,
-                      charts.targetOrder, settings.quotaTolerance, clock, metrics)
+        , coordinator(settings.instance, lease, configuration, ports.control, charts.targetOrder,
+                      settings.quotaTolerance, clock, metrics)
         , routing(self,
                   {settings.retryRatio, static_cast<double>(settings.retrySlack), kAssumedNodes},
                   clock, random, metrics)
@@ -172,9 +172,9 @@
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=configuration_moved");
     });
     targets.start(
-        [this](const TargetEntriesPointer &entries, bool hasReplicas) {
-            const bool isTaken = routing.trySend(TargetsMoved {entries, hasReplicas})
-                && coordinator.trySend(CoordinatedTargetsMoved {entries, hasReplicas});
+        [this](const TargetTask::Update &update) {
+            const bool isTaken = routing.trySend(TargetsMoved {update.entries, update.hasReplicas})
+                && coordinator.trySend(CoordinatedTargetsMoved {update});
             if (!isTaken)
                 runtime::logEvent(runtime::LogEvent::MessageDropped, "message=targets_moved");
         },
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds kTick(50);
 /// Reports follow each other at least this far apart, also with urgent news.
 constexpr std::chrono::milliseconds kReportPause(15);
+/// With many nodes they are further apart, so that the coordinator can follow.
+constexpr std::chrono::microseconds kReportPausePerNode(1500);
 /// Without news a node reports this often until the coordinator sets another interval.
 constexpr std::chrono::milliseconds kReportInterval(100);
 /// Placements of a coordinator that has been silent for this long are not trusted any more.
@@ -316,7 +318,7 @@
 void RoutingTask::report()
 {
     const core::TimePoint now = clock_.now();
-    const bool isDue = now >= nextReport_ || (hasUrgentNews_ && now - lastReport_ >= kReportPause);
+    const bool isDue = now >= nextReport_ || (hasUrgentNews_ && now - lastReport_ >= reportPause());
     if (isReporting_ || !isDue)
         return;
     isReporting_ = true;
@@ -336,6 +338,11 @@
     sendReport_(std::move(report));
 }
 
+core::Duration RoutingTask::reportPause() const
+{
+    return std::max<core::Duration>(kReportPause, kReportPausePerNode * nodeCount());
+}
+
 std::uint32_t RoutingTask::nodeCount() const
 {
     const auto members = static_cast<std::uint32_t>(fleet_.get()->members.size());
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -86,6 +86,7 @@
     void loseCoordinator();
     void tick();
     void report();
+    core::Duration reportPause() const;
     std::uint32_t nodeCount() const;
 
     decisions::FleetMember self_;
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -59,19 +59,20 @@
         while (const auto relayed = mailbox_.tryReceive())
             isChanged = take(*relayed) || isChanged;
         if (isChanged)
-            publish(false);
+            publish(true, false);
         if (clock_.now() - relayedAt_ < kRelayTrust && !isUrgent_()) {
             // The history may be gone when this node reads the platform again.
             revision_ = 0;
             if (const auto relayed =
                     mailbox_.receiveUntil(std::chrono::steady_clock::now() + kRelayTick);
                 relayed && take(*relayed))
-                publish(false);
+                publish(true, false);
             continue;
         }
         const bool isWholeList = revision_ == 0;
-        if (readOnce() || (isWholeList && failures_ == 0))
-            publish(true);
+        const bool isNew = readOnce();
+        if (failures_ == 0)
+            publish(isNew || isWholeList, true);
         if (failures_ > 0)
             boost::this_fiber::sleep_for(backoff(failures_));
         else
@@ -86,10 +87,11 @@
         && directory_.handle(decisions::targets::Listed {*relayed.entries}, clock_.now());
 }
 
-void TargetTask::publish(bool hasReplicas)
+void TargetTask::publish(bool isChanged, bool hasReplicas)
 {
-    published_ = std::make_shared<const decisions::TargetEntries>(directory_.entries());
-    listener_(published_, hasReplicas);
+    if (isChanged)
+        published_ = std::make_shared<const decisions::TargetEntries>(directory_.entries());
+    listener_({published_, hasReplicas, readAt_});
 }
 
 bool TargetTask::readOnce()
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -20,8 +20,16 @@
 class TargetTask
 {
 public:
-    /// `hasReplicas` says whether the entries tell what the targets hold.
-    using Listener = std::function<void(const TargetEntriesPointer &, bool hasReplicas)>;
+    struct Update
+    {
+        TargetEntriesPointer entries;
+        /// The entries tell what the targets hold.
+        bool hasReplicas = true;
+        /// When the platform answered with these entries.
+        core::TimePoint readAt = {};
+    };
+    /// Called for each change, and for each answer of the platform without one.
+    using Listener = std::function<void(const Update &)>;
 
     /// The coordinator has read the list; nothing if it has not changed since its last message.
     struct RelayedTargets
@@ -43,8 +51,6 @@
     {
         return mailbox_.trySend(std::move(targets));
     }
-    /// When the platform last answered.
-    core::TimePoint readAt() const { return readAt_; }
 
     TargetEntriesPointer entries() const { return published_; }
 
@@ -52,7 +58,7 @@
     void run();
     bool readOnce();
     bool take(const RelayedTargets &relayed);
-    void publish(bool hasReplicas);
+    void publish(bool isChanged, bool hasReplicas);
 
     ServingSource &source_;
     const core::Clock &clock_;
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -115,8 +115,8 @@
 {
     FLAGS_logtostdout = true;
     // A reader that does not keep up must not stop the process; lines that find no room are lost.
-    static_cast<void>(::fcntl(STDOUT_FILENO, F_SETFL,
-                              ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK));
+    static_cast<void>(
+        ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK));
     static_cast<void>(std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ));
     google::InitGoogleLogging(programName);
 }
