--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -44,6 +44,10 @@
     std::chrono::milliseconds lookEvery = std::chrono::milliseconds(200);
     /// No two holders may give one target orders within this time.
     std::chrono::milliseconds orderHandover = std::chrono::milliseconds(3000);
+    /// A released lease is left to younger processes for a moment: in a rolling restart they are
+    /// the ones that will not be stopped next.
+    std::chrono::milliseconds youngAge = std::chrono::seconds(15);
+    std::chrono::milliseconds leaveToYoung = std::chrono::milliseconds(400);
     /// Added to both waits of a successor; covers timers that fire late.
     std::chrono::milliseconds margin = std::chrono::milliseconds(200);
 
@@ -88,6 +92,13 @@
     friend bool operator==(const CoordinatorHeard &, const CoordinatorHeard &) = default;
 };
 
+/// The process will stop soon; it takes no lease any more, but keeps one that it holds.
+struct StopAnnounced
+{
+    friend bool operator==(const StopAnnounced &, const StopAnnounced &) = default;
+};
+
+/// The process stops now; a lease that it holds is released.
 struct StopRequested
 {
     friend bool operator==(const StopRequested &, const StopRequested &) = default;
@@ -99,7 +110,7 @@
 };
 
 using Event = std::variant<ReadFinished, WriteApplied, WriteConflict, Unanswered, CoordinatorHeard,
-                           StopRequested, Tick>;
+                           StopAnnounced, StopRequested, Tick>;
 
 struct Read
 {
@@ -167,7 +178,9 @@
     core::TimePoint writeSentAt_ = {};
     core::TimePoint confirmedAt_ = {};
     std::uint64_t confirmedRenewal_ = 0;
+    bool isStopAnnounced_ = false;
     bool isStopRequested_ = false;
+    std::optional<core::TimePoint> startedAt_;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -15,6 +15,8 @@
 std::vector<lease::Action> CoordinatorLease::handle(const lease::Event &event, core::TimePoint now)
 {
     std::vector<lease::Action> actions;
+    if (!startedAt_)
+        startedAt_ = now;
     if (const auto *read = std::get_if<lease::ReadFinished>(&event)) {
         onRead(*read, now, actions);
     } else if (const auto *applied = std::get_if<lease::WriteApplied>(&event)) {
@@ -31,6 +33,8 @@
             heardAt_ = now;
         else
             heardAt_.reset();
+    } else if (std::holds_alternative<lease::StopAnnounced>(event)) {
+        isStopAnnounced_ = true;
     } else if (std::holds_alternative<lease::StopRequested>(event)) {
         isStopRequested_ = true;
         fire(CoordinatorTrigger::Stop, now, actions);
@@ -155,6 +159,8 @@
 
 bool CoordinatorLease::isFree(core::TimePoint now)
 {
+    if (isStopAnnounced_)
+        return false;
     if (!known_) {
         ordersFrom_ = now;
         return true;
@@ -169,7 +175,8 @@
     if (known_->isReleased) {
         // The last orders of the holder may still have been on their way when it let go.
         ordersFrom_ = knownSince_ + times_.orderTimeout + times_.orderHandover + times_.margin;
-        return true;
+        const bool isYoung = now - *startedAt_ < times_.youngAge;
+        return isYoung || now >= knownSince_ + times_.leaveToYoung;
     }
     const core::TimePoint lapsesAt = lastRenewalBefore() + times_.validity + times_.margin;
     ordersFrom_ = lapsesAt + times_.orderHandover;
--- a/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
+++ b/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
@@ -165,6 +165,8 @@
             restart(node);
         else if (fate == 2)
             handle(node, lease::StopRequested(), now);
+        else if (fate == 3)
+            handle(node, lease::StopAnnounced(), now);
         if (nodes_[node]->isStopped())
             restart(node);
         if (now < frozenUntil_[node])
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -287,12 +287,16 @@
 {
     if (!parts_->lifecycle.trySend(LifecycleTask::StopRequested()))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=stop_requested");
-    parts_->lease.stop();
+    // Orders go on while this node finishes its requests; its successor must pause before the
+    // first.
+    if (!parts_->lease.trySend(LeaseTask::AnnounceStop()))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=stop_announced");
 }
 
 void Gateway::waitUntilStopped()
 {
     parts_->lifecycle.waitUntilStopped();
+    parts_->lease.shutDown();
 }
 
 } // namespace boragerack::gateway
--- a/packages/gateway/src/LeaseTask.cpp
+++ b/packages/gateway/src/LeaseTask.cpp
@@ -25,6 +25,11 @@
 }
 
 LeaseTask::~LeaseTask()
+{
+    shutDown();
+}
+
+void LeaseTask::shutDown()
 {
     stop();
     if (fiber_.joinable())
@@ -50,6 +55,8 @@
             handle(decisions::lease::Tick());
         else if (const auto *heard = std::get_if<Heard>(&*message))
             handle(*heard);
+        else if (std::holds_alternative<AnnounceStop>(*message))
+            handle(decisions::lease::StopAnnounced());
         else
             handle(decisions::lease::StopRequested());
         isRunning_ = !lease_.isStopped();
--- a/packages/gateway/src/LeaseTask.h
+++ b/packages/gateway/src/LeaseTask.h
@@ -18,10 +18,14 @@
 {
 public:
     using Heard = decisions::lease::CoordinatorHeard;
+    /// The node will stop; it keeps a lease that it holds until then.
+    struct AnnounceStop
+    {
+    };
     struct Stop
     {
     };
-    using Message = std::variant<Heard, Stop>;
+    using Message = std::variant<Heard, AnnounceStop, Stop>;
 
     /// `clock` counts suspension. All references must outlive the task.
     LeaseTask(platform::PlatformStore &store, const core::Clock &clock,
@@ -33,6 +37,8 @@
     [[nodiscard]] bool trySend(Message message) { return mailbox_.trySend(message); }
     /// Releases the lease if this node holds it, and ends the task.
     void stop();
+    /// Stops and waits until the task has ended.
+    void shutDown();
 
     /// Exact at any time, also between two messages.
     const decisions::CoordinatorLease &lease() const { return lease_; }
