Refuse a list of lengths as the length of a body

Cause: the parser takes "Content-Length: 5, 5" (found by the new test of the request reader). Ruled out: smuggling to a target (the body is sent on with a length of our own). Change: the value must be digits only. Measured: all cases of HttpConnectionTest pass.

--- a/packages/runtime/src/HttpConnection.cpp
+++ b/packages/runtime/src/HttpConnection.cpp
@@ -43,7 +43,9 @@
     if (message.count(http::field::host) > 1 || !message.target().starts_with('/'))
         return true;
     if (message.count(http::field::transfer_encoding) == 0)
-        return message.count(http::field::content_length) > 1;
+        return message.count(http::field::content_length) > 1
+            || message[http::field::content_length].find_first_not_of("0123456789")
+            != boost::beast::string_view::npos;
     return message.version() < kHttpVersion || message.count(http::field::content_length) > 0
         || message.count(http::field::transfer_encoding) > 1
         || !boost::beast::iequals(message[http::field::transfer_encoding], "chunked");
