--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -201,7 +201,10 @@
         std::cerr << "boragerackd: the option '--settings' is required but missing" << std::endl;
         return UsageError;
     }
-    runtime::initializeLog(argv[0]);
+    // The node prints its addresses on standard output, so its log goes elsewhere.
+    runtime::initializeLog(argv[0],
+                           isGateway ? runtime::LogStream::StandardOutput
+                                     : runtime::LogStream::StandardError);
     return isGateway
         ? runWith<config::GatewaySettings>(path, config::parseGatewaySettings, runGateway)
         : runWith<config::NodeSettings>(path, config::parseNodeSettings, runNode);
--- a/packages/decisions/src/RequestAttempt.cpp
+++ b/packages/decisions/src/RequestAttempt.cpp
@@ -171,6 +171,9 @@
         return;
     failure_ = code;
     failedTargets_.push_back(target_);
+    // A connection that could not be opened has carried nothing, so it counts like a refusal.
+    if (chart_.state() == AttemptState::Connecting)
+        ++refusals_;
     if (headForwarded_)
         waitLimit_ = std::max(waitLimit_, now + plan_.resumeWait);
     fire(AttemptTrigger::ConnectionLost, actions);
--- a/packages/runtime/include/boragerack/runtime/EventLog.h
+++ b/packages/runtime/include/boragerack/runtime/EventLog.h
@@ -6,8 +6,13 @@
 
 namespace boragerack::runtime {
 
-/// Sends log lines to standard output; instances have no disks. Call once at the start.
-void initializeLog(const char *programName);
+enum class LogStream {
+    StandardError, ///< For programs that print results on standard output.
+    StandardOutput, ///< Never blocks; lines that the reader has no room for are lost.
+};
+
+/// Instances have no disks, so log lines go to a stream. Call once at the start.
+void initializeLog(const char *programName, LogStream stream = LogStream::StandardError);
 
 /// Writes one line "[BR<number>] <summary>: <details>" with the severity of the catalogue.
 void logEvent(LogEvent event, std::string_view details);
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -1,6 +1,7 @@
 #include "boragerack/runtime/EventLog.h"
 
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 
 #include <fcntl.h>
@@ -111,12 +112,18 @@
 
 } // namespace
 
-void initializeLog(const char *programName)
+void initializeLog(const char *programName, LogStream stream)
 {
+    if (stream == LogStream::StandardError) {
+        FLAGS_logtostderr = true;
+        google::InitGoogleLogging(programName);
+        return;
+    }
     FLAGS_logtostdout = true;
-    // A reader that does not keep up must not stop the process; lines that find no room are lost.
-    static_cast<void>(
-        ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK));
+    // A reader that does not keep up, or goes away, must not stop the process.
+    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    static_cast<void>(::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK));
     static_cast<void>(std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ));
     google::InitGoogleLogging(programName);
 }
