Take the bounds of the deployment from the settings; read settings fields in one place

Cause: the template filled in one bound only, so other deployments would have run on the defaults of this one; address and time fields were read by two copies of the same functions. Ruled out: nothing.

--- a/packages/config/src/GatewaySettings.cpp
+++ b/packages/config/src/GatewaySettings.cpp
@@ -1,30 +1,13 @@
 #include "boragerack/config/GatewaySettings.h"
 
 #include "ObjectReader.h"
+#include "SettingsFields.h"
 
 namespace boragerack::config {
 
-namespace json = boost::json;
-
 namespace {
 
 constexpr std::int64_t kMaxCount = 1'000'000'000;
-constexpr std::int64_t kMaxMs = 3'600'000;
-
-SocketAddress readAddress(ObjectReader &reader, std::string_view name, ParseFault &fault)
-{
-    const std::string text = reader.readText(name);
-    const auto address = parseSocketAddress(text);
-    if (!address)
-        fault.report(reader.pathOf(name), "\"" + text + "\"", "an address <ip>:<port>");
-    return address.value_or(SocketAddress());
-}
-
-std::chrono::milliseconds readMs(ObjectReader &reader, std::string_view name,
-                                 std::chrono::milliseconds fallback)
-{
-    return std::chrono::milliseconds(reader.readInteger(name, 1, kMaxMs, fallback.count()));
-}
 
 void readSettings(ObjectReader &reader, GatewaySettings &settings, ParseFault &fault)
 {
--- a/packages/config/src/NodeSettings.cpp
+++ b/packages/config/src/NodeSettings.cpp
@@ -4,6 +4,7 @@
 #include <system_error>
 
 #include "ObjectReader.h"
+#include "SettingsFields.h"
 
 namespace boragerack::config {
 
@@ -11,31 +12,8 @@
 
 namespace {
 
-constexpr std::string_view kExpectedAddress =
-    "an IP address and a port such as 127.0.0.1:0 or [::1]:0";
 constexpr std::int64_t kMaxBytes = 1LL << 30;
 constexpr std::int64_t kMaxCount = 1'000'000;
-constexpr std::int64_t kMaxMs = 3'600'000;
-
-SocketAddress readAddressText(const std::string &text, const std::string &path, ParseFault &fault)
-{
-    if (const auto address = parseSocketAddress(text))
-        return *address;
-    fault.report(path, "\"" + text + "\"", std::string(kExpectedAddress));
-    return {};
-}
-
-SocketAddress readAddress(ObjectReader &reader, std::string_view name, ParseFault &fault)
-{
-    const std::string text = reader.readText(name);
-    return readAddressText(text, reader.pathOf(name), fault);
-}
-
-std::chrono::milliseconds readMs(ObjectReader &reader, std::string_view name,
-                                 std::chrono::milliseconds fallback)
-{
-    return std::chrono::milliseconds(reader.readInteger(name, 1, kMaxMs, fallback.count()));
-}
 
 void readSettings(ObjectReader &reader, NodeSettings &settings, ParseFault &fault)
 {
--- /dev/null
+++ b/packages/config/src/SettingsFields.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "ObjectReader.h"
+#include "boragerack/config/NodeSettings.h"
+
+namespace boragerack::config {
+
+inline constexpr std::string_view kExpectedAddress =
+    "an IP address and a port such as 127.0.0.1:0 or [::1]:0";
+
+/// Fields that all settings files have in common; a fault is reported with the path of the field.
+SocketAddress readAddressText(const std::string &text, const std::string &path, ParseFault &fault);
+SocketAddress readAddress(ObjectReader &reader, std::string_view name, ParseFault &fault);
+std::chrono::milliseconds readMs(ObjectReader &reader, std::string_view name,
+                                 std::chrono::milliseconds fallback);
+
+} // namespace boragerack::config
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -80,7 +80,7 @@
     bool addVictims(Option &option, const Need &need, std::uint64_t missingMb, core::TimePoint now);
     double evictionCost(const Target &target, const core::ModelId &model,
                         core::TimePoint now) const;
-    void follow(const Option &option, const Need &need, core::TimePoint now, Actions &actions);
+    void follow(const Option &option, const Need &need, Actions &actions);
     void publish();
 
     const EngineFigures *figuresOf(const core::ServiceId &service) const;
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -159,13 +159,9 @@
 std::vector<SwapPlanner::Need>
 SwapPlanner::modelNeeds(const std::map<Artifact, FleetDemand> &demands) const
 {
-    struct Total
-    {
-        FleetDemand demand;
-    };
-    std::map<core::ModelId, Total> totals;
+    std::map<core::ModelId, FleetDemand> totals;
     for (const auto &[artifact, demand] : demands) {
-        FleetDemand &total = totals[artifact.model].demand;
+        FleetDemand &total = totals[artifact.model];
         if (demand.waiting > 0
             && (total.waiting == 0
                 || demand.aim - demand.oldestWait < total.aim - total.oldestWait)) {
@@ -178,8 +174,7 @@
         total.inFlight += demand.inFlight;
     }
     std::vector<Need> needs;
-    for (const auto &[model, total] : totals) {
-        const FleetDemand &demand = total.demand;
+    for (const auto &[model, demand] : totals) {
         if (isBeingPlaced(model))
             continue;
         const std::uint32_t ready = readyReplicas(model);
@@ -224,7 +219,7 @@
             best = std::move(option);
     }
     if (best)
-        follow(*best, need, now, actions);
+        follow(*best, need, actions);
 }
 
 std::optional<SwapPlanner::Option> SwapPlanner::makeOption(Target &target, const Need &need,
@@ -302,8 +297,7 @@
     return cost;
 }
 
-void SwapPlanner::follow(const Option &option, const Need &need, core::TimePoint now,
-                         Actions &actions)
+void SwapPlanner::follow(const Option &option, const Need &need, Actions &actions)
 {
     Target &target = *option.target;
     if (!option.victims.empty()) {
@@ -319,7 +313,6 @@
     target.reservedFor.reset();
     if (option.isFromStore)
         storeTokens_ -= 1;
-    static_cast<void>(now);
     actions.emplace_back(makeOrder(target, swap::OrderKind::Load, {need.model, {}, {}},
                                    {.duration = option.loadTime + kLoadMargin,
                                     .isFromStore = option.isFromStore,
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -272,7 +272,13 @@
     runtime::logEvent(runtime::LogEvent::NodeReady,
                       "instance=" + settings.instance.value
                           + " caller=" + textOf(settings.callerListen)
-                          + " metrics=" + textOf(settings.metricsListen));
+                          + " metrics=" + textOf(settings.metricsListen)
+                          + " revocation_ms=" + std::to_string(settings.revocation.count())
+                          + " order_handover_ms=" + std::to_string(settings.orderHandover.count())
+                          + " stop_timeout_ms=" + std::to_string(settings.stopTimeout.count())
+                          + " retry_ratio=" + std::to_string(settings.retryRatio)
+                          + " retry_slack=" + std::to_string(settings.retrySlack)
+                          + " quota_tolerance=" + std::to_string(settings.quotaTolerance));
     return core::Nothing();
 }
 
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -22,8 +22,6 @@
 constexpr std::chrono::milliseconds kCoordinatorLost(1000);
 /// Without a coordinator, a request that waits for tokens is refused after this time.
 constexpr std::chrono::milliseconds kTokenWait(250);
-/// Number of nodes that is assumed before the coordinator has told.
-constexpr std::uint32_t kAssumedNodes = 8;
 
 } // namespace
 
@@ -346,7 +344,7 @@
 std::uint32_t RoutingTask::nodeCount() const
 {
     const auto members = static_cast<std::uint32_t>(fleet_.get()->members.size());
-    return members == 0 ? kAssumedNodes : members;
+    return members == 0 ? retryLimits_.nodes : members;
 }
 
 } // namespace boragerack::gateway
