Split the planner by job; remove an unused accessor

Ruled out: nothing; a move without a change of behaviour. Change: SwapPlannerPlacing.cpp chooses targets and victims; TargetEntry answers what it has at hand. Measured: SwapPlannerTest and RequestRouterTest pass.

--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -30,6 +30,9 @@
     std::vector<TargetLoad> loads() const { return book_.loads(); }
 
 private:
+    /// Requests in flight on one replica above which a further one is loaded.
+    static constexpr double kRequestsPerReplica = 10;
+
     using Actions = std::vector<swap::Action>;
 
     struct Target
--- a/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
@@ -41,6 +41,8 @@
     std::vector<core::ModelId> onDisk;
 
     bool holds(const Artifact &artifact) const;
+    bool hasInMemory(const core::ModelId &model) const;
+    bool hasOnDisk(const core::ModelId &model) const;
 
     friend auto operator<=>(const TargetEntry &, const TargetEntry &) = default;
 };
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -1,39 +1,18 @@
 #include "boragerack/decisions/serving/SwapPlanner.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace boragerack::decisions {
 
 namespace {
 
-/// Requests in flight on one replica above which a further one is loaded.
-constexpr double kRequestsPerReplica = 10;
-/// Time to unload a model without requests in flight.
-constexpr std::chrono::milliseconds kUnloadTime(150);
-constexpr std::chrono::milliseconds kIdleUnloadTime(60);
-/// Added to the time of a load from memory or disk, which is known exactly.
-constexpr std::chrono::milliseconds kLoadMargin(20);
-/// Cost of one request a second that loses its last needed replica, in milliseconds of load time.
-constexpr double kCostPerRate = 300;
-/// Cost of one request in flight, which delays an unload.
-constexpr double kCostPerRequest = 100;
-/// Cost of each request in flight on a target, since a load shares it with them.
-constexpr double kCostPerNeighbour = 10;
-/// Cost of the replica used last, falling with the time since.
-constexpr double kRecencyCost = 200;
-/// A model is not unloaded for this long after its load, so that the requests that waited for it
-/// reach it.
-constexpr std::chrono::milliseconds kKeepAfterLoad(1000);
 /// Loads from the weight store that run at once at full speed.
 constexpr std::uint32_t kStoreLoadsAtOnce = 4;
 /// Part of the store's rate that is used, and the most loads that may start together.
 constexpr double kStoreRatePart = 0.8;
 constexpr double kStoreBurst = 2;
-/// A victim that costs more than this many milliseconds is worth more than a single request.
-constexpr double kMaxVictimCost = 1500;
-/// An adapter of some ten MB is loaded within this time.
-constexpr std::chrono::milliseconds kAdapterLoadTime(20);
+/// A decision looks at all targets, so with many targets there are fewer decisions.
+constexpr std::chrono::microseconds kDecisionPausePerTarget(300);
 
 /// Requests wait for the model or run on it.
 bool isWanted(const core::ModelId &model, const std::map<Artifact, FleetDemand> &demands)
@@ -42,14 +21,6 @@
                                [&](const auto &item) { return item.first.model == model; });
 }
 
-/// A decision looks at all targets, so with many targets there are fewer decisions.
-constexpr std::chrono::microseconds kDecisionPausePerTarget(300);
-
-bool contains(const std::vector<core::ModelId> &models, const core::ModelId &model)
-{
-    return std::ranges::find(models, model) != models.end();
-}
-
 } // namespace
 
 SwapPlanner::SwapPlanner(std::shared_ptr<const TargetOrderBinding> chart)
@@ -201,173 +172,6 @@
     return needs;
 }
 
-void SwapPlanner::placeModel(const Need &need, core::TimePoint now, Actions &actions)
-{
-    std::optional<Option> best;
-    for (auto &[id, target] : targets_) {
-        const bool isReserved = target.reservedFor == need.model;
-        if (target.reservedFor && !isReserved)
-            continue;
-        auto option = makeOption(target, need, now);
-        if (!option)
-            continue;
-        if (isReserved) {
-            best = std::move(option);
-            break;
-        }
-        if (!best || option->cost < best->cost)
-            best = std::move(option);
-    }
-    if (best)
-        follow(*best, need, actions);
-}
-
-std::optional<SwapPlanner::Option> SwapPlanner::makeOption(Target &target, const Need &need,
-                                                           core::TimePoint now)
-{
-    const TargetEntry &entry = target.orders.entry();
-    if (entry.service != need.service || entry.isLeaving || !target.orders.isIdle(now)
-        || target.orders.holdings().contains(need.model))
-        return std::nullopt;
-    const EngineFigures *engine = figuresOf(need.service);
-    const ModelFigures *model = figuresOf(need.service, need.model);
-    if (!engine || !model)
-        return std::nullopt;
-
-    Option option;
-    option.target = &target;
-    if (contains(entry.inMemory, need.model)) {
-        option.loadTime = model->loadFromMemory;
-    } else if (contains(entry.onDisk, need.model)) {
-        option.loadTime = model->loadFromDisk;
-    } else {
-        if (isAtHandElsewhere(need.service, need.model) || !mayLoadFromStore(now))
-            return std::nullopt;
-        option.loadTime = model->loadFromStore;
-        option.isFromStore = true;
-    }
-    option.cost = static_cast<double>(option.loadTime.count())
-        + kCostPerNeighbour * book_.inFlight(entry.target);
-
-    const std::uint64_t used = usedMb(target);
-    const std::uint64_t free = engine->weightsMb > used ? engine->weightsMb - used : 0;
-    if (model->weightsMb > free && !addVictims(option, need, model->weightsMb - free, now))
-        return std::nullopt;
-    return option;
-}
-
-bool SwapPlanner::addVictims(Option &option, const Need &need, std::uint64_t missingMb,
-                             core::TimePoint now)
-{
-    const Target &target = *option.target;
-    std::vector<std::pair<double, core::ModelId>> candidates;
-    for (const auto &[model, holding] : target.orders.holdings()) {
-        if (now - holding.since >= kKeepAfterLoad || book_.lastUse(model) == core::TimePoint())
-            candidates.emplace_back(evictionCost(target, model, now), model);
-    }
-    std::ranges::sort(candidates);
-    std::uint64_t freed = 0;
-    for (const auto &[cost, model] : candidates) {
-        if (freed >= missingMb)
-            break;
-        if (cost > (need.isFurther ? kRecencyCost : kMaxVictimCost))
-            return false;
-        const ModelFigures *figures = figuresOf(need.service, model);
-        freed += figures ? figures->weightsMb : 0;
-        option.cost += cost + static_cast<double>(kUnloadTime.count());
-        option.victims.push_back(model);
-    }
-    return freed >= missingMb;
-}
-
-double SwapPlanner::evictionCost(const Target &target, const core::ModelId &model,
-                                 core::TimePoint now) const
-{
-    const double inFlight = book_.inFlight(target.orders.entry().target, model);
-    const std::uint32_t replicas = readyReplicas(model);
-    const double rate = book_.rate(model, now);
-    double total = 0;
-    for (const auto &[id, other] : targets_)
-        total += book_.inFlight(id, model);
-    const double needed = std::ceil(total / kRequestsPerReplica * 1.5);
-    const double idleSeconds = std::chrono::duration<double>(now - book_.lastUse(model)).count();
-    double cost = inFlight * kCostPerRequest + kRecencyCost / (1 + idleSeconds);
-    if (replicas <= std::max(1.0, needed))
-        cost += rate * kCostPerRate;
-    return cost;
-}
-
-void SwapPlanner::follow(const Option &option, const Need &need, Actions &actions)
-{
-    Target &target = *option.target;
-    if (!option.victims.empty()) {
-        target.reservedFor = need.model;
-        const core::ModelId &victim = option.victims.front();
-        // An unload waits for the requests that run; without any it takes effect at once.
-        const bool isIdle = book_.inFlight(target.orders.entry().target, victim) == 0;
-        actions.emplace_back(makeOrder(
-            target, swap::OrderKind::Unload, {victim, {}, {}},
-            {.duration = isIdle ? kIdleUnloadTime : kUnloadTime, .isDurationCertain = isIdle}));
-        return;
-    }
-    target.reservedFor.reset();
-    if (option.isFromStore)
-        storeTokens_ -= 1;
-    actions.emplace_back(makeOrder(target, swap::OrderKind::Load, {need.model, {}, {}},
-                                   {.duration = option.loadTime + kLoadMargin,
-                                    .isFromStore = option.isFromStore,
-                                    .isDurationCertain = !option.isFromStore}));
-}
-
-void SwapPlanner::placeAdapter(const Artifact &artifact, const core::ServiceId &service,
-                               core::TimePoint now, Actions &actions)
-{
-    const EngineFigures *engine = figuresOf(service);
-    if (!engine)
-        return;
-    Target *best = nullptr;
-    for (auto &[id, target] : targets_) {
-        if (target.orders.pending() && target.orders.pending()->order.artifact == artifact)
-            return;
-        if (!target.orders.serves(artifact.model) || target.orders.entry().isLeaving)
-            continue;
-        if (target.orders.servesAdapter(artifact))
-            return;
-        if (!target.orders.isIdle(now) || target.reservedFor)
-            continue;
-        if (!best || usedAdapterPlaces(target) < usedAdapterPlaces(*best))
-            best = &target;
-    }
-    if (!best)
-        return;
-    if (usedAdapterPlaces(*best) < engine->adapterPlaces) {
-        actions.emplace_back(makeOrder(*best, swap::OrderKind::Load, artifact,
-                                       {.duration = kAdapterLoadTime, .isDurationCertain = true}));
-        return;
-    }
-    // Any adapter that no request uses makes way.
-    const auto demands = book_.demands(now);
-    for (const auto &[model, holding] : best->orders.holdings()) {
-        for (const core::AdapterId &adapter : holding.adapters) {
-            const Artifact victim {model, {}, adapter};
-            if (demands.contains(victim))
-                continue;
-            actions.emplace_back(
-                makeOrder(*best, swap::OrderKind::Unload, victim,
-                          {.duration = kAdapterLoadTime, .isDurationCertain = true}));
-            return;
-        }
-    }
-}
-
-swap::SendOrder SwapPlanner::makeOrder(Target &target, swap::OrderKind kind,
-                                       const Artifact &artifact, PendingOrder pending)
-{
-    const TargetEntry &entry = target.orders.entry();
-    pending.order = {nextOrder_++, entry.target, entry.address, kind, artifact, 0};
-    return target.orders.begin(std::move(pending));
-}
-
 void SwapPlanner::publish()
 {
     bool isChanged = false;
@@ -454,7 +258,7 @@
     return std::ranges::any_of(targets_, [&](const auto &item) {
         const TargetEntry &entry = item.second.orders.entry();
         return entry.service == service && !entry.isLeaving
-            && (contains(entry.inMemory, model) || contains(entry.onDisk, model));
+            && (entry.hasInMemory(model) || entry.hasOnDisk(model));
     });
 }
 
--- /dev/null
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -0,0 +1,203 @@
+#include <algorithm>
+#include <cmath>
+
+#include "boragerack/decisions/serving/SwapPlanner.h"
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// Time to unload a model that requests run on, and one without requests.
+constexpr std::chrono::milliseconds kUnloadTime(150);
+constexpr std::chrono::milliseconds kIdleUnloadTime(60);
+/// Added to the time of a load from memory or disk, which is known exactly.
+constexpr std::chrono::milliseconds kLoadMargin(20);
+/// An adapter of some ten MB is loaded within this time.
+constexpr std::chrono::milliseconds kAdapterLoadTime(20);
+/// A model is not unloaded for this long after its load, so that the requests that waited for it
+/// reach it.
+constexpr std::chrono::milliseconds kKeepAfterLoad(1000);
+
+// Costs are in milliseconds of load time.
+
+/// One request a second that loses its last needed replica.
+constexpr double kCostPerRate = 300;
+/// One request in flight, which delays an unload.
+constexpr double kCostPerRequest = 100;
+/// Each request in flight on a target, since a load shares it with them.
+constexpr double kCostPerNeighbour = 10;
+/// The replica used last; falls with the time since.
+constexpr double kRecencyCost = 200;
+/// A victim that costs more is worth more than a single request.
+constexpr double kMaxVictimCost = 1500;
+
+} // namespace
+
+void SwapPlanner::placeModel(const Need &need, core::TimePoint now, Actions &actions)
+{
+    std::optional<Option> best;
+    for (auto &[id, target] : targets_) {
+        const bool isReserved = target.reservedFor == need.model;
+        if (target.reservedFor && !isReserved)
+            continue;
+        auto option = makeOption(target, need, now);
+        if (!option)
+            continue;
+        if (isReserved) {
+            best = std::move(option);
+            break;
+        }
+        if (!best || option->cost < best->cost)
+            best = std::move(option);
+    }
+    if (best)
+        follow(*best, need, actions);
+}
+
+std::optional<SwapPlanner::Option> SwapPlanner::makeOption(Target &target, const Need &need,
+                                                           core::TimePoint now)
+{
+    const TargetEntry &entry = target.orders.entry();
+    if (entry.service != need.service || entry.isLeaving || !target.orders.isIdle(now)
+        || target.orders.holdings().contains(need.model))
+        return std::nullopt;
+    const EngineFigures *engine = figuresOf(need.service);
+    const ModelFigures *model = figuresOf(need.service, need.model);
+    if (!engine || !model)
+        return std::nullopt;
+
+    Option option;
+    option.target = &target;
+    if (entry.hasInMemory(need.model)) {
+        option.loadTime = model->loadFromMemory;
+    } else if (entry.hasOnDisk(need.model)) {
+        option.loadTime = model->loadFromDisk;
+    } else {
+        if (isAtHandElsewhere(need.service, need.model) || !mayLoadFromStore(now))
+            return std::nullopt;
+        option.loadTime = model->loadFromStore;
+        option.isFromStore = true;
+    }
+    option.cost = static_cast<double>(option.loadTime.count())
+        + kCostPerNeighbour * book_.inFlight(entry.target);
+
+    const std::uint64_t used = usedMb(target);
+    const std::uint64_t free = engine->weightsMb > used ? engine->weightsMb - used : 0;
+    if (model->weightsMb > free && !addVictims(option, need, model->weightsMb - free, now))
+        return std::nullopt;
+    return option;
+}
+
+bool SwapPlanner::addVictims(Option &option, const Need &need, std::uint64_t missingMb,
+                             core::TimePoint now)
+{
+    const Target &target = *option.target;
+    std::vector<std::pair<double, core::ModelId>> candidates;
+    for (const auto &[model, holding] : target.orders.holdings()) {
+        if (now - holding.since >= kKeepAfterLoad || book_.lastUse(model) == core::TimePoint())
+            candidates.emplace_back(evictionCost(target, model, now), model);
+    }
+    std::ranges::sort(candidates);
+    std::uint64_t freed = 0;
+    for (const auto &[cost, model] : candidates) {
+        if (freed >= missingMb)
+            break;
+        if (cost > (need.isFurther ? kRecencyCost : kMaxVictimCost))
+            return false;
+        const ModelFigures *figures = figuresOf(need.service, model);
+        freed += figures ? figures->weightsMb : 0;
+        option.cost += cost + static_cast<double>(kUnloadTime.count());
+        option.victims.push_back(model);
+    }
+    return freed >= missingMb;
+}
+
+double SwapPlanner::evictionCost(const Target &target, const core::ModelId &model,
+                                 core::TimePoint now) const
+{
+    const double inFlight = book_.inFlight(target.orders.entry().target, model);
+    const std::uint32_t replicas = readyReplicas(model);
+    const double rate = book_.rate(model, now);
+    double total = 0;
+    for (const auto &[id, other] : targets_)
+        total += book_.inFlight(id, model);
+    const double needed = std::ceil(total / kRequestsPerReplica * 1.5);
+    const double idleSeconds = std::chrono::duration<double>(now - book_.lastUse(model)).count();
+    double cost = inFlight * kCostPerRequest + kRecencyCost / (1 + idleSeconds);
+    if (replicas <= std::max(1.0, needed))
+        cost += rate * kCostPerRate;
+    return cost;
+}
+
+void SwapPlanner::follow(const Option &option, const Need &need, Actions &actions)
+{
+    Target &target = *option.target;
+    if (!option.victims.empty()) {
+        target.reservedFor = need.model;
+        const core::ModelId &victim = option.victims.front();
+        // An unload waits for the requests that run; without any it takes effect at once.
+        const bool isIdle = book_.inFlight(target.orders.entry().target, victim) == 0;
+        actions.emplace_back(makeOrder(
+            target, swap::OrderKind::Unload, {victim, {}, {}},
+            {.duration = isIdle ? kIdleUnloadTime : kUnloadTime, .isDurationCertain = isIdle}));
+        return;
+    }
+    target.reservedFor.reset();
+    if (option.isFromStore)
+        storeTokens_ -= 1;
+    actions.emplace_back(makeOrder(target, swap::OrderKind::Load, {need.model, {}, {}},
+                                   {.duration = option.loadTime + kLoadMargin,
+                                    .isFromStore = option.isFromStore,
+                                    .isDurationCertain = !option.isFromStore}));
+}
+
+void SwapPlanner::placeAdapter(const Artifact &artifact, const core::ServiceId &service,
+                               core::TimePoint now, Actions &actions)
+{
+    const EngineFigures *engine = figuresOf(service);
+    if (!engine)
+        return;
+    Target *best = nullptr;
+    for (auto &[id, target] : targets_) {
+        if (target.orders.pending() && target.orders.pending()->order.artifact == artifact)
+            return;
+        if (!target.orders.serves(artifact.model) || target.orders.entry().isLeaving)
+            continue;
+        if (target.orders.servesAdapter(artifact))
+            return;
+        if (!target.orders.isIdle(now) || target.reservedFor)
+            continue;
+        if (!best || usedAdapterPlaces(target) < usedAdapterPlaces(*best))
+            best = &target;
+    }
+    if (!best)
+        return;
+    if (usedAdapterPlaces(*best) < engine->adapterPlaces) {
+        actions.emplace_back(makeOrder(*best, swap::OrderKind::Load, artifact,
+                                       {.duration = kAdapterLoadTime, .isDurationCertain = true}));
+        return;
+    }
+    // Any adapter that no request uses makes way.
+    const auto demands = book_.demands(now);
+    for (const auto &[model, holding] : best->orders.holdings()) {
+        for (const core::AdapterId &adapter : holding.adapters) {
+            const Artifact victim {model, {}, adapter};
+            if (demands.contains(victim))
+                continue;
+            actions.emplace_back(
+                makeOrder(*best, swap::OrderKind::Unload, victim,
+                          {.duration = kAdapterLoadTime, .isDurationCertain = true}));
+            return;
+        }
+    }
+}
+
+swap::SendOrder SwapPlanner::makeOrder(Target &target, swap::OrderKind kind,
+                                       const Artifact &artifact, PendingOrder pending)
+{
+    const TargetEntry &entry = target.orders.entry();
+    pending.order = {nextOrder_++, entry.target, entry.address, kind, artifact, 0};
+    return target.orders.begin(std::move(pending));
+}
+
+} // namespace boragerack::decisions
--- a/packages/decisions/src/serving/TargetEntry.cpp
+++ b/packages/decisions/src/serving/TargetEntry.cpp
@@ -13,4 +13,14 @@
         || std::ranges::find(replica->adapters, artifact.adapter) != replica->adapters.end();
 }
 
+bool TargetEntry::hasInMemory(const core::ModelId &model) const
+{
+    return std::ranges::find(inMemory, model) != inMemory.end();
+}
+
+bool TargetEntry::hasOnDisk(const core::ModelId &model) const
+{
+    return std::ranges::find(onDisk, model) != onDisk.end();
+}
+
 } // namespace boragerack::decisions
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -52,8 +52,6 @@
         return mailbox_.trySend(std::move(targets));
     }
 
-    TargetEntriesPointer entries() const { return published_; }
-
 private:
     void run();
     bool readOnce();
