Keep the sums of demand up to date with each report instead of adding them up for each question

A decision asked the demand book for requests in flight for each model and target, and each question went through all reports of all nodes; the number of ready replicas and the figures of a model were searched as often. Ruled out: the platform (other nodes read it at the same time); too many decisions (already one per 0.3 ms and target). Change: DemandBook keeps sums by artifact, model and target; a decision gathers ready replicas and free targets once; figures of models are looked up by name; the weight store is asked about once a need.

--- a/packages/decisions/include/boragerack/decisions/serving/DemandBook.h
+++ b/packages/decisions/include/boragerack/decisions/serving/DemandBook.h
@@ -35,6 +35,7 @@
     std::map<Artifact, FleetDemand> demands(core::TimePoint now) const;
     std::uint32_t inFlight(const core::TargetId &target, const core::ModelId &model) const;
     std::uint32_t inFlight(const core::TargetId &target) const;
+    std::uint32_t inFlight(const core::ModelId &model) const;
     std::vector<TargetLoad> loads() const;
     /// Requests a second for a model, adapters included, averaged over some seconds.
     double rate(const core::ModelId &model, core::TimePoint now) const;
@@ -44,11 +45,19 @@
 private:
     struct NodeReport
     {
+        /// Only those with waiting requests.
         std::vector<ArtifactDemand> demands;
         std::vector<ArtifactUse> uses;
         core::TimePoint at;
     };
 
+    /// Requests in flight for one model.
+    struct ModelLoad
+    {
+        std::uint32_t inFlight = 0;
+        std::map<core::TargetId, std::uint32_t> byTarget;
+    };
+
     struct Usage
     {
         double rate = 0;
@@ -56,7 +65,15 @@
         core::TimePoint lastUse = {};
     };
 
+    void count(const std::vector<ArtifactUse> &uses);
+    void discount(const std::vector<ArtifactUse> &uses);
+
     std::map<core::InstanceId, NodeReport> nodes_;
+    /// Sums over the nodes, kept up to date with each report, because a decision asks for them once
+    /// for each model and target.
+    std::map<Artifact, std::uint32_t> artifactLoads_;
+    std::map<core::ModelId, ModelLoad> modelLoads_;
+    std::map<core::TargetId, std::uint32_t> targetLoads_;
     std::map<core::ModelId, Usage> usage_;
 };
 
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -44,6 +44,29 @@
         std::uint64_t publishedVersion = 0;
     };
 
+    /// Figures of a service's engines, with those of its models by name.
+    struct Engine
+    {
+        EngineFigures figures;
+        std::map<core::ModelId, ModelFigures> models;
+    };
+
+    /// What the targets hold, gathered once for each decision.
+    struct Survey
+    {
+        struct Model
+        {
+            core::ServiceId service;
+            /// Targets that serve it and do not leave.
+            std::uint32_t ready = 0;
+            /// Some target loads it or makes room for it.
+            bool isBeingPlaced = false;
+        };
+        std::map<core::ModelId, Model> models;
+        /// Targets that can take an order now.
+        std::vector<Target *> free;
+    };
+
     /// A model that should become ready on one more target.
     struct Need
     {
@@ -75,24 +98,26 @@
     void on(const swap::Tick &event, core::TimePoint now);
 
     void decide(core::TimePoint now, Actions &actions);
-    std::vector<Need> modelNeeds(const std::map<Artifact, FleetDemand> &demands) const;
-    void placeModel(const Need &need, core::TimePoint now, Actions &actions);
+    Survey survey(core::TimePoint now);
+    std::vector<Need> modelNeeds(const std::map<Artifact, FleetDemand> &demands,
+                                 const Survey &survey) const;
+    void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
     void placeAdapter(const Artifact &artifact, const core::ServiceId &service, core::TimePoint now,
                       Actions &actions);
-    std::optional<Option> makeOption(Target &target, const Need &need, core::TimePoint now);
-    bool addVictims(Option &option, const Need &need, std::uint64_t missingMb, core::TimePoint now);
-    double evictionCost(const Target &target, const core::ModelId &model,
+    std::optional<Option> makeOption(Target &target, const Need &need, bool mayUseStore,
+                                     const Survey &survey, core::TimePoint now);
+    bool addVictims(Option &option, const Need &need, std::uint64_t missingMb, const Survey &survey,
+                    core::TimePoint now);
+    double evictionCost(const Target &target, const core::ModelId &model, const Survey &survey,
                         core::TimePoint now) const;
-    void follow(const Option &option, const Need &need, Actions &actions);
+    void follow(const Option &option, const Need &need, Survey &survey, Actions &actions);
     void publish();
 
-    const EngineFigures *figuresOf(const core::ServiceId &service) const;
+    const Engine *engineOf(const core::ServiceId &service) const;
     const ModelFigures *figuresOf(const core::ServiceId &service, const core::ModelId &model) const;
     std::uint64_t usedMb(const Target &target) const;
     std::uint32_t usedAdapterPlaces(const Target &target) const;
-    std::uint32_t readyReplicas(const core::ModelId &model) const;
-    bool isBeingPlaced(const core::ModelId &model) const;
-    bool isAtHandElsewhere(const core::ServiceId &service, const core::ModelId &model) const;
+    bool isAtHand(const core::ServiceId &service, const core::ModelId &model) const;
     bool mayLoadFromStore(core::TimePoint now);
     std::uint32_t storeLoads() const;
     /// Begins an order at the target; `pending` says how long it takes.
@@ -100,7 +125,7 @@
                               PendingOrder pending);
 
     std::shared_ptr<const TargetOrderBinding> chart_;
-    std::map<core::ServiceId, EngineFigures> figures_;
+    std::map<core::ServiceId, Engine> engines_;
     std::map<core::TargetId, Target> targets_;
     DemandBook book_;
     bool mayOrder_ = false;
--- a/packages/decisions/src/serving/DemandBook.cpp
+++ b/packages/decisions/src/serving/DemandBook.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace boragerack::decisions {
 
@@ -28,21 +29,62 @@
     }
     for (const ArtifactUse &use : uses)
         usage_[use.artifact.model].lastUse = now;
-    nodes_[node] = {demands, uses, now};
+    NodeReport &report = nodes_[node];
+    discount(report.uses);
+    report = {{}, uses, now};
+    std::ranges::copy_if(demands, std::back_inserter(report.demands),
+                         [](const ArtifactDemand &demand) { return demand.waiting > 0; });
+    count(uses);
 }
 
 void DemandBook::removeNode(const core::InstanceId &node)
 {
-    nodes_.erase(node);
+    const auto position = nodes_.find(node);
+    if (position == nodes_.end())
+        return;
+    discount(position->second.uses);
+    nodes_.erase(position);
+}
+
+void DemandBook::count(const std::vector<ArtifactUse> &uses)
+{
+    for (const ArtifactUse &use : uses) {
+        if (use.inFlight == 0)
+            continue;
+        artifactLoads_[use.artifact] += use.inFlight;
+        targetLoads_[use.target] += use.inFlight;
+        ModelLoad &load = modelLoads_[use.artifact.model];
+        load.inFlight += use.inFlight;
+        load.byTarget[use.target] += use.inFlight;
+    }
+}
+
+void DemandBook::discount(const std::vector<ArtifactUse> &uses)
+{
+    const auto take = [](auto &loads, const auto &key, std::uint32_t amount) {
+        const auto position = loads.find(key);
+        if ((position->second -= amount) == 0)
+            loads.erase(position);
+    };
+    for (const ArtifactUse &use : uses) {
+        if (use.inFlight == 0)
+            continue;
+        take(artifactLoads_, use.artifact, use.inFlight);
+        take(targetLoads_, use.target, use.inFlight);
+        const auto load = modelLoads_.find(use.artifact.model);
+        take(load->second.byTarget, use.target, use.inFlight);
+        if ((load->second.inFlight -= use.inFlight) == 0)
+            modelLoads_.erase(load);
+    }
 }
 
 std::map<Artifact, FleetDemand> DemandBook::demands(core::TimePoint now) const
 {
     std::map<Artifact, FleetDemand> result;
+    for (const auto &[artifact, count] : artifactLoads_)
+        result.emplace_hint(result.end(), artifact, FleetDemand {{}, 0, count, {}, {}});
     for (const auto &[node, report] : nodes_) {
         for (const ArtifactDemand &demand : report.demands) {
-            if (demand.waiting == 0)
-                continue;
             FleetDemand &total = result[demand.artifact];
             const auto wait =
                 demand.oldestWait + std::chrono::floor<std::chrono::milliseconds>(now - report.at);
@@ -53,43 +95,36 @@
             total.service = demand.service;
             total.waiting += demand.waiting;
         }
-        for (const ArtifactUse &use : report.uses)
-            result[use.artifact].inFlight += use.inFlight;
     }
     return result;
 }
 
 std::uint32_t DemandBook::inFlight(const core::TargetId &target, const core::ModelId &model) const
 {
-    std::uint32_t count = 0;
-    for (const auto &[node, report] : nodes_) {
-        for (const ArtifactUse &use : report.uses) {
-            if (use.target == target && use.artifact.model == model)
-                count += use.inFlight;
-        }
-    }
-    return count;
+    const auto load = modelLoads_.find(model);
+    if (load == modelLoads_.end())
+        return 0;
+    const auto position = load->second.byTarget.find(target);
+    return position == load->second.byTarget.end() ? 0 : position->second;
 }
 
 std::uint32_t DemandBook::inFlight(const core::TargetId &target) const
 {
-    std::uint32_t count = 0;
-    for (const auto &[node, report] : nodes_) {
-        for (const ArtifactUse &use : report.uses)
-            count += use.target == target ? use.inFlight : 0;
-    }
-    return count;
+    const auto position = targetLoads_.find(target);
+    return position == targetLoads_.end() ? 0 : position->second;
+}
+
+std::uint32_t DemandBook::inFlight(const core::ModelId &model) const
+{
+    const auto position = modelLoads_.find(model);
+    return position == modelLoads_.end() ? 0 : position->second.inFlight;
 }
 
 std::vector<TargetLoad> DemandBook::loads() const
 {
-    std::map<core::TargetId, std::uint32_t> counts;
-    for (const auto &[node, report] : nodes_) {
-        for (const ArtifactUse &use : report.uses)
-            counts[use.target] += use.inFlight;
-    }
     std::vector<TargetLoad> loads;
-    for (const auto &[target, count] : counts)
+    loads.reserve(targetLoads_.size());
+    for (const auto &[target, count] : targetLoads_)
         loads.push_back({target, count});
     return loads;
 }
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -52,7 +52,7 @@
 {
     std::erase_if(targets_, [&](const auto &item) { return !event.entries->contains(item.first); });
     for (const auto &[id, entry] : *event.entries) {
-        if (!figures_.contains(entry.service))
+        if (!engines_.contains(entry.service))
             continue;
         const auto position = targets_.find(id);
         if (position != targets_.end() && position->second.orders.updateEntry(entry, now))
@@ -63,10 +63,14 @@
 
 void SwapPlanner::on(const swap::ServicesChanged &event, core::TimePoint)
 {
-    figures_.clear();
+    engines_.clear();
     for (const ServingService &service : event.services) {
-        if (service.engine)
-            figures_[service.service] = *service.engine;
+        if (!service.engine)
+            continue;
+        Engine &engine = engines_[service.service];
+        engine.figures = *service.engine;
+        for (const ModelFigures &model : service.engine->models)
+            engine.models.emplace(model.model, model);
     }
 }
 
@@ -116,7 +120,8 @@
         if (artifact.isAdapter() && demand.waiting > 0)
             placeAdapter(artifact, demand.service, now, actions);
     }
-    std::vector<Need> needs = modelNeeds(demands);
+    Survey found = survey(now);
+    std::vector<Need> needs = modelNeeds(demands, found);
     // Requests that can still be answered in time go first, those with the least time left at the
     // head; replicas that only add capacity go last.
     std::ranges::sort(needs, {}, [](const Need &need) {
@@ -124,11 +129,34 @@
         return std::tuple(need.isFurther, isLate, -static_cast<int>(need.waiting), need.timeToAim);
     });
     for (const Need &need : needs)
-        placeModel(need, now, actions);
+        placeModel(need, found, now, actions);
+}
+
+SwapPlanner::Survey SwapPlanner::survey(core::TimePoint now)
+{
+    Survey result;
+    for (auto &[id, target] : targets_) {
+        const TargetEntry &entry = target.orders.entry();
+        if (target.reservedFor)
+            result.models[*target.reservedFor].isBeingPlaced = true;
+        if (const auto &pending = target.orders.pending();
+            pending && target.orders.isLoading(pending->order.artifact.model))
+            result.models[pending->order.artifact.model].isBeingPlaced = true;
+        for (const auto &[model, holding] : target.orders.holdings()) {
+            if (entry.isLeaving || !target.orders.serves(model))
+                continue;
+            Survey::Model &seen = result.models[model];
+            seen.service = entry.service;
+            ++seen.ready;
+        }
+        if (!entry.isLeaving && target.orders.isIdle(now))
+            result.free.push_back(&target);
+    }
+    return result;
 }
 
 std::vector<SwapPlanner::Need>
-SwapPlanner::modelNeeds(const std::map<Artifact, FleetDemand> &demands) const
+SwapPlanner::modelNeeds(const std::map<Artifact, FleetDemand> &demands, const Survey &survey) const
 {
     std::map<core::ModelId, FleetDemand> totals;
     for (const auto &[artifact, demand] : demands) {
@@ -146,20 +174,17 @@
     }
     std::vector<Need> needs;
     for (const auto &[model, demand] : totals) {
-        if (isBeingPlaced(model))
+        const auto position = survey.models.find(model);
+        const Survey::Model seen =
+            position == survey.models.end() ? Survey::Model() : position->second;
+        if (seen.isBeingPlaced)
             continue;
-        const std::uint32_t ready = readyReplicas(model);
-        if (ready == 0 && demand.waiting > 0) {
+        if (seen.ready == 0 && demand.waiting > 0) {
             needs.push_back(
                 {demand.service, model, demand.waiting, demand.aim - demand.oldestWait, false});
-        } else if (ready > 0 && demand.inFlight > kRequestsPerReplica * ready) {
-            for (const auto &[id, target] : targets_) {
-                if (target.orders.serves(model)) {
-                    needs.push_back({target.orders.entry().service, model, demand.inFlight,
-                                     std::chrono::milliseconds(0), true});
-                    break;
-                }
-            }
+        } else if (seen.ready > 0 && demand.inFlight > kRequestsPerReplica * seen.ready) {
+            needs.push_back(
+                {seen.service, model, demand.inFlight, std::chrono::milliseconds(0), true});
         }
     }
     // A target that has made room is kept going even though its model counts as being placed.
@@ -198,20 +223,20 @@
     return placements;
 }
 
-const EngineFigures *SwapPlanner::figuresOf(const core::ServiceId &service) const
+const SwapPlanner::Engine *SwapPlanner::engineOf(const core::ServiceId &service) const
 {
-    const auto position = figures_.find(service);
-    return position == figures_.end() ? nullptr : &position->second;
+    const auto position = engines_.find(service);
+    return position == engines_.end() ? nullptr : &position->second;
 }
 
 const ModelFigures *SwapPlanner::figuresOf(const core::ServiceId &service,
                                            const core::ModelId &model) const
 {
-    const EngineFigures *engine = figuresOf(service);
+    const Engine *engine = engineOf(service);
     if (!engine)
         return nullptr;
-    const auto position = std::ranges::find(engine->models, model, &ModelFigures::model);
-    return position == engine->models.end() ? nullptr : &*position;
+    const auto position = engine->models.find(model);
+    return position == engine->models.end() ? nullptr : &position->second;
 }
 
 std::uint64_t SwapPlanner::usedMb(const Target &target) const
@@ -238,22 +263,7 @@
     return static_cast<std::uint32_t>(used);
 }
 
-std::uint32_t SwapPlanner::readyReplicas(const core::ModelId &model) const
-{
-    return static_cast<std::uint32_t>(std::ranges::count_if(targets_, [&](const auto &item) {
-        return item.second.orders.serves(model) && !item.second.orders.entry().isLeaving;
-    }));
-}
-
-bool SwapPlanner::isBeingPlaced(const core::ModelId &model) const
-{
-    return std::ranges::any_of(targets_, [&](const auto &item) {
-        return item.second.reservedFor == model || item.second.orders.isLoading(model);
-    });
-}
-
-bool SwapPlanner::isAtHandElsewhere(const core::ServiceId &service,
-                                    const core::ModelId &model) const
+bool SwapPlanner::isAtHand(const core::ServiceId &service, const core::ModelId &model) const
 {
     return std::ranges::any_of(targets_, [&](const auto &item) {
         const TargetEntry &entry = item.second.orders.entry();
@@ -273,8 +283,8 @@
 bool SwapPlanner::mayLoadFromStore(core::TimePoint now)
 {
     double rate = 0;
-    for (const auto &[service, engine] : figures_)
-        rate = std::max(rate, engine.storeLoadsPerSecond);
+    for (const auto &[service, engine] : engines_)
+        rate = std::max(rate, engine.figures.storeLoadsPerSecond);
     // A new coordinator does not know the loads of its predecessor, so it begins without any.
     if (storeTokensAt_ != core::TimePoint()) {
         const double seconds = std::chrono::duration<double>(now - storeTokensAt_).count();
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -33,14 +33,16 @@
 
 } // namespace
 
-void SwapPlanner::placeModel(const Need &need, core::TimePoint now, Actions &actions)
+void SwapPlanner::placeModel(const Need &need, Survey &survey, core::TimePoint now,
+                             Actions &actions)
 {
+    const bool mayUseStore = !isAtHand(need.service, need.model) && mayLoadFromStore(now);
     std::optional<Option> best;
-    for (auto &[id, target] : targets_) {
-        const bool isReserved = target.reservedFor == need.model;
-        if (target.reservedFor && !isReserved)
+    for (Target *target : survey.free) {
+        const bool isReserved = target->reservedFor == need.model;
+        if (target->reservedFor && !isReserved)
             continue;
-        auto option = makeOption(target, need, now);
+        auto option = makeOption(*target, need, mayUseStore, survey, now);
         if (!option)
             continue;
         if (isReserved) {
@@ -51,17 +53,17 @@
             best = std::move(option);
     }
     if (best)
-        follow(*best, need, actions);
+        follow(*best, need, survey, actions);
 }
 
 std::optional<SwapPlanner::Option> SwapPlanner::makeOption(Target &target, const Need &need,
+                                                           bool mayUseStore, const Survey &survey,
                                                            core::TimePoint now)
 {
     const TargetEntry &entry = target.orders.entry();
-    if (entry.service != need.service || entry.isLeaving || !target.orders.isIdle(now)
-        || target.orders.holdings().contains(need.model))
+    if (entry.service != need.service || target.orders.holdings().contains(need.model))
         return std::nullopt;
-    const EngineFigures *engine = figuresOf(need.service);
+    const Engine *engine = engineOf(need.service);
     const ModelFigures *model = figuresOf(need.service, need.model);
     if (!engine || !model)
         return std::nullopt;
@@ -73,7 +75,7 @@
     } else if (entry.hasOnDisk(need.model)) {
         option.loadTime = model->loadFromDisk;
     } else {
-        if (isAtHandElsewhere(need.service, need.model) || !mayLoadFromStore(now))
+        if (!mayUseStore)
             return std::nullopt;
         option.loadTime = model->loadFromStore;
         option.isFromStore = true;
@@ -82,20 +84,21 @@
         + kCostPerNeighbour * book_.inFlight(entry.target);
 
     const std::uint64_t used = usedMb(target);
-    const std::uint64_t free = engine->weightsMb > used ? engine->weightsMb - used : 0;
-    if (model->weightsMb > free && !addVictims(option, need, model->weightsMb - free, now))
+    const std::uint64_t free =
+        engine->figures.weightsMb > used ? engine->figures.weightsMb - used : 0;
+    if (model->weightsMb > free && !addVictims(option, need, model->weightsMb - free, survey, now))
         return std::nullopt;
     return option;
 }
 
 bool SwapPlanner::addVictims(Option &option, const Need &need, std::uint64_t missingMb,
-                             core::TimePoint now)
+                             const Survey &survey, core::TimePoint now)
 {
     const Target &target = *option.target;
     std::vector<std::pair<double, core::ModelId>> candidates;
     for (const auto &[model, holding] : target.orders.holdings()) {
         if (now - holding.since >= kKeepAfterLoad || book_.lastUse(model) == core::TimePoint())
-            candidates.emplace_back(evictionCost(target, model, now), model);
+            candidates.emplace_back(evictionCost(target, model, survey, now), model);
     }
     std::ranges::sort(candidates);
     std::uint64_t freed = 0;
@@ -113,15 +116,13 @@
 }
 
 double SwapPlanner::evictionCost(const Target &target, const core::ModelId &model,
-                                 core::TimePoint now) const
+                                 const Survey &survey, core::TimePoint now) const
 {
     const double inFlight = book_.inFlight(target.orders.entry().target, model);
-    const std::uint32_t replicas = readyReplicas(model);
+    const auto seen = survey.models.find(model);
+    const std::uint32_t replicas = seen == survey.models.end() ? 0 : seen->second.ready;
     const double rate = book_.rate(model, now);
-    double total = 0;
-    for (const auto &[id, other] : targets_)
-        total += book_.inFlight(id, model);
-    const double needed = std::ceil(total / kRequestsPerReplica * 1.5);
+    const double needed = std::ceil(book_.inFlight(model) / kRequestsPerReplica * 1.5);
     const double idleSeconds = std::chrono::duration<double>(now - book_.lastUse(model)).count();
     double cost = inFlight * kCostPerRequest + kRecencyCost / (1 + idleSeconds);
     if (replicas <= std::max(1.0, needed))
@@ -129,12 +130,16 @@
     return cost;
 }
 
-void SwapPlanner::follow(const Option &option, const Need &need, Actions &actions)
+void SwapPlanner::follow(const Option &option, const Need &need, Survey &survey, Actions &actions)
 {
     Target &target = *option.target;
+    std::erase(survey.free, &target);
     if (!option.victims.empty()) {
         target.reservedFor = need.model;
         const core::ModelId &victim = option.victims.front();
+        if (const auto seen = survey.models.find(victim);
+            seen != survey.models.end() && seen->second.ready > 0)
+            --seen->second.ready;
         // An unload waits for the requests that run; without any it takes effect at once.
         const bool isIdle = book_.inFlight(target.orders.entry().target, victim) == 0;
         actions.emplace_back(makeOrder(
@@ -154,7 +159,7 @@
 void SwapPlanner::placeAdapter(const Artifact &artifact, const core::ServiceId &service,
                                core::TimePoint now, Actions &actions)
 {
-    const EngineFigures *engine = figuresOf(service);
+    const Engine *engine = engineOf(service);
     if (!engine)
         return;
     Target *best = nullptr;
@@ -172,7 +177,7 @@
     }
     if (!best)
         return;
-    if (usedAdapterPlaces(*best) < engine->adapterPlaces) {
+    if (usedAdapterPlaces(*best) < engine->figures.adapterPlaces) {
         actions.emplace_back(makeOrder(*best, swap::OrderKind::Load, artifact,
                                        {.duration = kAdapterLoadTime, .isDurationCertain = true}));
         return;
