Bound retries in a sliding window, also over restarts

With 76 nodes the part was also raised to one retry each, and what a node had earned long ago could be spent in one window. Ruled out: requests of open routes that count since the commit on the fair queue; they count for the rule too. Change: RetryAllowance counts requests and retries of the window itself; a process in its first window takes three tenths of its part of the slack, an older one a half; the number of nodes never falls; the window comes from the deployment's bounds (retryWindowMs).

--- a/packages/config/include/boragerack/config/GatewaySettings.h
+++ b/packages/config/include/boragerack/config/GatewaySettings.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds addressLifetime = std::chrono::seconds(1);
     double retryRatio = 0.2;
     std::int64_t retrySlack = 50;
+    /// Time over which the retries of the fleet are bounded.
+    std::chrono::milliseconds retryWindow = std::chrono::seconds(10);
     /// Tokens that an organisation may use beyond its limit before the limit counts as broken.
     std::int64_t quotaTolerance = 100000;
     /// Requests that this node passes on or holds for a target at a time; each needs two
--- a/packages/config/src/GatewaySettings.cpp
+++ b/packages/config/src/GatewaySettings.cpp
@@ -27,6 +27,7 @@
     settings.addressLifetime = readMs(reader, "addressLifetimeMs", defaults.addressLifetime);
     settings.retryRatio = reader.readNumber("retryRatio", defaults.retryRatio);
     settings.retrySlack = reader.readInteger("retrySlack", 0, kMaxCount, defaults.retrySlack);
+    settings.retryWindow = readMs(reader, "retryWindowMs", defaults.retryWindow);
     settings.quotaTolerance =
         reader.readInteger("quotaTolerance", 0, kMaxCount, defaults.quotaTolerance);
     settings.maxActiveRequests =
--- a/packages/decisions/include/boragerack/decisions/serving/RetryAllowance.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RetryAllowance.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <deque>
 
 #include "boragerack/core/Clock.h"
 
@@ -12,30 +14,41 @@
     double ratio = 0.2;
     /// Retries of the fleet in a window beyond that.
     double slack = 10;
-    /// Nodes that share the slack.
-    std::uint32_t nodes = 1;
+    std::chrono::milliseconds window = std::chrono::seconds(10);
 
     friend bool operator==(const RetryLimits &, const RetryLimits &) = default;
 };
 
 /// This node's part of the retries that the fleet may send to one service. Each node keeps to its
-/// own part, so the sum keeps to the limit without messages between nodes.
+/// own part in every window, so the sum keeps to the limit without messages between nodes.
 class RetryAllowance
 {
 public:
-    explicit RetryAllowance(const RetryLimits &limits);
+    RetryAllowance(const RetryLimits &limits, core::TimePoint startedAt);
 
-    void setLimits(const RetryLimits &limits);
-    void countRequest();
+    /// Nodes that share the slack. Nodes that the coordinator has lost still send retries, so the
+    /// number does not fall again.
+    void setNodes(std::uint32_t nodes);
+    void countRequest(core::TimePoint now);
     /// Takes one retry; false if none is left.
-    bool take();
-    bool isEmpty() const { return level_ < 1; }
+    bool take(core::TimePoint now);
 
 private:
-    double cap() const;
+    /// What happened in a part of the window.
+    struct Slice
+    {
+        core::TimePoint start;
+        std::uint32_t requests = 0;
+        std::uint32_t retries = 0;
+    };
+
+    Slice &sliceAt(core::TimePoint now);
 
     RetryLimits limits_;
-    double level_;
+    core::TimePoint startedAt_;
+    /// Zero until the coordinator has told it.
+    std::uint32_t nodes_ = 0;
+    std::deque<Slice> slices_;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/src/serving/RetryAllowance.cpp
+++ b/packages/decisions/src/serving/RetryAllowance.cpp
@@ -6,41 +6,61 @@
 
 namespace {
 
-/// Part of the limit that is used. The rest covers requests of a window that count in the next one
-/// and nodes that this node does not know of.
+/// Part of the ratio that is used. The rest covers retries that a target counts later than the node
+/// sent them.
 constexpr double kUsedPart = 0.8;
+/// Parts of the slack that a node shares. A process does not know which retries its predecessor on
+/// the instance sent, so in its first window it takes the smaller part, and both together keep to
+/// the limit even if all nodes restart.
+constexpr double kSlackPart = 0.5;
+constexpr double kYoungSlackPart = 0.3;
+/// Requests are forgotten in steps of this part of the window.
+constexpr int kSlices = 20;
 
 } // namespace
 
-RetryAllowance::RetryAllowance(const RetryLimits &limits)
+RetryAllowance::RetryAllowance(const RetryLimits &limits, core::TimePoint startedAt)
     : limits_(limits)
-    , level_(cap())
+    , startedAt_(startedAt)
 {
 }
 
-void RetryAllowance::setLimits(const RetryLimits &limits)
+void RetryAllowance::setNodes(std::uint32_t nodes)
 {
-    limits_ = limits;
-    level_ = std::min(level_, cap());
+    nodes_ = std::max(nodes_, nodes);
 }
 
-void RetryAllowance::countRequest()
+void RetryAllowance::countRequest(core::TimePoint now)
 {
-    level_ = std::min(level_ + limits_.ratio * kUsedPart, cap());
+    ++sliceAt(now).requests;
 }
 
-bool RetryAllowance::take()
+bool RetryAllowance::take(core::TimePoint now)
 {
-    if (isEmpty())
+    Slice &current = sliceAt(now);
+    double allowed = 0;
+    double sent = 0;
+    for (const Slice &slice : slices_) {
+        allowed += limits_.ratio * kUsedPart * slice.requests;
+        sent += slice.retries;
+    }
+    const bool isYoung = now - startedAt_ < limits_.window;
+    if (nodes_ > 0)
+        allowed += limits_.slack * (isYoung ? kYoungSlackPart : kSlackPart) / nodes_;
+    if (sent + 1 > allowed)
         return false;
-    level_ -= 1;
+    ++current.retries;
     return true;
 }
 
-double RetryAllowance::cap() const
+RetryAllowance::Slice &RetryAllowance::sliceAt(core::TimePoint now)
 {
-    // Below one retry a node could never send any.
-    return std::max(1.0, limits_.slack * kUsedPart / std::max(1U, limits_.nodes));
+    const core::Duration length = core::Duration(limits_.window) / kSlices;
+    while (!slices_.empty() && now - slices_.front().start >= limits_.window)
+        slices_.pop_front();
+    if (slices_.empty() || now - slices_.back().start >= length)
+        slices_.push_back({now, 0, 0});
+    return slices_.back();
 }
 
 } // namespace boragerack::decisions
--- a/packages/decisions/tests/serving/RequestRouterTest.cpp
+++ b/packages/decisions/tests/serving/RequestRouterTest.cpp
@@ -3,7 +3,6 @@
 #include "boragerack/core/SeededRandomSource.h"
 #include "boragerack/decisions/serving/AddressChoice.h"
 #include "boragerack/decisions/serving/RequestRouter.h"
-#include "boragerack/decisions/serving/RetryAllowance.h"
 #include "boragerack/decisions/serving/RouteTable.h"
 
 namespace boragerack::decisions::testing {
@@ -142,21 +141,6 @@
     BOOST_TEST(hasMoved);
 }
 
-// Guards against more retries than this node's part of the fleet's limit.
-BOOST_AUTO_TEST_CASE(retriesAreBounded)
-{
-    RetryAllowance allowance({0.2, 50, 5});
-    int taken = 0;
-    while (allowance.take())
-        ++taken;
-    BOOST_TEST(taken <= 10);
-    for (int i = 0; i < 100; ++i)
-        allowance.countRequest();
-    while (allowance.take())
-        ++taken;
-    BOOST_TEST(taken <= 10 + 20);
-}
-
 // Guards against a shorter prefix that hides a longer one, and against keys in clear.
 BOOST_AUTO_TEST_CASE(longestPrefixWins)
 {
--- /dev/null
+++ b/packages/decisions/tests/serving/RetryAllowanceTest.cpp
@@ -0,0 +1,98 @@
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+#include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/decisions/serving/RetryAllowance.h"
+
+namespace boragerack::decisions::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const RetryLimits kLimits {0.2, 54, 10s};
+
+int takeAll(RetryAllowance &allowance, core::TimePoint now)
+{
+    int taken = 0;
+    while (allowance.take(now))
+        ++taken;
+    return taken;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RetryAllowanceTest)
+
+// Guards against more retries than this node's part of the fleet's limit, and against a node that
+// gets none.
+BOOST_AUTO_TEST_CASE(retriesOfANodeAreBounded)
+{
+    core::TimePoint now = core::TimePoint() + 1h;
+    RetryAllowance allowance(kLimits, now);
+    BOOST_TEST(takeAll(allowance, now) == 0);
+    allowance.setNodes(6);
+    now += 10s;
+    const int slack = takeAll(allowance, now);
+    BOOST_TEST(slack >= 3);
+    BOOST_TEST(slack <= 54 / 6);
+    for (int i = 0; i < 100; ++i)
+        allowance.countRequest(now);
+    const int earned = takeAll(allowance, now);
+    BOOST_TEST(earned >= 14);
+    BOOST_TEST(earned <= 20);
+    now += 5s;
+    BOOST_TEST(takeAll(allowance, now) == 0);
+    now += 6s;
+    BOOST_TEST(takeAll(allowance, now) == slack);
+}
+
+// Guards against retries that were earned long ago and are all sent in one window.
+BOOST_AUTO_TEST_CASE(oldRequestsEarnNothing)
+{
+    core::TimePoint now = core::TimePoint() + 1h;
+    RetryAllowance allowance(kLimits, now);
+    allowance.setNodes(76);
+    for (int i = 0; i < 100; ++i)
+        allowance.countRequest(now);
+    BOOST_TEST(takeAll(allowance, now + 11s) == 0);
+}
+
+// Guards against a fleet that exceeds its limit because most nodes restart at once, each with a
+// fresh part of the slack (crsa-yard-grown trouble-3, BUDGET).
+BOOST_AUTO_TEST_CASE(restartedNodesKeepToTheLimit)
+{
+    for (const int nodes : {3, 7, 76, 360}) {
+        core::TimePoint now = core::TimePoint() + 1h;
+        core::SeededRandomSource random(static_cast<std::uint64_t>(nodes));
+        std::vector<RetryAllowance> fleet(static_cast<std::size_t>(nodes),
+                                          RetryAllowance(kLimits, now));
+        for (RetryAllowance &node : fleet)
+            node.setNodes(static_cast<std::uint32_t>(nodes));
+        now += 20s;
+        int requests = 0;
+        int retries = 0;
+        for (int step = 0; step < 90; ++step, now += 100ms) {
+            // All nodes restart in the middle of the window.
+            if (step == 45) {
+                fleet.assign(static_cast<std::size_t>(nodes), RetryAllowance(kLimits, now));
+                for (RetryAllowance &node : fleet)
+                    node.setNodes(static_cast<std::uint32_t>(nodes));
+            }
+            for (RetryAllowance &node : fleet) {
+                if (random.next() % 4 == 0) {
+                    node.countRequest(now);
+                    ++requests;
+                }
+                retries += takeAll(node, now);
+            }
+        }
+        BOOST_TEST(retries <= 0.2 * requests + 54);
+        BOOST_TEST(retries >= 0.1 * requests);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::decisions::testing
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -41,8 +41,6 @@
 constexpr std::chrono::milliseconds kStopMargin(700);
 /// Part of the store's revision that makes room for a random part of the incarnation.
 constexpr unsigned kIncarnationBits = 16;
-/// Number of nodes among which limits are divided before the coordinator has told.
-constexpr std::uint32_t kAssumedNodes = 8;
 
 std::string textOf(const config::SocketAddress &address)
 {
@@ -71,7 +69,7 @@
 
 RoutingTask::Limits routingLimitsOf(const config::GatewaySettings &settings)
 {
-    return {{settings.retryRatio, static_cast<double>(settings.retrySlack), kAssumedNodes},
+    return {{settings.retryRatio, static_cast<double>(settings.retrySlack), settings.retryWindow},
             static_cast<std::size_t>(settings.maxActiveRequests),
             {static_cast<std::size_t>(settings.maxWaitingPerOrganisation),
              static_cast<std::size_t>(settings.maxWaitingRequests)}};
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kReportInterval(100);
 /// Placements of a coordinator that has been silent for this long are not trusted any more.
 constexpr std::chrono::milliseconds kCoordinatorLost(1000);
+/// Number of nodes among which limits of organisations are divided before a coordinator has told.
+constexpr std::uint32_t kAssumedNodes = 8;
 /// Without a coordinator, a request that waits for tokens is refused after this time.
 constexpr std::chrono::milliseconds kTokenWait(250);
 
@@ -32,6 +34,7 @@
     : self_(self)
     , retryLimits_(limits.retries)
     , clock_(clock)
+    , startedAt_(clock.now())
     , metrics_(metrics)
     , router_(random)
     , fairQueue_(std::make_unique<decisions::DeficitRoundRobinPolicy>(), limits.waiting)
@@ -87,7 +90,7 @@
         passOn(ask);
         return;
     }
-    retries_.try_emplace(ask.demand.service, retryLimits_).first->second.countRequest();
+    retriesTo(ask.demand.service).countRequest(clock_.now());
     if (ask.tokens > 0) {
         wallet_.countDemand(ask.organisation, ask.tokens, clock_.now());
         if (!wallet_.take(ask.organisation, ask.tokens)) {
@@ -140,8 +143,7 @@
 
 void RoutingTask::on(AskRetry &message)
 {
-    auto retries = retries_.try_emplace(message.service, retryLimits_).first;
-    const bool isAllowed = retries->second.take();
+    const bool isAllowed = retriesTo(message.service).take(clock_.now());
     metrics_.add("boragerack_retries_total",
                  runtime::makeLabels(
                      {{"service", message.service.value}, {"allowed", isAllowed ? "yes" : "no"}}));
@@ -217,12 +219,9 @@
         FleetView view = *fleet_.get();
         if (answer.membersVersion != membersVersion_) {
             view.members = answer.members;
-            decisions::RetryLimits limits = retryLimits_;
-            limits.nodes =
-                std::max<std::uint32_t>(1, static_cast<std::uint32_t>(answer.members.size()));
-            retryLimits_ = limits;
+            mostNodes_ = std::max(mostNodes_, static_cast<std::uint32_t>(answer.members.size()));
             for (auto &[service, allowance] : retries_)
-                allowance.setLimits(limits);
+                allowance.setNodes(mostNodes_);
         }
         view.quarantined = {answer.quarantined.begin(), answer.quarantined.end()};
         fleet_.set(std::move(view));
@@ -308,7 +307,15 @@
 std::uint32_t RoutingTask::nodeCount() const
 {
     const auto members = static_cast<std::uint32_t>(fleet_.get()->members.size());
-    return members == 0 ? retryLimits_.nodes : members;
+    return members == 0 ? kAssumedNodes : members;
+}
+
+decisions::RetryAllowance &RoutingTask::retriesTo(const core::ServiceId &service)
+{
+    const auto [position, isNew] = retries_.try_emplace(service, retryLimits_, startedAt_);
+    if (isNew)
+        position->second.setNodes(mostNodes_);
+    return position->second;
 }
 
 } // namespace boragerack::gateway
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -100,6 +100,7 @@
     void adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
     void relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
     void loseCoordinator();
+    decisions::RetryAllowance &retriesTo(const core::ServiceId &service);
     void tick();
     void report();
     core::Duration reportPause() const;
@@ -108,10 +109,13 @@
     decisions::FleetMember self_;
     decisions::RetryLimits retryLimits_;
     const core::Clock &clock_;
+    core::TimePoint startedAt_;
     runtime::Metrics &metrics_;
     decisions::RequestRouter router_;
     decisions::TokenWallet wallet_;
     decisions::FairQueue fairQueue_;
+    /// Largest number of nodes that a coordinator has told.
+    std::uint32_t mostNodes_ = 0;
     std::map<core::ServiceId, decisions::RetryAllowance> retries_;
     SendReport sendReport_;
     OnRelay onRelay_;
