Tell nodes without the platform who coordinates, and pass the configuration on to them

The coordinator kept its lapsed term and went on answering without a proof, its nodes saw no successor, and all were isolated 5 s later for 8 s. A node that followed a coordinator and lost the platform was isolated as well as soon as the configuration changed, because only the proof was passed on. Nodes in search of a coordinator read the lease five times a second each. Change: a node that does not coordinate answers a report with the lease as it last read it; a node without the platform asks other nodes in turn, and a lapsed holder that hears of a newer lease ends its term. A node without the platform asks for the configuration itself with its report. Reports name the term, so that a new coordinator answers in full once and not twice; loads are asked for at most every half interval. With more than 16 nodes the lease is looked at less often, each node at its own time.

--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -2,12 +2,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "boragerack/core/Digest.h"
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/serving/LeaseRecord.h"
 #include "boragerack/decisions/serving/TargetEntry.h"
 
 namespace boragerack::decisions {
@@ -93,6 +95,8 @@
     core::InstanceId instance;
     std::string callerAddress;
     core::DataCentreId dataCentre;
+    /// Where other nodes reach it.
+    std::string peerAddress;
 
     friend auto operator<=>(const FleetMember &, const FleetMember &) = default;
 };
@@ -102,9 +106,16 @@
 {
     FleetMember member;
     bool isStopping = false;
+    /// Coordinator whose version numbers follow; another one answers with everything.
+    std::uint64_t term = 0;
     std::uint64_t membersVersion = 0;
     std::uint64_t placementVersion = 0;
     std::uint64_t targetsVersion = 0;
+    std::uint64_t configurationVersion = 0;
+    /// The node cannot read the platform and takes a newer configuration from the coordinator.
+    bool wantsConfiguration = false;
+    /// The list is long, so that not every report asks for it.
+    bool wantsLoads = false;
     std::vector<ArtifactDemand> demands;
     std::vector<ArtifactUse> uses;
     std::vector<TokenAsk> wanted;
@@ -157,10 +168,14 @@
     std::vector<TargetEntry> targets;
     PlatformProof proof;
     LeaseProof lease;
-    /// Targets with requests in flight.
-    std::vector<TargetLoad> loads;
+    /// Targets with requests in flight; nothing unless the node wants them.
+    std::optional<std::vector<TargetLoad>> loads;
     std::vector<TokenAmount> granted;
     std::vector<core::Digest> quarantined;
+    /// The configuration as the platform keeps it; empty unless the node wants a newer one.
+    std::string configuration;
+    /// The holder of the lease as the answering node last read it.
+    std::optional<LeaseSighting> holder;
     /// Time until the next report if nothing happens.
     std::chrono::milliseconds reportAfter = {};
 
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -13,27 +13,10 @@
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/serving/CoordinationMessages.h"
 #include "boragerack/decisions/serving/CoordinatorChart.h"
+#include "boragerack/decisions/serving/LeaseRecord.h"
 
 namespace boragerack::decisions {
 
-/// The platform object that names the coordinator.
-struct LeaseRecord
-{
-    core::InstanceId holder;
-    std::string peerAddress;
-    /// Distinguishes the processes that have held the lease on one instance.
-    std::uint64_t incarnation = 0;
-    /// Grows with each renewal, since an unchanged write would not change the version.
-    std::uint64_t renewal = 0;
-    /// The holder has stopped; its last order was given before the record was written.
-    bool isReleased = false;
-    /// Time after the write until the holder may give orders, because its predecessor may have
-    /// given some. A process that restarts on the holder's instance waits as long again.
-    std::chrono::milliseconds ordersAfter = {};
-
-    friend auto operator<=>(const LeaseRecord &, const LeaseRecord &) = default;
-};
-
 struct LeaseTimes
 {
     /// A holder acts for this long after it sent its last confirmed renewal.
@@ -42,6 +25,10 @@
     /// An order may be on its way for this long after it was allowed.
     std::chrono::milliseconds orderTimeout = std::chrono::milliseconds(500);
     std::chrono::milliseconds lookEvery = std::chrono::milliseconds(200);
+    /// Up to so many nodes look that often; more nodes look less often, as each look is a call to
+    /// the platform, but no less often than this.
+    std::uint32_t nodesLooking = 16;
+    std::chrono::milliseconds longestLook = std::chrono::milliseconds(800);
     /// No two holders may give one target orders within this time.
     std::chrono::milliseconds orderHandover = std::chrono::milliseconds(3000);
     /// A released lease is left to younger processes for a moment: in a rolling restart they are
@@ -89,9 +76,19 @@
     /// Its last confirmed renewal, and the latest time at which it can have been sent.
     std::uint64_t renewal = 0;
     core::TimePoint renewedBefore = {};
+    /// Live nodes, which all look at the lease when the coordinator falls silent.
+    std::uint32_t nodes = 1;
     friend bool operator==(const CoordinatorHeard &, const CoordinatorHeard &) = default;
 };
 
+/// Another node tells what it has read of the lease. A node that has lost the platform learns of a
+/// successor in this way, also if it holds the lapsed lease itself.
+struct HolderTold
+{
+    LeaseSighting sighting;
+    friend bool operator==(const HolderTold &, const HolderTold &) = default;
+};
+
 /// The process will stop soon; it takes no lease any more, but keeps one that it holds.
 struct StopAnnounced
 {
@@ -110,7 +107,7 @@
 };
 
 using Event = std::variant<ReadFinished, WriteApplied, WriteConflict, Unanswered, CoordinatorHeard,
-                           StopAnnounced, StopRequested, Tick>;
+                           HolderTold, StopAnnounced, StopRequested, Tick>;
 
 struct Read
 {
@@ -151,6 +148,8 @@
     LeaseProof proof(core::TimePoint now) const;
     /// Holder as last read or written; nothing before the first read.
     const std::optional<LeaseRecord> &holder() const { return known_; }
+    /// What other nodes may be told.
+    std::optional<LeaseSighting> sighting() const;
     bool isStopped() const { return chart_.isFinished(); }
 
 private:
@@ -158,7 +157,10 @@
     void perform(CoordinatorStep step, core::TimePoint now, std::vector<lease::Action> &actions);
     void onRead(const lease::ReadFinished &read, core::TimePoint now,
                 std::vector<lease::Action> &actions);
+    void onTold(const LeaseSighting &sighting, core::TimePoint now,
+                std::vector<lease::Action> &actions);
     void onTick(core::TimePoint now, std::vector<lease::Action> &actions);
+    core::Duration lookPause() const;
     bool isOwn(const LeaseRecord &record) const;
     bool isFree(core::TimePoint now);
     core::TimePoint lastRenewalBefore() const;
@@ -173,6 +175,7 @@
     std::optional<core::TimePoint> heardAt_;
     lease::CoordinatorHeard heard_;
     core::TimePoint nextLook_ = {};
+    bool isSilent_ = false;
     std::uint64_t fence_ = 0;
     core::TimePoint ordersFrom_ = {};
     core::TimePoint writeSentAt_ = {};
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -2,8 +2,22 @@
 
 #include <algorithm>
 
+#include "boragerack/core/RendezvousHash.h"
+
 namespace boragerack::decisions {
 
+namespace {
+
+/// A time within the pause that depends on the node.
+core::Duration staggerOf(const core::InstanceId &instance, core::Duration pause)
+{
+    constexpr std::uint64_t kParts = 64;
+    return pause * static_cast<int>(core::stableHash(instance.value) % kParts)
+        / static_cast<int>(kParts);
+}
+
+} // namespace
+
 CoordinatorLease::CoordinatorLease(std::shared_ptr<const CoordinatorBinding> chart,
                                    LeaseRecord self, const LeaseTimes &times)
     : chart_(std::move(chart))
@@ -33,6 +47,8 @@
             heardAt_ = now;
         else
             heardAt_.reset();
+    } else if (const auto *told = std::get_if<lease::HolderTold>(&event)) {
+        onTold(told->sighting, now, actions);
     } else if (std::holds_alternative<lease::StopAnnounced>(event)) {
         isStopAnnounced_ = true;
     } else if (std::holds_alternative<lease::StopRequested>(event)) {
@@ -83,14 +99,49 @@
             fire(CoordinatorTrigger::Renew, now, actions);
         return;
     }
-    const bool isHeard = heardAt_ && now - *heardAt_ < times_.validity / 2;
-    if (!chart_.accepts(CoordinatorTrigger::Look) || now < nextLook_
-        || (isHeard && chart_.state() == CoordinatorState::Following))
+    const bool isHeard = heardAt_ && now - *heardAt_ < times_.validity / 2
+        && chart_.state() == CoordinatorState::Following;
+    // All nodes lose a coordinator at once; each looks at its own time within the pause.
+    if (!isHeard && !isSilent_ && heardAt_)
+        nextLook_ = std::max(nextLook_, now + staggerOf(self_.holder, lookPause()));
+    isSilent_ = !isHeard;
+    if (!chart_.accepts(CoordinatorTrigger::Look) || now < nextLook_ || isHeard)
         return;
-    nextLook_ = now + times_.lookEvery;
+    nextLook_ = now + lookPause();
     fire(CoordinatorTrigger::Look, now, actions);
 }
 
+core::Duration CoordinatorLease::lookPause() const
+{
+    const auto pause = times_.lookEvery * std::max(1U, heard_.nodes) / times_.nodesLooking;
+    return std::clamp<std::chrono::milliseconds>(pause, times_.lookEvery, times_.longestLook);
+}
+
+std::optional<LeaseSighting> CoordinatorLease::sighting() const
+{
+    if (!known_ || !knownVersion_)
+        return std::nullopt;
+    return LeaseSighting {*known_, *knownVersion_};
+}
+
+void CoordinatorLease::onTold(const LeaseSighting &sighting, core::TimePoint now,
+                              std::vector<lease::Action> &actions)
+{
+    const CoordinatorState state = chart_.state();
+    // In other states a call to the platform is under way, which tells more.
+    if (state != CoordinatorState::Following && state != CoordinatorState::Doubting)
+        return;
+    if (knownVersion_ && sighting.version <= *knownVersion_)
+        return;
+    known_ = sighting.record;
+    knownVersion_ = sighting.version;
+    // The record may have been read long before; counting from now is on the safe side.
+    knownSince_ = now;
+    const bool isOwnTerm = isOwn(*known_) && known_->incarnation == self_.incarnation;
+    if (state == CoordinatorState::Doubting && !isOwnTerm)
+        fire(CoordinatorTrigger::FoundOther, now, actions);
+}
+
 void CoordinatorLease::fire(CoordinatorTrigger trigger, core::TimePoint now,
                             std::vector<lease::Action> &actions)
 {
--- a/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
+++ b/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
@@ -167,6 +167,8 @@
             handle(node, lease::StopRequested(), now);
         else if (fate == 3)
             handle(node, lease::StopAnnounced(), now);
+        else if (fate < 60)
+            tell(node, static_cast<int>(fate % kNodes), now);
         if (nodes_[node]->isStopped())
             restart(node);
         if (now < frozenUntil_[node])
@@ -179,6 +181,13 @@
         }
     }
 
+    /// The node tells another one what it has read of the lease.
+    void tell(int node, int other, core::TimePoint now)
+    {
+        if (const auto sighting = nodes_[node]->sighting(); sighting && now >= frozenUntil_[other])
+            handle(other, lease::HolderTold {*sighting}, now);
+    }
+
     void handle(int node, const lease::Event &event, core::TimePoint now)
     {
         for (const lease::Action &action : nodes_[node]->handle(event, now)) {
@@ -252,6 +261,56 @@
     BOOST_TEST(!lease.mayOrder(now + 100ms));
 }
 
+// Guards against a coordinator without the platform that never learns of its successor, so that it
+// and the nodes that report to it stay without a proof of the configuration (crsa-yard-grown
+// scale-2).
+BOOST_AUTO_TEST_CASE(lapsedHolderLearnsOfItsSuccessor)
+{
+    core::TimePoint now = core::TimePoint(1h);
+    CoordinatorLease lease(chart(), recordOf(1, 8), LeaseTimes());
+    lease.handle(lease::Tick(), now);
+    lease.handle(lease::ReadFinished {}, now);
+    lease.handle(lease::WriteApplied {6}, now);
+    now += LeaseTimes().renewEvery;
+    lease.handle(lease::Tick(), now);
+    lease.handle(lease::Unanswered(), now);
+    lease.handle(lease::Unanswered(), now);
+    BOOST_TEST(lease.hasTerm());
+    lease.handle(lease::HolderTold {{recordOf(2, 9), 5}}, now);
+    BOOST_TEST(lease.hasTerm());
+    lease.handle(lease::HolderTold {{recordOf(2, 9), 7}}, now);
+    BOOST_TEST(!lease.hasTerm());
+    BOOST_REQUIRE(lease.holder());
+    BOOST_TEST(lease.holder()->holder.value == "node-2");
+}
+
+// Guards against a large fleet in which every node asks the platform five times a second for the
+// lease while the coordinator is silent.
+BOOST_AUTO_TEST_CASE(manyNodesLookLessOften)
+{
+    const auto looksOf = [](std::uint32_t nodes) {
+        core::TimePoint now = core::TimePoint(1h);
+        CoordinatorLease lease(chart(), recordOf(1, 8), LeaseTimes());
+        lease.handle(lease::Tick(), now);
+        lease.handle(lease::ReadFinished {recordOf(2, 9), 6}, now);
+        lease.handle(lease::CoordinatorHeard {true, 9, 0, now, nodes}, now);
+        int looks = 0;
+        LeaseRecord renewed = recordOf(2, 9);
+        for (int i = 0; i < 400; ++i) {
+            now += kStep;
+            for (const lease::Action &action : lease.handle(lease::Tick(), now)) {
+                BOOST_TEST(std::holds_alternative<lease::Read>(action));
+                ++looks;
+                ++renewed.renewal;
+                lease.handle(lease::ReadFinished {renewed, 7 + renewed.renewal}, now);
+            }
+        }
+        return looks;
+    };
+    BOOST_TEST(looksOf(7) >= 40);
+    BOOST_TEST(looksOf(76) <= 13);
+}
+
 // Guards against a holder that goes on after its lease may have been taken.
 BOOST_AUTO_TEST_CASE(lapsesWithoutRenewal)
 {
--- a/packages/gateway/include/boragerack/gateway/ServingSource.h
+++ b/packages/gateway/include/boragerack/gateway/ServingSource.h
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "boragerack/core/Result.h"
@@ -16,6 +18,8 @@
 {
     std::uint64_t revision = 0;
     std::optional<decisions::ServingConfiguration> configuration;
+    /// The same as the platform keeps it, for nodes that cannot read it themselves.
+    std::string text;
     /// The changes since the revision asked for are not kept any more.
     bool isExpired = false;
 
@@ -46,6 +50,10 @@
     virtual core::Result<ConfigurationRead> watchConfiguration(std::uint64_t afterRevision,
                                                                std::chrono::milliseconds wait) = 0;
 
+    /// Reads the text of a configuration that another node passed on.
+    virtual core::Result<decisions::ServingConfiguration>
+    parseConfiguration(std::string_view text) const = 0;
+
     virtual core::Result<TargetsRead> listTargets() = 0;
     virtual core::Result<TargetsRead> watchTargets(std::uint64_t afterRevision,
                                                    std::chrono::milliseconds wait) = 0;
--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -61,29 +61,57 @@
 void ConfigurationTask::run()
 {
     while (isRunning_) {
-        takeRelayed();
+        while (const auto proof = mailbox_.tryReceive())
+            takeRelayed(*proof);
         if (isRelayed()) {
             // The history may be gone when this node reads the platform again.
             revision_ = 0;
-            if (auto proof = mailbox_.receiveUntil(std::chrono::steady_clock::now() + kRelayTick))
-                relayed_ = *proof;
             prove(relayed_.version, relayed_.provenAt);
+            if (const auto proof =
+                    mailbox_.receiveUntil(std::chrono::steady_clock::now() + kRelayTick))
+                takeRelayed(*proof);
         } else {
             readOnce();
+            if (failures_ > 0)
+                boost::this_fiber::sleep_for(backoff(failures_));
         }
         const bool wasServing = freshness_.state() == decisions::Freshness::State::Fresh;
         freshness_.handle(decisions::Freshness::Tick(), clock_.now());
         if (wasServing && freshness_.state() != decisions::Freshness::State::Fresh)
             runtime::logEvent(runtime::LogEvent::NodeIsolated, "reason=no_recent_proof");
-        if (failures_ > 0)
-            boost::this_fiber::sleep_for(backoff(failures_));
     }
 }
 
-void ConfigurationTask::takeRelayed()
+void ConfigurationTask::takeRelayed(const RelayedProof &proof)
 {
-    while (const auto proof = mailbox_.tryReceive())
-        relayed_ = *proof;
+    relayed_ = proof;
+    const std::uint64_t version = table_ ? table_->configuration().version : 0;
+    if (proof.version > version && !proof.text.empty())
+        adoptRelayed(proof);
+    relayed_.text.clear();
+}
+
+void ConfigurationTask::adoptRelayed(const RelayedProof &proof)
+{
+    auto configuration = source_.parseConfiguration(proof.text);
+    if (!core::isOk(configuration)) {
+        runtime::logEvent(runtime::LogEvent::ConfigurationRejected,
+                          core::errorOf(configuration).message);
+        return;
+    }
+    text_ = proof.text;
+    adopt(core::valueOf(configuration), proof.provenAt);
+}
+
+void ConfigurationTask::adopt(const decisions::ServingConfiguration &configuration,
+                              core::TimePoint provenAt)
+{
+    table_ = std::make_shared<const decisions::RouteTable>(configuration);
+    freshness_.handle(decisions::Freshness::VersionAccepted {configuration.version}, provenAt);
+    runtime::logEvent(runtime::LogEvent::ConfigurationInEffect,
+                      "version=" + std::to_string(configuration.version)
+                          + " routes=" + std::to_string(configuration.routes.size()));
+    listener_(table_);
 }
 
 bool ConfigurationTask::isRelayed() const
@@ -120,13 +148,8 @@
     const std::uint64_t version = table_ ? table_->configuration().version : 0;
     // A version never goes back, whatever a read returns.
     if (read.configuration && read.configuration->version > version) {
-        table_ = std::make_shared<const decisions::RouteTable>(*read.configuration);
-        freshness_.handle(decisions::Freshness::VersionAccepted {read.configuration->version},
-                          sentAt);
-        runtime::logEvent(runtime::LogEvent::ConfigurationInEffect,
-                          "version=" + std::to_string(read.configuration->version)
-                              + " routes=" + std::to_string(read.configuration->routes.size()));
-        listener_(table_);
+        text_ = read.text;
+        adopt(*read.configuration, sentAt);
     }
     if (table_)
         prove(table_->configuration().version, sentAt);
--- a/packages/gateway/src/ConfigurationTask.h
+++ b/packages/gateway/src/ConfigurationTask.h
@@ -29,6 +29,8 @@
     {
         std::uint64_t version = 0;
         core::TimePoint provenAt = {};
+        /// The configuration itself; empty unless this node wanted it.
+        std::string text;
     };
 
     /// `clock` counts suspension. All references must outlive the task.
@@ -49,13 +51,19 @@
     /// Null before the first configuration.
     RouteTablePointer table() const { return table_; }
     bool mayServe() const { return freshness_.mayServe(clock_.now()); }
+    /// The configuration as the platform keeps it.
+    const std::string &text() const { return text_; }
+    /// The platform does not answer this node.
+    bool isPlatformLost() const { return failures_ > 0; }
     /// Revision of the store at the first read; zero before.
     std::uint64_t firstRevision() const { return firstRevision_; }
 
 private:
     void run();
     void readOnce();
-    void takeRelayed();
+    void takeRelayed(const RelayedProof &proof);
+    void adoptRelayed(const RelayedProof &proof);
+    void adopt(const decisions::ServingConfiguration &configuration, core::TimePoint provenAt);
     bool isRelayed() const;
     void prove(std::uint64_t version, core::TimePoint provenAt);
     void accept(const ConfigurationRead &read, core::TimePoint sentAt);
@@ -68,6 +76,7 @@
     std::chrono::milliseconds relayTrust_;
     Listener listener_;
     RouteTablePointer table_;
+    std::string text_;
     std::uint64_t revision_ = 0;
     std::uint64_t firstRevision_ = 0;
     runtime::Mailbox<RelayedProof> mailbox_;
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -155,12 +155,15 @@
         return;
     plan(swap::TargetsChanged {entries_});
     std::vector<decisions::TargetEntry> listed;
-    for (const auto &[target, entry] : *entries_) {
-        listed.push_back(entry);
-        listed.back().replicas.clear();
-        listed.back().inMemory.clear();
-        listed.back().onDisk.clear();
-    }
+    listed.reserve(entries_->size());
+    for (const auto &[target, entry] : *entries_)
+        listed.push_back({.target = target,
+                          .service = entry.service,
+                          .address = entry.address,
+                          .dataCentre = entry.dataCentre,
+                          .slots = entry.slots,
+                          .isLeaving = entry.isLeaving,
+                          .startedAt = entry.startedAt});
     if (listed != term_->listed || term_->listedVersion == 0) {
         term_->listed = std::move(listed);
         ++term_->listedVersion;
@@ -190,6 +193,7 @@
 void CoordinatorTask::on(ReportReceived &message)
 {
     decisions::CoordinationAnswer answer;
+    answer.holder = lease_.lease().sighting();
     if (!term_) {
         message.receiver->receive(answer);
         return;
@@ -218,6 +222,9 @@
     if (report.targetsVersion != answer.targetsVersion)
         answer.targets = term_->listed;
     answer.proof = proof();
+    if (report.wantsConfiguration
+        && report.configurationVersion < answer.proof.configurationVersion)
+        answer.configuration = configuration_.text();
     answer.lease = lease_.lease().proof(now);
     answer.loads = term_->planner.loads();
     for (const decisions::TokenAsk &ask : report.wanted)
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -10,6 +10,7 @@
 #include "FrontHandler.h"
 #include "LeaseTask.h"
 #include "LifecycleTask.h"
+#include "MeteredSource.h"
 #include "MetricsHandler.h"
 #include "ReportGate.h"
 #include "ReportTask.h"
@@ -19,6 +20,7 @@
 #include "boragerack/gateway/GatewayCharts.h"
 #include "boragerack/peer/MessageAuthenticator.h"
 #include "boragerack/peer/PeerServer.h"
+#include "boragerack/platform/MeteredStore.h"
 #include "boragerack/runtime/EventLog.h"
 #include "boragerack/runtime/FiberRuntime.h"
 #include "boragerack/runtime/HttpClient.h"
@@ -92,11 +94,14 @@
         , settings(gatewaySettings)
         , ports(gatewayPorts)
         , charts(std::move(gatewayCharts))
-        , self {settings.instance, textOf(settings.callerListen), settings.dataCentre}
+        , self {settings.instance, textOf(settings.callerListen), settings.dataCentre,
+                textOf(settings.peerListen)}
         , client(fibers.ioContext(), clientOptions())
-        , configuration(ports.source, clock, charts.freshness, settings.revocation)
-        , targets(ports.source, clock)
-        , lease(ports.store, clock, charts.coordinator,
+        , source(ports.source, metrics)
+        , store(ports.store, metrics)
+        , configuration(source, clock, charts.freshness, settings.revocation)
+        , targets(source, clock)
+        , lease(store, clock, charts.coordinator,
                 decisions::LeaseRecord {settings.instance,
                                         textOf(settings.peerListen),
                                         random.next() >> kIncarnationBits,
@@ -107,7 +112,7 @@
         , coordinator(settings.instance, lease, configuration, ports.control, charts.targetOrder,
                       settings.quotaTolerance, clock, metrics)
         , routing(self, routingLimitsOf(settings), clock, random, metrics)
-        , reports(lease, coordinator, routing, clock)
+        , reports(lease, coordinator, routing, configuration, clock)
         , lifecycle(charts.node, kLifetimesToDrain * settings.addressLifetime,
                     settings.stopTimeout - kStopMargin, configuration, clock)
         , front({charts, ports.protocol, configuration, lifecycle, routing, client, clock, metrics},
@@ -135,6 +140,8 @@
     runtime::Metrics metrics;
     decisions::FleetMember self;
     runtime::HttpClient client;
+    MeteredSource source;
+    platform::MeteredStore store;
     ConfigurationTask configuration;
     TargetTask targets;
     LeaseTask lease;
@@ -158,8 +165,14 @@
 
 void Gateway::Parts::startTasks()
 {
-    routing.start([this](decisions::CoordinationReport report) { reports.send(std::move(report)); },
-                  [this](RoutingTask::Relay relay) { passOn(std::move(relay)); });
+    routing.start(
+        [this](decisions::CoordinationReport report) {
+            const RouteTablePointer table = configuration.table();
+            report.configurationVersion = table ? table->configuration().version : 0;
+            report.wantsConfiguration = configuration.isPlatformLost();
+            reports.send(std::move(report));
+        },
+        [this](RoutingTask::Relay relay) { passOn(std::move(relay)); });
     reports.start();
     coordinator.start();
     lifecycle.start([this] {
@@ -188,7 +201,8 @@
 void Gateway::Parts::passOn(RoutingTask::Relay relay)
 {
     const bool isTaken = configuration.trySend(ConfigurationTask::RelayedProof {
-                             relay.configurationVersion, relay.configurationProvenAt})
+                             relay.configurationVersion, relay.configurationProvenAt,
+                             std::move(relay.configuration)})
         && targets.trySend(
             TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt});
     // A task that waits for the platform takes the next message; a lost list of targets does not
@@ -203,7 +217,7 @@
         boost::this_fiber::sleep_for(kPause);
     std::optional<std::string> secret;
     while (!secret && !isStopping) {
-        secret = readFleetSecret(ports.store, random);
+        secret = readFleetSecret(store, random);
         if (!secret)
             boost::this_fiber::sleep_for(kPause);
     }
--- a/packages/gateway/src/LeaseTask.cpp
+++ b/packages/gateway/src/LeaseTask.cpp
@@ -55,6 +55,8 @@
             handle(decisions::lease::Tick());
         else if (const auto *heard = std::get_if<Heard>(&*message))
             handle(*heard);
+        else if (const auto *told = std::get_if<HolderTold>(&*message))
+            handle(*told);
         else if (std::holds_alternative<AnnounceStop>(*message))
             handle(decisions::lease::StopAnnounced());
         else
--- a/packages/gateway/src/LeaseTask.h
+++ b/packages/gateway/src/LeaseTask.h
@@ -22,10 +22,11 @@
     struct AnnounceStop
     {
     };
+    using HolderTold = decisions::lease::HolderTold;
     struct Stop
     {
     };
-    using Message = std::variant<Heard, AnnounceStop, Stop>;
+    using Message = std::variant<Heard, HolderTold, AnnounceStop, Stop>;
 
     /// `clock` counts suspension. All references must outlive the task.
     LeaseTask(platform::PlatformStore &store, const core::Clock &clock,
--- /dev/null
+++ b/packages/gateway/src/MeteredSource.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "boragerack/gateway/ServingSource.h"
+#include "boragerack/runtime/Metrics.h"
+
+namespace boragerack::gateway {
+
+/// Counts the calls to another source.
+class MeteredSource final : public ServingSource
+{
+public:
+    /// Both references must outlive this one.
+    MeteredSource(ServingSource &source, runtime::Metrics &metrics);
+
+    core::Result<ConfigurationRead> readConfiguration() override;
+    core::Result<ConfigurationRead> watchConfiguration(std::uint64_t afterRevision,
+                                                       std::chrono::milliseconds wait) override;
+    core::Result<decisions::ServingConfiguration>
+    parseConfiguration(std::string_view text) const override;
+    core::Result<TargetsRead> listTargets() override;
+    core::Result<TargetsRead> watchTargets(std::uint64_t afterRevision,
+                                           std::chrono::milliseconds wait) override;
+
+private:
+    template<class Read>
+    core::Result<Read> count(std::string_view operation, core::Result<Read> result);
+
+    ServingSource &source_;
+    runtime::Metrics &metrics_;
+};
+
+} // namespace boragerack::gateway
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -1,5 +1,7 @@
 #include "ReportTask.h"
 
+#include <algorithm>
+
 #include "boragerack/runtime/EventLog.h"
 #include "boragerack/runtime/Reply.h"
 
@@ -11,6 +13,8 @@
 constexpr std::size_t kMailboxCapacity = 2;
 /// A coordinator that does not answer within this time is asked again with the next report.
 constexpr std::chrono::milliseconds kAnswerTimeout(500);
+/// Another node answers at once or is out of reach, too.
+constexpr std::chrono::milliseconds kAskAroundTimeout(250);
 
 /// Hands the answer to a fiber of this process.
 class LocalReceiver final : public AnswerReceiver
@@ -24,10 +28,11 @@
 } // namespace
 
 ReportTask::ReportTask(LeaseTask &lease, CoordinatorTask &coordinator, RoutingTask &routing,
-                       const core::Clock &clock)
+                       const ConfigurationTask &configuration, const core::Clock &clock)
     : lease_(lease)
     , coordinator_(coordinator)
     , routing_(routing)
+    , configuration_(configuration)
     , clock_(clock)
     , mailbox_(kMailboxCapacity)
 {
@@ -60,8 +65,16 @@
 {
     while (auto report = mailbox_.receive()) {
         const core::TimePoint reportedAt = clock_.now();
-        const bool isLocal = lease_.lease().hasTerm();
-        const auto answer = ask(std::move(*report));
+        bool isLocal = lease_.lease().hasTerm();
+        auto answer = ask(*report);
+        const bool isHeld =
+            answer && answer->standing == decisions::CoordinatorStanding::Holding;
+        if (!isHeld && configuration_.isPlatformLost()) {
+            if (auto other = askAround(*report)) {
+                answer = std::move(other);
+                isLocal = false;
+            }
+        }
         if (answer && answer->standing != decisions::CoordinatorStanding::Absent && !isLocal)
             noteHolder(*answer);
         if (!routing_.trySend(ReportAnswered {answer, reportedAt, isLocal}))
@@ -74,21 +87,32 @@
     // The age counts from the answer, which was sent before now.
     const LeaseTask::Heard heard {answer.standing == decisions::CoordinatorStanding::Holding,
                                   answer.lease.incarnation, answer.lease.renewal,
-                                  clock_.now() - answer.lease.age};
+                                  clock_.now() - answer.lease.age,
+                                  static_cast<std::uint32_t>(std::max<std::size_t>(
+                                      1, routing_.fleet().get()->members.size()))};
     if (!lease_.trySend(heard))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=coordinator_heard");
 }
 
-std::optional<decisions::CoordinationAnswer> ReportTask::ask(decisions::CoordinationReport report)
+std::optional<decisions::CoordinationAnswer>
+ReportTask::ask(const decisions::CoordinationReport &report)
 {
     if (lease_.lease().hasTerm())
-        return askHere(std::move(report));
+        return askHere(report);
     const auto &holder = lease_.lease().holder();
-    if (!holder || holder->isReleased || !network_ || holder->holder == report.member.instance)
+    if (!holder || holder->isReleased || holder->holder == report.member.instance)
+        return std::nullopt;
+    return askPeer(holder->holder, holder->peerAddress, report, kAnswerTimeout);
+}
+
+std::optional<decisions::CoordinationAnswer>
+ReportTask::askPeer(const core::InstanceId &instance, const std::string &address,
+                    const decisions::CoordinationReport &report, std::chrono::milliseconds timeout)
+{
+    if (!network_)
         return std::nullopt;
-    network_->updatePeer(holder->holder, holder->peerAddress);
-    auto answer = network_->call(holder->holder, std::move(report),
-                                 std::chrono::steady_clock::now() + kAnswerTimeout);
+    network_->updatePeer(instance, address);
+    auto answer = network_->call(instance, report, std::chrono::steady_clock::now() + timeout);
     if (!core::isOk(answer))
         return std::nullopt;
     if (const auto *body = std::get_if<decisions::CoordinationAnswer>(&core::valueOf(answer).body))
@@ -97,10 +121,33 @@
 }
 
 std::optional<decisions::CoordinationAnswer>
-ReportTask::askHere(decisions::CoordinationReport report)
+ReportTask::askAround(const decisions::CoordinationReport &report)
+{
+    const auto fleet = routing_.fleet().get();
+    const auto &holder = lease_.lease().holder();
+    for (std::size_t i = 0; i < fleet->members.size(); ++i) {
+        const decisions::FleetMember &member = fleet->members[nextAsked_++ % fleet->members.size()];
+        if (member.instance == report.member.instance
+            || (holder && member.instance == holder->holder))
+            continue;
+        auto answer = askPeer(member.instance, member.peerAddress, report, kAskAroundTimeout);
+        if (!answer)
+            return std::nullopt;
+        if (answer->holder
+            && !lease_.trySend(decisions::lease::HolderTold {std::move(*answer->holder)}))
+            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=holder_told");
+        if (answer->standing == decisions::CoordinatorStanding::Holding)
+            return answer;
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+std::optional<decisions::CoordinationAnswer>
+ReportTask::askHere(const decisions::CoordinationReport &report)
 {
     auto receiver = std::make_shared<LocalReceiver>();
-    if (!coordinator_.trySend(ReportReceived {std::move(report), receiver}))
+    if (!coordinator_.trySend(ReportReceived {report, receiver}))
         return std::nullopt;
     return receiver->reply.waitUntil(std::chrono::steady_clock::now() + kAnswerTimeout);
 }
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -18,7 +18,7 @@
 {
 public:
     ReportTask(LeaseTask &lease, CoordinatorTask &coordinator, RoutingTask &routing,
-               const core::Clock &clock);
+               const ConfigurationTask &configuration, const core::Clock &clock);
     ~ReportTask();
 
     /// The links to other nodes exist once the fleet's secret has been read.
@@ -32,14 +32,24 @@
 private:
     void run();
     void noteHolder(const decisions::CoordinationAnswer &answer);
-    std::optional<decisions::CoordinationAnswer> ask(decisions::CoordinationReport report);
-    std::optional<decisions::CoordinationAnswer> askHere(decisions::CoordinationReport report);
+    std::optional<decisions::CoordinationAnswer> ask(const decisions::CoordinationReport &report);
+    std::optional<decisions::CoordinationAnswer>
+    askPeer(const core::InstanceId &instance, const std::string &address,
+            const decisions::CoordinationReport &report, std::chrono::milliseconds timeout);
+    /// Asks one other node, in turn, who coordinates. Only a node without the platform does that;
+    /// the others see there who holds the lease.
+    std::optional<decisions::CoordinationAnswer>
+    askAround(const decisions::CoordinationReport &report);
+    std::optional<decisions::CoordinationAnswer>
+    askHere(const decisions::CoordinationReport &report);
 
     LeaseTask &lease_;
     CoordinatorTask &coordinator_;
     RoutingTask &routing_;
+    const ConfigurationTask &configuration_;
     const core::Clock &clock_;
     peer::PeerNetwork *network_ = nullptr;
+    std::size_t nextAsked_ = 0;
     runtime::Mailbox<decisions::CoordinationReport> mailbox_;
     boost::fibers::fiber fiber_;
 };
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -195,9 +195,8 @@
     const core::TimePoint now = clock_.now();
     lastAnswer_ = now;
     nextReport_ = now + answer.reportAfter;
+    loadsEvery_ = answer.reportAfter / 2;
     if (answer.term != term_) {
-        // The versions that the report named were another coordinator's.
-        const bool isNew = term_ != 0;
         term_ = answer.term;
         membersVersion_ = 0;
         placementVersion_ = 0;
@@ -205,10 +204,6 @@
         route(decisions::routing::PlacementsLost());
         runtime::logEvent(runtime::LogEvent::CoordinatorFollowed,
                           "term=" + std::to_string(answer.term));
-        if (isNew) {
-            nextReport_ = now;
-            return;
-        }
     }
     relay(message, answer);
     wallet_.stopAccruing();
@@ -227,7 +222,8 @@
         fleet_.set(std::move(view));
         membersVersion_ = answer.membersVersion;
     }
-    route(decisions::routing::LoadsReported {answer.loads});
+    if (answer.loads)
+        route(decisions::routing::LoadsReported {*answer.loads});
     if (answer.placementVersion != placementVersion_) {
         placementVersion_ = answer.placementVersion;
         route(decisions::routing::PlacementsChanged {answer.placements});
@@ -240,7 +236,7 @@
         return;
     // The ages count from the answer; the time of the report is earlier, which is on the safe side.
     Relay relay {answer.proof.configurationVersion,
-                 message.reportedAt - answer.proof.configurationAge,
+                 message.reportedAt - answer.proof.configurationAge, answer.configuration,
                  message.reportedAt - answer.proof.targetsAge, std::nullopt};
     if (answer.targetsVersion != targetsVersion_) {
         relay.targets = answer.targets;
@@ -287,15 +283,20 @@
     lastReport_ = now;
     nextReport_ = now + kReportInterval;
     reportedTokenQueue_ = tokenQueue_.size();
-    decisions::CoordinationReport report {self_,
-                                          isStopping_,
-                                          membersVersion_,
-                                          placementVersion_,
-                                          targetsVersion_,
-                                          router_.takeDemands(now),
-                                          router_.uses(),
-                                          wallet_.wanted(now),
-                                          std::exchange(deaths_, {})};
+    decisions::CoordinationReport report;
+    report.member = self_;
+    report.isStopping = isStopping_;
+    report.term = term_;
+    report.wantsLoads = now - loadsAt_ >= loadsEvery_;
+    if (report.wantsLoads)
+        loadsAt_ = now;
+    report.membersVersion = membersVersion_;
+    report.placementVersion = placementVersion_;
+    report.targetsVersion = targetsVersion_;
+    report.demands = router_.takeDemands(now);
+    report.uses = router_.uses();
+    report.wanted = wallet_.wanted(now);
+    report.deaths = std::exchange(deaths_, {});
     sendReport_(std::move(report));
 }
 
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -42,6 +42,8 @@
     {
         std::uint64_t configurationVersion = 0;
         core::TimePoint configurationProvenAt = {};
+        /// Empty unless this node wanted it.
+        std::string configuration;
         core::TimePoint targetsReadAt = {};
         std::optional<std::vector<decisions::TargetEntry>> targets;
     };
@@ -141,6 +143,10 @@
     core::TimePoint lastReport_ = {};
     core::TimePoint nextReport_ = {};
     core::TimePoint lastAnswer_ = {};
+    /// When the loads of the targets were last asked for. The list is long, so that reports that
+    /// are sent early because of news often leave it out.
+    core::TimePoint loadsAt_ = {};
+    std::chrono::milliseconds loadsEvery_ = {};
     boost::fibers::fiber fiber_;
 };
 
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -254,7 +254,18 @@
 
 decisions::FleetMember read(const wire::FleetMember &in)
 {
-    return {{in.instance()}, in.caller_address(), {in.data_centre()}};
+    return {{in.instance()}, in.caller_address(), {in.data_centre()}, in.peer_address()};
+}
+
+decisions::LeaseSighting read(const wire::LeaseSighting &in)
+{
+    return {{{in.holder()},
+             in.peer_address(),
+             in.incarnation(),
+             in.renewal(),
+             in.released(),
+             milliseconds(in.orders_after_ms())},
+            in.version()};
 }
 
 std::optional<MessageBody> fromWire(const wire::CoordinationReport &in)
@@ -265,6 +276,10 @@
     body.membersVersion = in.members_version();
     body.placementVersion = in.placement_version();
     body.targetsVersion = in.targets_version();
+    body.configurationVersion = in.configuration_version();
+    body.wantsConfiguration = in.wants_configuration();
+    body.term = in.term();
+    body.wantsLoads = in.wants_loads();
     for (const wire::ArtifactDemand &record : in.demands()) {
         body.demands.push_back({read(record.artifact()),
                                 {record.service()},
@@ -320,8 +335,12 @@
                   milliseconds(in.proof().targets_age_ms())};
     body.lease = {in.lease().incarnation(), in.lease().renewal(),
                   milliseconds(in.lease().age_ms())};
-    for (const wire::TargetLoad &record : in.loads())
-        body.loads.push_back({{record.target()}, record.in_flight()});
+    if (in.has_loads())
+        body.loads.emplace();
+    for (const wire::TargetLoad &record : in.loads()) {
+        if (body.loads)
+            body.loads->push_back({{record.target()}, record.in_flight()});
+    }
     for (const wire::TokenAmount &record : in.granted())
         body.granted.push_back({{record.organisation()}, record.tokens()});
     bool isValid = wire::CoordinationAnswer::Standing_IsValid(in.standing());
@@ -330,6 +349,9 @@
         isValid = isValid && read(record, fingerprint);
         body.quarantined.push_back(fingerprint);
     }
+    body.configuration = in.configuration();
+    if (in.has_holder())
+        body.holder = read(in.holder());
     body.reportAfter = milliseconds(in.report_after_ms());
     return checked(isValid, body);
 }
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -58,6 +58,18 @@
     out.set_instance(member.instance.value);
     out.set_caller_address(member.callerAddress);
     out.set_data_centre(member.dataCentre.value);
+    out.set_peer_address(member.peerAddress);
+}
+
+void write(const decisions::LeaseSighting &sighting, wire::LeaseSighting &out)
+{
+    out.set_holder(sighting.record.holder.value);
+    out.set_peer_address(sighting.record.peerAddress);
+    out.set_incarnation(sighting.record.incarnation);
+    out.set_renewal(sighting.record.renewal);
+    out.set_released(sighting.record.isReleased);
+    out.set_orders_after_ms(clampMilliseconds(sighting.record.ordersAfter));
+    out.set_version(sighting.version);
 }
 
 void write(const decisions::TokenAmount &amount, wire::TokenAmount &out)
@@ -295,6 +307,10 @@
     out.set_members_version(body.membersVersion);
     out.set_placement_version(body.placementVersion);
     out.set_targets_version(body.targetsVersion);
+    out.set_configuration_version(body.configurationVersion);
+    out.set_wants_configuration(body.wantsConfiguration);
+    out.set_term(body.term);
+    out.set_wants_loads(body.wantsLoads);
     for (const decisions::ArtifactDemand &demand : body.demands) {
         wire::ArtifactDemand &record = *out.add_demands();
         write(demand.artifact, *record.mutable_artifact());
@@ -356,7 +372,9 @@
     out.mutable_lease()->set_incarnation(body.lease.incarnation);
     out.mutable_lease()->set_renewal(body.lease.renewal);
     out.mutable_lease()->set_age_ms(clampMilliseconds(body.lease.age));
-    for (const decisions::TargetLoad &load : body.loads) {
+    out.set_has_loads(body.loads.has_value());
+    for (const decisions::TargetLoad &load :
+         body.loads.value_or(std::vector<decisions::TargetLoad>())) {
         wire::TargetLoad &record = *out.add_loads();
         record.set_target(load.target.value);
         record.set_in_flight(load.inFlight);
@@ -365,6 +383,9 @@
         write(amount, *out.add_granted());
     for (const core::Digest &fingerprint : body.quarantined)
         out.add_quarantined(toBytes(fingerprint));
+    out.set_configuration(body.configuration);
+    if (body.holder)
+        write(*body.holder, *out.mutable_holder());
     out.set_report_after_ms(clampMilliseconds(body.reportAfter));
 }
 
--- /dev/null
+++ b/packages/platform/include/boragerack/platform/MeteredStore.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string_view>
+
+#include "boragerack/platform/PlatformStore.h"
+
+namespace boragerack::runtime {
+class Metrics;
+}
+
+namespace boragerack::platform {
+
+/// Counts the calls to another store.
+class MeteredStore final : public PlatformStore
+{
+public:
+    /// Both references must outlive this one.
+    MeteredStore(PlatformStore &store, runtime::Metrics &metrics);
+
+    core::Result<std::optional<PlatformObject>> read(const std::string &key) override;
+    core::Result<ObjectList> list(const std::string &prefix) override;
+    WriteResult write(const std::string &key, const std::string &value,
+                      std::optional<std::uint64_t> ifVersion) override;
+    WriteResult remove(const std::string &key, std::uint64_t ifVersion) override;
+    core::Result<ChangeList> watch(const std::string &prefix, std::uint64_t afterRevision,
+                                   std::chrono::milliseconds wait) override;
+    core::Result<std::vector<InstanceRecord>> listInstances() override;
+
+private:
+    void count(std::string_view operation, std::string_view result);
+    template<class Value>
+    core::Result<Value> countRead(std::string_view operation, core::Result<Value> result);
+    WriteResult countWrite(std::string_view operation, WriteResult result);
+
+    PlatformStore &store_;
+    runtime::Metrics &metrics_;
+};
+
+} // namespace boragerack::platform
