Pass a newer configuration to all nodes; spread the first reports to a new coordinator

A new coordinator of 76 nodes fell behind in its first seconds (75 links, 75 full answers, up to 667 early reports a second) and lost the lease of 1.3 s again. Ruled out: the planner and the answers themselves (instrumented: about 10% and 5% of the time). Change: an answer carries the configuration if the report names an older one; the coordinator's proofs are renewed twice as often; early reports are 3.5 ms per node apart; with more than 16 nodes first reports to a new coordinator are spread over 14 ms per node and the lease is valid for 2 s (the record says so, and it does not change within a term).

--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -112,8 +112,6 @@
     std::uint64_t placementVersion = 0;
     std::uint64_t targetsVersion = 0;
     std::uint64_t configurationVersion = 0;
-    /// The node cannot read the platform and takes a newer configuration from the coordinator.
-    bool wantsConfiguration = false;
     /// The list is long, so that not every report asks for it.
     bool wantsLoads = false;
     std::vector<ArtifactDemand> demands;
@@ -172,7 +170,7 @@
     std::optional<std::vector<TargetLoad>> loads;
     std::vector<TokenAmount> granted;
     std::vector<core::Digest> quarantined;
-    /// The configuration as the platform keeps it; empty unless the node wants a newer one.
+    /// The configuration as the platform keeps it; empty unless the report names an older one.
     std::string configuration;
     /// The holder of the lease as the answering node last read it.
     std::optional<LeaseSighting> holder;
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -21,6 +21,9 @@
 {
     /// A holder acts for this long after it sent its last confirmed renewal.
     std::chrono::milliseconds validity = std::chrono::milliseconds(1300);
+    /// The same with more than `nodesLooking` nodes, which keep a coordinator so busy that its
+    /// renewals take longer.
+    std::chrono::milliseconds validityOfMany = std::chrono::milliseconds(2000);
     std::chrono::milliseconds renewEvery = std::chrono::milliseconds(350);
     /// An order may be on its way for this long after it was allowed.
     std::chrono::milliseconds orderTimeout = std::chrono::milliseconds(500);
@@ -180,6 +183,7 @@
     core::TimePoint ordersFrom_ = {};
     core::TimePoint writeSentAt_ = {};
     core::TimePoint confirmedAt_ = {};
+    core::Duration confirmedValidity_ = {};
     std::uint64_t confirmedRenewal_ = 0;
     bool isStopAnnounced_ = false;
     bool isStopRequested_ = false;
--- a/packages/decisions/include/boragerack/decisions/serving/LeaseRecord.h
+++ b/packages/decisions/include/boragerack/decisions/serving/LeaseRecord.h
@@ -22,6 +22,8 @@
     /// Time after the write until the holder may give orders, because its predecessor may have
     /// given some. A process that restarts on the holder's instance waits as long again.
     std::chrono::milliseconds ordersAfter = {};
+    /// The holder acts for this long after it sent a renewal that was confirmed.
+    std::chrono::milliseconds validity = {};
 
     friend auto operator<=>(const LeaseRecord &, const LeaseRecord &) = default;
 };
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -62,7 +62,7 @@
 
 bool CoordinatorLease::isHolding(core::TimePoint now) const
 {
-    return hasTerm() && now < confirmedAt_ + times_.validity;
+    return hasTerm() && now < confirmedAt_ + confirmedValidity_;
 }
 
 bool CoordinatorLease::mayOrder(core::TimePoint now) const
@@ -160,6 +160,10 @@
         ++self_.renewal;
         self_.ordersAfter = std::chrono::ceil<std::chrono::milliseconds>(
             std::max(core::Duration(0), ordersFrom_ - now));
+        // A shorter validity within a term would let a successor act before the longer one ends.
+        if (!hasTerm())
+            self_.validity =
+                heard_.nodes > times_.nodesLooking ? times_.validityOfMany : times_.validity;
         writeSentAt_ = now;
         actions.emplace_back(lease::Write {self_, knownVersion_});
         break;
@@ -173,12 +177,14 @@
     case CoordinatorStep::StartTerm:
         fence_ = *knownVersion_;
         confirmedAt_ = writeSentAt_;
+        confirmedValidity_ = self_.validity;
         confirmedRenewal_ = self_.renewal;
         break;
     case CoordinatorStep::ExtendTerm:
         // An older renewal that is read back proves nothing about the time of the last one.
         if (known_->renewal == self_.renewal) {
             confirmedAt_ = writeSentAt_;
+            confirmedValidity_ = self_.validity;
             confirmedRenewal_ = self_.renewal;
         }
         break;
@@ -229,7 +235,7 @@
         const bool isYoung = now - *startedAt_ < times_.youngAge;
         return isYoung || now >= knownSince_ + times_.leaveToYoung;
     }
-    const core::TimePoint lapsesAt = lastRenewalBefore() + times_.validity + times_.margin;
+    const core::TimePoint lapsesAt = lastRenewalBefore() + known_->validity + times_.margin;
     ordersFrom_ = lapsesAt + times_.orderHandover;
     return now >= lapsesAt;
 }
--- a/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
+++ b/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
@@ -32,7 +32,8 @@
             incarnation,
             0,
             false,
-            {}};
+            {},
+            LeaseTimes().validity};
 }
 
 /// The platform's object with conditional writes. An answer may be lost, and the write may then
@@ -184,7 +185,11 @@
     /// The node tells another one what it has read of the lease.
     void tell(int node, int other, core::TimePoint now)
     {
-        if (const auto sighting = nodes_[node]->sighting(); sighting && now >= frozenUntil_[other])
+        if (now < frozenUntil_[other])
+            return;
+        const auto nodes = static_cast<std::uint32_t>(random_.next() % 80);
+        handle(other, lease::CoordinatorHeard {false, 0, 0, {}, nodes}, now);
+        if (const auto sighting = nodes_[node]->sighting())
             handle(other, lease::HolderTold {*sighting}, now);
     }
 
--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -15,7 +15,7 @@
 /// Proofs that the coordinator passes on are enough while they are not older than this part of the
 /// time a withdrawn key may be used. A change must be in effect on all nodes within two seconds, so
 /// a node whose coordinator hangs reads the platform itself well before.
-constexpr double kRelayedPart = 0.25;
+constexpr double kRelayedPart = 0.28;
 constexpr std::size_t kMailboxCapacity = 16;
 constexpr std::chrono::milliseconds kRelayTick(100);
 /// Time for a request to reach its target after the check.
@@ -47,9 +47,10 @@
         fiber_.join();
 }
 
-void ConfigurationTask::start(Listener listener)
+void ConfigurationTask::start(Listener listener, IsReliedOn isReliedOn)
 {
     listener_ = std::move(listener);
+    isReliedOn_ = std::move(isReliedOn);
     fiber_ = boost::fibers::fiber([this] { run(); });
 }
 
@@ -123,8 +124,9 @@
 void ConfigurationTask::readOnce()
 {
     const core::TimePoint sentAt = clock_.now();
-    auto read = revision_ == 0 ? source_.readConfiguration()
-                               : source_.watchConfiguration(revision_, watchWait_);
+    auto read = revision_ == 0
+        ? source_.readConfiguration()
+        : source_.watchConfiguration(revision_, isReliedOn_() ? watchWait_ / 2 : watchWait_);
     if (!core::isOk(read)) {
         fail(core::errorOf(read));
     } else if (core::valueOf(read).isExpired) {
--- a/packages/gateway/src/ConfigurationTask.h
+++ b/packages/gateway/src/ConfigurationTask.h
@@ -29,7 +29,7 @@
     {
         std::uint64_t version = 0;
         core::TimePoint provenAt = {};
-        /// The configuration itself; empty unless this node wanted it.
+        /// The configuration itself; empty if this node has it.
         std::string text;
     };
 
@@ -39,8 +39,11 @@
                       std::chrono::milliseconds revocation);
     ~ConfigurationTask();
 
+    /// Whether other nodes rely on the proofs of this one, which must then be younger.
+    using IsReliedOn = std::function<bool()>;
+
     /// `listener` is told of each accepted configuration, from the fiber of the task.
-    void start(Listener listener);
+    void start(Listener listener, IsReliedOn isReliedOn);
     void stop();
     /// Stops and waits until the task has ended.
     void shutDown();
@@ -75,6 +78,7 @@
     std::chrono::milliseconds watchWait_;
     std::chrono::milliseconds relayTrust_;
     Listener listener_;
+    IsReliedOn isReliedOn_;
     RouteTablePointer table_;
     std::string text_;
     std::uint64_t revision_ = 0;
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -222,8 +222,7 @@
     if (report.targetsVersion != answer.targetsVersion)
         answer.targets = term_->listed;
     answer.proof = proof();
-    if (report.wantsConfiguration
-        && report.configurationVersion < answer.proof.configurationVersion)
+    if (report.configurationVersion < answer.proof.configurationVersion)
         answer.configuration = configuration_.text();
     answer.lease = lease_.lease().proof(now);
     answer.loads = term_->planner.loads();
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -169,7 +169,6 @@
         [this](decisions::CoordinationReport report) {
             const RouteTablePointer table = configuration.table();
             report.configurationVersion = table ? table->configuration().version : 0;
-            report.wantsConfiguration = configuration.isPlatformLost();
             reports.send(std::move(report));
         },
         [this](RoutingTask::Relay relay) { passOn(std::move(relay)); });
@@ -179,14 +178,16 @@
         if (!routing.trySend(StopAnnounced()))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=stop_announced");
     });
-    configuration.start([this](const RouteTablePointer &table) {
-        frontServer.updateLimits(limitsOf(table->configuration().limits));
-        const bool isTaken = routing.trySend(ConfigurationMoved {table})
-            && coordinator.trySend(CoordinatedConfigurationMoved {table})
-            && lifecycle.trySend(LifecycleTask::ConfigurationArrived());
-        if (!isTaken)
-            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=configuration_moved");
-    });
+    configuration.start(
+        [this](const RouteTablePointer &table) {
+            frontServer.updateLimits(limitsOf(table->configuration().limits));
+            const bool isTaken = routing.trySend(ConfigurationMoved {table})
+                && coordinator.trySend(CoordinatedConfigurationMoved {table})
+                && lifecycle.trySend(LifecycleTask::ConfigurationArrived());
+            if (!isTaken)
+                runtime::logEvent(runtime::LogEvent::MessageDropped, "message=configuration_moved");
+        },
+        [this] { return coordinator.isCoordinating(); });
     targets.start(
         [this](const TargetTask::Update &update) {
             const bool isTaken = routing.trySend(TargetsMoved {update.entries, update.hasReplicas})
--- a/packages/gateway/src/LeaseJson.cpp
+++ b/packages/gateway/src/LeaseJson.cpp
@@ -16,7 +16,8 @@
                                          {"incarnation", record.incarnation},
                                          {"renewal", record.renewal},
                                          {"isReleased", record.isReleased},
-                                         {"ordersAfterMs", record.ordersAfter.count()}});
+                                         {"ordersAfterMs", record.ordersAfter.count()},
+                                         {"validityMs", record.validity.count()}});
 }
 
 core::Result<decisions::LeaseRecord> parseLease(std::string_view text)
@@ -31,6 +32,8 @@
         record.isReleased = value.at("isReleased").as_bool();
         record.ordersAfter =
             std::chrono::milliseconds(value.at("ordersAfterMs").to_number<std::int64_t>());
+        record.validity =
+            std::chrono::milliseconds(value.at("validityMs").to_number<std::int64_t>());
         return record;
     } catch (const std::exception &exception) {
         return core::makeNotRunError(core::ErrorCode::ProtocolViolation,
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -1,7 +1,11 @@
 #include "ReportTask.h"
 
 #include <algorithm>
+#include <utility>
 
+#include <boost/fiber/operations.hpp>
+
+#include "boragerack/core/RendezvousHash.h"
 #include "boragerack/runtime/EventLog.h"
 #include "boragerack/runtime/Reply.h"
 
@@ -13,6 +17,10 @@
 constexpr std::size_t kMailboxCapacity = 2;
 /// A coordinator that does not answer within this time is asked again with the next report.
 constexpr std::chrono::milliseconds kAnswerTimeout(500);
+/// A new coordinator opens a link to each node and answers its first report in full. With more
+/// nodes than this they report to it for the first time within this time per node.
+constexpr std::size_t kNodesAtOnce = 16;
+constexpr std::chrono::milliseconds kSpreadPerNode(14);
 /// Another node answers at once or is out of reach, too.
 constexpr std::chrono::milliseconds kAskAroundTimeout(250);
 
@@ -67,8 +75,7 @@
         const core::TimePoint reportedAt = clock_.now();
         bool isLocal = lease_.lease().hasTerm();
         auto answer = ask(*report);
-        const bool isHeld =
-            answer && answer->standing == decisions::CoordinatorStanding::Holding;
+        const bool isHeld = answer && answer->standing == decisions::CoordinatorStanding::Holding;
         if (!isHeld && configuration_.isPlatformLost()) {
             if (auto other = askAround(*report)) {
                 answer = std::move(other);
@@ -102,7 +109,23 @@
     const auto &holder = lease_.lease().holder();
     if (!holder || holder->isReleased || holder->holder == report.member.instance)
         return std::nullopt;
-    return askPeer(holder->holder, holder->peerAddress, report, kAnswerTimeout);
+    const decisions::LeaseRecord known = *holder;
+    spreadFirstReport(known, report.member.instance);
+    return askPeer(known.holder, known.peerAddress, report, kAnswerTimeout);
+}
+
+void ReportTask::spreadFirstReport(const decisions::LeaseRecord &holder,
+                                   const core::InstanceId &self)
+{
+    if (std::exchange(lastHolder_, holder.incarnation) == holder.incarnation)
+        return;
+    const std::size_t nodes = routing_.fleet().get()->members.size();
+    if (nodes <= kNodesAtOnce)
+        return;
+    constexpr std::uint64_t kParts = 64;
+    const auto part = static_cast<int>(core::stableHash(self.value, holder.incarnation) % kParts);
+    boost::this_fiber::sleep_for(kSpreadPerNode * static_cast<int>(nodes) * part
+                                 / static_cast<int>(kParts));
 }
 
 std::optional<decisions::CoordinationAnswer>
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -31,6 +31,7 @@
 
 private:
     void run();
+    void spreadFirstReport(const decisions::LeaseRecord &holder, const core::InstanceId &self);
     void noteHolder(const decisions::CoordinationAnswer &answer);
     std::optional<decisions::CoordinationAnswer> ask(const decisions::CoordinationReport &report);
     std::optional<decisions::CoordinationAnswer>
@@ -50,6 +51,8 @@
     const core::Clock &clock_;
     peer::PeerNetwork *network_ = nullptr;
     std::size_t nextAsked_ = 0;
+    /// Incarnation of the coordinator that got the last report.
+    std::uint64_t lastHolder_ = 0;
     runtime::Mailbox<decisions::CoordinationReport> mailbox_;
     boost::fibers::fiber fiber_;
 };
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -16,7 +16,7 @@
 /// Reports follow each other at least this far apart, also with urgent news.
 constexpr std::chrono::milliseconds kReportPause(15);
 /// With many nodes they are further apart, so that the coordinator can follow.
-constexpr std::chrono::microseconds kReportPausePerNode(1500);
+constexpr std::chrono::microseconds kReportPausePerNode(3500);
 /// Without news a node reports this often until the coordinator sets another interval.
 constexpr std::chrono::milliseconds kReportInterval(100);
 /// Placements of a coordinator that has been silent for this long are not trusted any more.
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -42,7 +42,7 @@
     {
         std::uint64_t configurationVersion = 0;
         core::TimePoint configurationProvenAt = {};
-        /// Empty unless this node wanted it.
+        /// Empty if this node has it.
         std::string configuration;
         core::TimePoint targetsReadAt = {};
         std::optional<std::vector<decisions::TargetEntry>> targets;
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -19,7 +19,7 @@
 /// The coordinator passes the list on, which takes up to a second more.
 constexpr std::chrono::milliseconds kUrgentPause(200);
 /// The list of the coordinator is enough while it is not older than this.
-constexpr std::chrono::milliseconds kRelayTrust(1200);
+constexpr std::chrono::milliseconds kRelayTrust(1400);
 constexpr std::chrono::milliseconds kRelayTick(100);
 constexpr std::size_t kMailboxCapacity = 16;
 
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -264,7 +264,8 @@
              in.incarnation(),
              in.renewal(),
              in.released(),
-             milliseconds(in.orders_after_ms())},
+             milliseconds(in.orders_after_ms()),
+             milliseconds(in.validity_ms())},
             in.version()};
 }
 
@@ -277,7 +278,6 @@
     body.placementVersion = in.placement_version();
     body.targetsVersion = in.targets_version();
     body.configurationVersion = in.configuration_version();
-    body.wantsConfiguration = in.wants_configuration();
     body.term = in.term();
     body.wantsLoads = in.wants_loads();
     for (const wire::ArtifactDemand &record : in.demands()) {
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -69,6 +69,7 @@
     out.set_renewal(sighting.record.renewal);
     out.set_released(sighting.record.isReleased);
     out.set_orders_after_ms(clampMilliseconds(sighting.record.ordersAfter));
+    out.set_validity_ms(clampMilliseconds(sighting.record.validity));
     out.set_version(sighting.version);
 }
 
@@ -308,7 +309,6 @@
     out.set_placement_version(body.placementVersion);
     out.set_targets_version(body.targetsVersion);
     out.set_configuration_version(body.configurationVersion);
-    out.set_wants_configuration(body.wantsConfiguration);
     out.set_term(body.term);
     out.set_wants_loads(body.wantsLoads);
     for (const decisions::ArtifactDemand &demand : body.demands) {
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -92,7 +92,6 @@
                                        3,
                                        4,
                                        true,
-                                       true,
                                        {{artifact, {"s"}, 4, 5, milliseconds(6), milliseconds(7)}},
                                        {{core::TargetId {"t"}, artifact, 8}},
                                        {{organisation, 9, 10}},
@@ -112,7 +111,8 @@
             {{organisation, 13}},
             {digest},
             "{}",
-            decisions::LeaseSighting {{kSender, "10.0.0.1:2", 1, 2, true, milliseconds(3)}, 4},
+            decisions::LeaseSighting {
+                {kSender, "10.0.0.1:2", 1, 2, true, milliseconds(3), milliseconds(5)}, 4},
             milliseconds(14)},
         error};
     std::set<std::size_t> kinds;
