Keep limits and directory answers right while the fleet restarts; ask targets a few at a time

A new coordinator asked all 94 targets for reports at once, got no answer in time at 0.09 cores, and asked again (88 targets lost twice in a row). Ruled out: the grants of the coordinators themselves (each starts with a third of the tolerance). At most 12 questions and 24 orders are open at once.

--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -79,11 +79,17 @@
     /// Its last confirmed renewal, and the latest time at which it can have been sent.
     std::uint64_t renewal = 0;
     core::TimePoint renewedBefore = {};
-    /// Live nodes, which all look at the lease when the coordinator falls silent.
-    std::uint32_t nodes = 1;
     friend bool operator==(const CoordinatorHeard &, const CoordinatorHeard &) = default;
 };
 
+/// Live nodes as this one knows them. All of them look at the lease when the coordinator falls
+/// silent.
+struct NodesCounted
+{
+    std::uint32_t nodes = 0;
+    friend bool operator==(const NodesCounted &, const NodesCounted &) = default;
+};
+
 /// Another node tells what it has read of the lease. A node that has lost the platform learns of a
 /// successor in this way, also if it holds the lapsed lease itself.
 struct HolderTold
@@ -110,7 +116,7 @@
 };
 
 using Event = std::variant<ReadFinished, WriteApplied, WriteConflict, Unanswered, CoordinatorHeard,
-                           HolderTold, StopAnnounced, StopRequested, Tick>;
+                           HolderTold, NodesCounted, StopAnnounced, StopRequested, Tick>;
 
 struct Read
 {
@@ -151,6 +157,8 @@
     LeaseProof proof(core::TimePoint now) const;
     /// Holder as last read or written; nothing before the first read.
     const std::optional<LeaseRecord> &holder() const { return known_; }
+    /// Most nodes that this one or the holder has known; zero if neither knows any.
+    std::uint32_t nodes() const { return self_.nodes; }
     /// What other nodes may be told.
     std::optional<LeaseSighting> sighting() const;
     bool isStopped() const { return chart_.isFinished(); }
--- a/packages/decisions/include/boragerack/decisions/serving/LeaseRecord.h
+++ b/packages/decisions/include/boragerack/decisions/serving/LeaseRecord.h
@@ -24,6 +24,9 @@
     std::chrono::milliseconds ordersAfter = {};
     /// The holder acts for this long after it sent a renewal that was confirmed.
     std::chrono::milliseconds validity = {};
+    /// Most nodes that the holder has known. A process that starts divides limits by it until a
+    /// coordinator tells it more.
+    std::uint32_t nodes = 0;
 
     friend auto operator<=>(const LeaseRecord &, const LeaseRecord &) = default;
 };
--- a/packages/decisions/include/boragerack/decisions/serving/MemberRoll.h
+++ b/packages/decisions/include/boragerack/decisions/serving/MemberRoll.h
@@ -16,11 +16,19 @@
 public:
     /// A node that has not reported for this long is taken as gone.
     static constexpr std::chrono::milliseconds kSilence {1500};
+    /// A node that has gone without a word may run on for this long.
+    static constexpr std::chrono::milliseconds kMissing {15000};
 
     void report(const FleetMember &member, bool isStopping, core::TimePoint now);
     /// Nodes that have gone since the last call.
     std::vector<core::InstanceId> expire(core::TimePoint now);
 
+    /// Nodes that the coordinator's predecessor knew; they count as reported now.
+    void seed(const std::vector<FleetMember> &members, core::TimePoint now);
+    /// Part of the known nodes that are live. Nodes that have gone without a word may be cut off
+    /// and run on, so they count for some time.
+    double liveShare(core::TimePoint now) const;
+
     /// Nodes that callers may use; stopping nodes are left out.
     std::vector<FleetMember> members() const;
     std::size_t size() const { return entries_.size(); }
@@ -36,6 +44,8 @@
     };
 
     std::map<core::InstanceId, Entry> entries_;
+    /// When nodes went without a word.
+    std::map<core::InstanceId, core::TimePoint> missing_;
     std::uint64_t version_ = 1;
 };
 
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -65,6 +65,8 @@
         std::map<core::ModelId, Model> models;
         /// Targets that can take an order now.
         std::vector<Target *> free;
+        /// Orders that have not been answered yet.
+        std::size_t openOrders = 0;
     };
 
     /// A model that should become ready on one more target.
@@ -98,6 +100,7 @@
     void on(const swap::Tick &event, core::TimePoint now);
 
     void decide(core::TimePoint now, Actions &actions);
+    void askForReports(core::TimePoint now, Actions &actions);
     Survey survey(core::TimePoint now);
     std::vector<Need> modelNeeds(const std::map<Artifact, FleetDemand> &demands,
                                  const Survey &survey) const;
@@ -129,6 +132,8 @@
     std::map<core::TargetId, Target> targets_;
     DemandBook book_;
     bool mayOrder_ = false;
+    /// The target that is asked first for a report.
+    core::TargetId nextAsked_;
     core::TimePoint nextDecision_ = {};
     std::uint64_t nextOrder_ = 1;
     std::uint64_t version_ = 1;
--- a/packages/decisions/include/boragerack/decisions/serving/TargetOrders.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetOrders.h
@@ -60,9 +60,10 @@
     const TargetEntry &entry() const { return entry_; }
     const std::map<core::ModelId, Holding> &holdings() const { return holdings_; }
     const std::optional<PendingOrder> &pending() const { return pending_; }
-    std::uint64_t sequence() const { return sequence_; }
     bool isIdle(core::TimePoint now) const;
-    bool isWorking() const { return chart_.state() == TargetOrderState::Working; }
+    /// A question for a report, or an order, has not been answered yet.
+    bool isQuestionOpen() const { return isQuestionOpen_; }
+    bool isOrderOpen() const { return chart_.state() == TargetOrderState::Ordering; }
     /// The model is held and no order to unload it has been given.
     bool serves(const core::ModelId &model) const;
     bool servesAdapter(const Artifact &artifact) const;
--- a/packages/decisions/include/boragerack/decisions/serving/TokenAllotment.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TokenAllotment.h
@@ -24,6 +24,10 @@
 
     void setLimits(const Limits &limits, core::TimePoint now);
 
+    /// Part of the rates that is granted here; the rest is left to nodes that are out of touch and
+    /// accrue their own part.
+    void setShare(double share, core::TimePoint now);
+
     /// Tokens granted, at most what is asked for. When the bucket runs low, reserves are not
     /// granted, so that tokens do not lie idle on one node while requests wait on another.
     TokenAmount grant(const TokenAsk &ask, core::TimePoint now);
@@ -41,6 +45,7 @@
 
     std::int64_t startTokens_;
     std::int64_t extraTokens_;
+    double share_ = 1;
     std::map<core::OrganisationId, Bucket> buckets_;
 };
 
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -49,6 +49,8 @@
             heardAt_.reset();
     } else if (const auto *told = std::get_if<lease::HolderTold>(&event)) {
         onTold(told->sighting, now, actions);
+    } else if (const auto *counted = std::get_if<lease::NodesCounted>(&event)) {
+        self_.nodes = std::max(self_.nodes, counted->nodes);
     } else if (std::holds_alternative<lease::StopAnnounced>(event)) {
         isStopAnnounced_ = true;
     } else if (std::holds_alternative<lease::StopRequested>(event)) {
@@ -76,6 +78,8 @@
     if (knownVersion_ != read.version || known_.has_value() != read.record.has_value())
         knownSince_ = now;
     known_ = read.record;
+    if (known_)
+        self_.nodes = std::max(self_.nodes, known_->nodes);
     knownVersion_ = read.record ? std::optional(read.version) : std::nullopt;
     if (chart_.state() == CoordinatorState::Verifying) {
         const bool isOwnTerm = known_ && isOwn(*known_) && known_->incarnation == self_.incarnation;
@@ -113,7 +117,7 @@
 
 core::Duration CoordinatorLease::lookPause() const
 {
-    const auto pause = times_.lookEvery * std::max(1U, heard_.nodes) / times_.nodesLooking;
+    const auto pause = times_.lookEvery * self_.nodes / times_.nodesLooking;
     return std::clamp<std::chrono::milliseconds>(pause, times_.lookEvery, times_.longestLook);
 }
 
@@ -163,7 +167,7 @@
         // A shorter validity within a term would let a successor act before the longer one ends.
         if (!hasTerm())
             self_.validity =
-                heard_.nodes > times_.nodesLooking ? times_.validityOfMany : times_.validity;
+                self_.nodes > times_.nodesLooking ? times_.validityOfMany : times_.validity;
         writeSentAt_ = now;
         actions.emplace_back(lease::Write {self_, knownVersion_});
         break;
--- a/packages/decisions/src/serving/MemberRoll.cpp
+++ b/packages/decisions/src/serving/MemberRoll.cpp
@@ -1,9 +1,12 @@
 #include "boragerack/decisions/serving/MemberRoll.h"
 
+#include <algorithm>
+
 namespace boragerack::decisions {
 
 void MemberRoll::report(const FleetMember &member, bool isStopping, core::TimePoint now)
 {
+    missing_.erase(member.instance);
     Entry &entry = entries_[member.instance];
     if (entry.member != member || entry.isStopping != isStopping)
         ++version_;
@@ -17,13 +20,31 @@
         if (now - entry.reportedAt >= kSilence)
             gone.push_back(instance);
     }
-    for (const core::InstanceId &instance : gone)
+    for (const core::InstanceId &instance : gone) {
+        if (!entries_.at(instance).isStopping)
+            missing_[instance] = now;
         entries_.erase(instance);
+    }
+    std::erase_if(missing_, [now](const auto &item) { return now - item.second >= kMissing; });
     if (!gone.empty())
         ++version_;
     return gone;
 }
 
+void MemberRoll::seed(const std::vector<FleetMember> &members, core::TimePoint now)
+{
+    for (const FleetMember &member : members)
+        report(member, false, now);
+}
+
+double MemberRoll::liveShare(core::TimePoint now) const
+{
+    const auto missing = static_cast<double>(std::ranges::count_if(
+        missing_, [now](const auto &item) { return now - item.second < kMissing; }));
+    const auto live = static_cast<double>(entries_.size());
+    return live == 0 ? 1 : live / (live + missing);
+}
+
 std::vector<FleetMember> MemberRoll::members() const
 {
     std::vector<FleetMember> members;
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -14,6 +14,12 @@
 /// A decision looks at all targets, so with many targets there are fewer decisions.
 constexpr std::chrono::microseconds kDecisionPausePerTarget(300);
 
+/// Questions for reports that are open at once. A new coordinator asks every target, and on a slow
+/// machine many answers at once come too late to be used.
+constexpr std::size_t kMaxOpenQuestions = 12;
+/// The same for orders.
+constexpr std::size_t kMaxOpenOrders = 24;
+
 /// Requests wait for the model or run on it.
 bool isWanted(const core::ModelId &model, const std::map<Artifact, FleetDemand> &demands)
 {
@@ -39,10 +45,7 @@
             nextDecision_ = now + kDecisionPausePerTarget * targets_.size();
             decide(now, actions);
         }
-        for (auto &[id, target] : targets_) {
-            if (auto question = target.orders.nextQuestion(now))
-                actions.emplace_back(std::move(*question));
-        }
+        askForReports(now, actions);
     }
     publish();
     return actions;
@@ -107,6 +110,23 @@
 
 void SwapPlanner::on(const swap::Tick &, core::TimePoint) { }
 
+void SwapPlanner::askForReports(core::TimePoint now, Actions &actions)
+{
+    auto open = static_cast<std::size_t>(std::ranges::count_if(
+        targets_, [](const auto &item) { return item.second.orders.isQuestionOpen(); }));
+    // Targets that do not answer must not keep the others from being asked.
+    auto position = targets_.lower_bound(nextAsked_);
+    for (std::size_t i = 0; i < targets_.size() && open < kMaxOpenQuestions; ++i, ++position) {
+        if (position == targets_.end())
+            position = targets_.begin();
+        if (auto question = position->second.orders.nextQuestion(now)) {
+            actions.emplace_back(std::move(*question));
+            nextAsked_ = position->first;
+            ++open;
+        }
+    }
+}
+
 void SwapPlanner::decide(core::TimePoint now, Actions &actions)
 {
     const auto demands = book_.demands(now);
@@ -128,8 +148,11 @@
         const bool isLate = need.timeToAim < std::chrono::milliseconds(0);
         return std::tuple(need.isFurther, isLate, -static_cast<int>(need.waiting), need.timeToAim);
     });
-    for (const Need &need : needs)
+    for (const Need &need : needs) {
+        if (found.openOrders >= kMaxOpenOrders)
+            break;
         placeModel(need, found, now, actions);
+    }
 }
 
 SwapPlanner::Survey SwapPlanner::survey(core::TimePoint now)
@@ -137,6 +160,7 @@
     Survey result;
     for (auto &[id, target] : targets_) {
         const TargetEntry &entry = target.orders.entry();
+        result.openOrders += target.orders.isOrderOpen() ? 1 : 0;
         if (target.reservedFor)
             result.models[*target.reservedFor].isBeingPlaced = true;
         if (const auto &pending = target.orders.pending();
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -134,6 +134,7 @@
 {
     Target &target = *option.target;
     std::erase(survey.free, &target);
+    ++survey.openOrders;
     if (!option.victims.empty()) {
         target.reservedFor = need.model;
         const core::ModelId &victim = option.victims.front();
--- a/packages/decisions/src/serving/TokenAllotment.cpp
+++ b/packages/decisions/src/serving/TokenAllotment.cpp
@@ -25,7 +25,7 @@
 {
     const double seconds = std::chrono::duration<double>(now - bucket.accruedAt).count();
     const double accrued =
-        static_cast<double>(bucket.limit.tokensPerSecond) * std::max(0.0, seconds);
+        static_cast<double>(bucket.limit.tokensPerSecond) * share_ * std::max(0.0, seconds);
     bucket.level = std::min(bucket.level + accrued, sizeOf(bucket.limit));
     bucket.accruedAt = now;
 }
@@ -47,6 +47,13 @@
     }
 }
 
+void TokenAllotment::setShare(double share, core::TimePoint now)
+{
+    for (auto &[organisation, bucket] : buckets_)
+        accrue(bucket, now);
+    share_ = share;
+}
+
 double TokenAllotment::sizeOf(const RateLimit &limit) const
 {
     return static_cast<double>(limit.burstTokens + extraTokens_);
--- a/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
+++ b/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
@@ -188,7 +188,7 @@
         if (now < frozenUntil_[other])
             return;
         const auto nodes = static_cast<std::uint32_t>(random_.next() % 80);
-        handle(other, lease::CoordinatorHeard {false, 0, 0, {}, nodes}, now);
+        handle(other, lease::NodesCounted {nodes}, now);
         if (const auto sighting = nodes_[node]->sighting())
             handle(other, lease::HolderTold {*sighting}, now);
     }
@@ -298,7 +298,8 @@
         CoordinatorLease lease(chart(), recordOf(1, 8), LeaseTimes());
         lease.handle(lease::Tick(), now);
         lease.handle(lease::ReadFinished {recordOf(2, 9), 6}, now);
-        lease.handle(lease::CoordinatorHeard {true, 9, 0, now, nodes}, now);
+        lease.handle(lease::NodesCounted {nodes}, now);
+        lease.handle(lease::CoordinatorHeard {true, 9, 0, now}, now);
         int looks = 0;
         LeaseRecord renewed = recordOf(2, 9);
         for (int i = 0; i < 400; ++i) {
--- a/packages/decisions/tests/serving/SwapPlannerTest.cpp
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
+#include <utility>
 
 #include <rapidcheck.h>
 
@@ -341,6 +343,44 @@
     BOOST_TEST(world.isHeld(model));
 }
 
+// Guards against a new coordinator that asks every target at once, gets the answers too late and
+// asks again (crsa-yard-grown trouble-3: 94 targets lost, again and again), and against targets
+// that are never asked because others do not answer.
+BOOST_AUTO_TEST_CASE(reportsAreAskedForAFewAtATime)
+{
+    constexpr std::size_t kMany = 94;
+    core::TimePoint now(1h);
+    SwapPlanner planner(chart());
+    planner.handle(swap::ServicesChanged {{makeService()}}, now);
+    TargetEntries entries;
+    for (std::uint64_t i = 0; i < kMany; ++i) {
+        const FakeTarget target(i);
+        entries.emplace(target.entry().target, target.entry());
+    }
+    std::set<core::TargetId> open;
+    std::set<core::TargetId> asked;
+    const auto note = [&](const std::vector<swap::Action> &actions) {
+        for (const swap::Action &action : actions) {
+            if (const auto *question = std::get_if<swap::AskReport>(&action)) {
+                open.insert(question->target);
+                asked.insert(question->target);
+            }
+        }
+    };
+    planner.handle(swap::TargetsChanged {std::make_shared<const TargetEntries>(entries)}, now);
+    note(planner.handle(swap::OrdersAllowed {true}, now));
+    for (int i = 0; i < 40; ++i) {
+        BOOST_TEST(open.size() <= 16U);
+        now += 100ms;
+        const std::set<core::TargetId> answered = std::exchange(open, {});
+        // No target answers.
+        for (const core::TargetId &target : answered)
+            note(planner.handle(swap::ReportArrived {target, std::nullopt}, now));
+        note(planner.handle(swap::Tick(), now));
+    }
+    BOOST_TEST(asked.size() == kMany);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/decisions/tests/serving/TokenLimitTest.cpp
+++ b/packages/decisions/tests/serving/TokenLimitTest.cpp
@@ -52,6 +52,39 @@
 
 BOOST_AUTO_TEST_SUITE(TokenLimitTest)
 
+// Guards against a fleet of which a part is cut off from the coordinator and spends its own part of
+// the rate while the coordinator grants the whole rate to the others.
+BOOST_AUTO_TEST_CASE(cutNodesAndTheRestKeepToTheLimit)
+{
+    constexpr std::uint32_t kNodes = 8;
+    constexpr std::uint32_t kCut = 4;
+    constexpr int kSeconds = 8;
+    const TokenWallet::Limits limits {{kOrganisation, kLimit}};
+    std::vector<TokenWallet> wallets(kNodes);
+    for (TokenWallet &wallet : wallets)
+        wallet.setLimits(limits);
+    core::TimePoint now(1h);
+    TokenAllotment allotment(kTolerance);
+    allotment.setLimits(limits, now);
+    allotment.setShare(static_cast<double>(kNodes - kCut) / kNodes, now);
+    std::int64_t spent = 0;
+    for (const core::TimePoint end = now + std::chrono::seconds(kSeconds); now < end; now += 10ms) {
+        for (std::uint32_t i = 0; i < kNodes; ++i) {
+            TokenWallet &wallet = wallets[i];
+            wallet.countDemand(kOrganisation, 1000, now);
+            if (wallet.take(kOrganisation, 1000))
+                spent += 1000;
+            if (i < kCut) {
+                wallet.accrue(now, kNodes);
+                continue;
+            }
+            for (const TokenAsk &ask : wallet.wanted(now))
+                wallet.credit(allotment.grant(ask, now));
+        }
+    }
+    BOOST_TEST(spent <= kLimit.tokensPerSecond * kSeconds + kLimit.burstTokens + kTolerance / 2);
+}
+
 // Guards against nodes that together spend more than the organisation's rate, burst and tolerance
 // while the coordinator changes twice.
 BOOST_AUTO_TEST_CASE(fleetKeepsToTheLimit)
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -77,8 +77,9 @@
         fiber_.join();
 }
 
-void CoordinatorTask::start()
+void CoordinatorTask::start(const runtime::Published<FleetView> &fleet)
 {
+    fleet_ = &fleet;
     fiber_ = boost::fibers::fiber([this] { run(); });
 }
 
@@ -97,7 +98,10 @@
 {
     while (isRunning_ && !mailbox_.isClosed()) {
         auto message = mailbox_.receiveUntil(std::chrono::steady_clock::now() + kTick);
-        followLease();
+        if (const core::TimePoint now = clock_.now(); now >= nextLook_) {
+            nextLook_ = now + kTick;
+            followLease();
+        }
         if (message)
             std::visit([this](auto &concrete) { on(concrete); }, *message);
         else if (term_)
@@ -121,6 +125,7 @@
                                              false,
                                              {},
                                              0});
+            term_->members.seed(fleet_->get()->members, clock_.now());
             applyConfiguration();
             applyTargets();
         }
@@ -135,6 +140,7 @@
         runtime::logEvent(runtime::LogEvent::MemberLost, "instance=" + node.value);
         plan(swap::NodeLeft {node});
     }
+    term_->allotment.setShare(term_->members.liveShare(clock_.now()), clock_.now());
 }
 
 void CoordinatorTask::applyConfiguration()
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -9,6 +9,7 @@
 #include <boost/fiber/fiber.hpp>
 
 #include "CoordinatorMessages.h"
+#include "FleetView.h"
 #include "LeaseTask.h"
 #include "boragerack/core/Clock.h"
 #include "boragerack/decisions/Quarantine.h"
@@ -19,6 +20,7 @@
 #include "boragerack/runtime/FiberGroup.h"
 #include "boragerack/runtime/Mailbox.h"
 #include "boragerack/runtime/Metrics.h"
+#include "boragerack/runtime/Published.h"
 
 namespace boragerack::gateway {
 
@@ -36,7 +38,8 @@
                     runtime::Metrics &metrics);
     ~CoordinatorTask();
 
-    void start();
+    /// `fleet`: the nodes as this one knows them; a new term begins with them.
+    void start(const runtime::Published<FleetView> &fleet);
     void stop();
     [[nodiscard]] bool trySend(CoordinatorMessage message);
     /// Whether changes of the targets concern this node more than others.
@@ -90,6 +93,9 @@
     /// When the platform answered with these entries.
     core::TimePoint targetsReadAt_ = {};
     RouteTablePointer table_;
+    const runtime::Published<FleetView> *fleet_ = nullptr;
+    /// When the lease and the members are looked at again.
+    core::TimePoint nextLook_ = {};
     std::unique_ptr<Term> term_;
     bool isRunning_ = true;
     boost::fibers::fiber fiber_;
--- a/packages/gateway/src/DirectoryHandler.cpp
+++ b/packages/gateway/src/DirectoryHandler.cpp
@@ -37,7 +37,10 @@
 
 std::vector<std::string> DirectoryHandler::addressesFor(const DirectoryQuery &query) const
 {
-    std::vector<decisions::FleetMember> members = routing_.fleet().get()->members;
+    const auto fleet = routing_.fleet().get();
+    std::vector<decisions::FleetMember> members;
+    if (!fleet->isStale)
+        members = fleet->members;
     std::erase_if(members, [&](const decisions::FleetMember &member) {
         return member.instance == self_.instance;
     });
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -173,7 +173,7 @@
         },
         [this](RoutingTask::Relay relay) { passOn(std::move(relay)); });
     reports.start();
-    coordinator.start();
+    coordinator.start(routing.fleet());
     lifecycle.start([this] {
         if (!routing.trySend(StopAnnounced()))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=stop_announced");
--- a/packages/gateway/src/LeaseJson.cpp
+++ b/packages/gateway/src/LeaseJson.cpp
@@ -17,7 +17,8 @@
                                          {"renewal", record.renewal},
                                          {"isReleased", record.isReleased},
                                          {"ordersAfterMs", record.ordersAfter.count()},
-                                         {"validityMs", record.validity.count()}});
+                                         {"validityMs", record.validity.count()},
+                                         {"nodes", record.nodes}});
 }
 
 core::Result<decisions::LeaseRecord> parseLease(std::string_view text)
@@ -34,6 +35,7 @@
             std::chrono::milliseconds(value.at("ordersAfterMs").to_number<std::int64_t>());
         record.validity =
             std::chrono::milliseconds(value.at("validityMs").to_number<std::int64_t>());
+        record.nodes = value.at("nodes").to_number<std::uint32_t>();
         return record;
     } catch (const std::exception &exception) {
         return core::makeNotRunError(core::ErrorCode::ProtocolViolation,
--- a/packages/gateway/src/LeaseTask.cpp
+++ b/packages/gateway/src/LeaseTask.cpp
@@ -57,6 +57,8 @@
             handle(*heard);
         else if (const auto *told = std::get_if<HolderTold>(&*message))
             handle(*told);
+        else if (const auto *counted = std::get_if<NodesCounted>(&*message))
+            handle(*counted);
         else if (std::holds_alternative<AnnounceStop>(*message))
             handle(decisions::lease::StopAnnounced());
         else
--- a/packages/gateway/src/LeaseTask.h
+++ b/packages/gateway/src/LeaseTask.h
@@ -23,10 +23,11 @@
     {
     };
     using HolderTold = decisions::lease::HolderTold;
+    using NodesCounted = decisions::lease::NodesCounted;
     struct Stop
     {
     };
-    using Message = std::variant<Heard, HolderTold, AnnounceStop, Stop>;
+    using Message = std::variant<Heard, HolderTold, NodesCounted, AnnounceStop, Stop>;
 
     /// `clock` counts suspension. All references must outlive the task.
     LeaseTask(platform::PlatformStore &store, const core::Clock &clock,
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -84,19 +84,25 @@
         }
         if (answer && answer->standing != decisions::CoordinatorStanding::Absent && !isLocal)
             noteHolder(*answer);
-        if (!routing_.trySend(ReportAnswered {answer, reportedAt, isLocal}))
+        countNodes();
+        if (!routing_.trySend(ReportAnswered {answer, reportedAt, isLocal, lease_.lease().nodes()}))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=report_answered");
     }
 }
 
+void ReportTask::countNodes()
+{
+    const auto nodes = static_cast<std::uint32_t>(routing_.fleet().get()->members.size());
+    if (nodes > lease_.lease().nodes() && !lease_.trySend(LeaseTask::NodesCounted {nodes}))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=nodes_counted");
+}
+
 void ReportTask::noteHolder(const decisions::CoordinationAnswer &answer)
 {
     // The age counts from the answer, which was sent before now.
     const LeaseTask::Heard heard {answer.standing == decisions::CoordinatorStanding::Holding,
                                   answer.lease.incarnation, answer.lease.renewal,
-                                  clock_.now() - answer.lease.age,
-                                  static_cast<std::uint32_t>(std::max<std::size_t>(
-                                      1, routing_.fleet().get()->members.size()))};
+                                  clock_.now() - answer.lease.age};
     if (!lease_.trySend(heard))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=coordinator_heard");
 }
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -32,6 +32,7 @@
 private:
     void run();
     void spreadFirstReport(const decisions::LeaseRecord &holder, const core::InstanceId &self);
+    void countNodes();
     void noteHolder(const decisions::CoordinationAnswer &answer);
     std::optional<decisions::CoordinationAnswer> ask(const decisions::CoordinationReport &report);
     std::optional<decisions::CoordinationAnswer>
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -84,6 +84,8 @@
     core::TimePoint reportedAt = {};
     /// The coordinator is this node, which reads the platform itself.
     bool isLocal = false;
+    /// Most nodes that the record of the lease has named; zero if it is not known.
+    std::uint32_t nodes = 0;
 };
 
 /// The node stops; the coordinator is told with the next report.
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -21,8 +21,12 @@
 constexpr std::chrono::milliseconds kReportInterval(100);
 /// Placements of a coordinator that has been silent for this long are not trusted any more.
 constexpr std::chrono::milliseconds kCoordinatorLost(1000);
-/// Number of nodes among which limits of organisations are divided before a coordinator has told.
-constexpr std::uint32_t kAssumedNodes = 8;
+/// Callers are told only of this node when no coordinator has confirmed the others for this long,
+/// because some of them may have ended.
+constexpr std::chrono::milliseconds kMembersTrust(3000);
+/// Number of nodes among which limits of organisations are divided before a coordinator or its
+/// lease has told. It is large, since all nodes may have restarted at once.
+constexpr std::uint32_t kAssumedNodes = 128;
 /// Without a coordinator, a request that waits for tokens is refused after this time.
 constexpr std::chrono::milliseconds kTokenWait(250);
 
@@ -39,6 +43,7 @@
     , router_(random)
     , fairQueue_(std::make_unique<decisions::DeficitRoundRobinPolicy>(), limits.waiting)
     , mailbox_(kMailboxCapacity)
+    , lastAnswer_(startedAt_)
 {
     queue(decisions::CapacityFreed {limits.activeRequests});
 }
@@ -183,6 +188,7 @@
 void RoutingTask::on(ReportAnswered &message)
 {
     isReporting_ = false;
+    setNodes(message.nodes);
     if (!message.answer || message.answer->standing == decisions::CoordinatorStanding::Absent) {
         nextReport_ = clock_.now() + kReportInterval;
         return;
@@ -214,9 +220,8 @@
         FleetView view = *fleet_.get();
         if (answer.membersVersion != membersVersion_) {
             view.members = answer.members;
-            mostNodes_ = std::max(mostNodes_, static_cast<std::uint32_t>(answer.members.size()));
-            for (auto &[service, allowance] : retries_)
-                allowance.setNodes(mostNodes_);
+            view.isStale = false;
+            setNodes(answer.members.size());
         }
         view.quarantined = {answer.quarantined.begin(), answer.quarantined.end()};
         fleet_.set(std::move(view));
@@ -245,6 +250,13 @@
     onRelay_(std::move(relay));
 }
 
+void RoutingTask::setNodes(std::size_t nodes)
+{
+    mostNodes_ = std::max(mostNodes_, static_cast<std::uint32_t>(nodes));
+    for (auto &[service, allowance] : retries_)
+        allowance.setNodes(mostNodes_);
+}
+
 void RoutingTask::loseCoordinator()
 {
     term_ = 0;
@@ -258,6 +270,11 @@
 void RoutingTask::tick()
 {
     const core::TimePoint now = clock_.now();
+    if (now - lastAnswer_ > kMembersTrust && !fleet_.get()->isStale) {
+        FleetView view = *fleet_.get();
+        view.isStale = true;
+        fleet_.set(std::move(view));
+    }
     if (now - lastAnswer_ > kCoordinatorLost) {
         if (term_ != 0)
             loseCoordinator();
@@ -307,8 +324,7 @@
 
 std::uint32_t RoutingTask::nodeCount() const
 {
-    const auto members = static_cast<std::uint32_t>(fleet_.get()->members.size());
-    return members == 0 ? kAssumedNodes : members;
+    return mostNodes_ == 0 ? kAssumedNodes : mostNodes_;
 }
 
 decisions::RetryAllowance &RoutingTask::retriesTo(const core::ServiceId &service)
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -8,6 +8,7 @@
 
 #include <boost/fiber/fiber.hpp>
 
+#include "FleetView.h"
 #include "RoutingMessages.h"
 #include "boragerack/core/Clock.h"
 #include "boragerack/core/RandomSource.h"
@@ -21,15 +22,6 @@
 
 namespace boragerack::gateway {
 
-/// Live nodes as the coordinator knows them, and the requests that no node may run.
-struct FleetView
-{
-    std::vector<decisions::FleetMember> members;
-    std::set<core::Digest> quarantined;
-
-    friend bool operator==(const FleetView &, const FleetView &) = default;
-};
-
 /// Gives targets and tokens to this node's requests, and exchanges reports and answers with the
 /// coordinator. Owns the counts of requests in flight.
 class RoutingTask
@@ -102,6 +94,7 @@
     void adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
     void relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
     void loseCoordinator();
+    void setNodes(std::size_t nodes);
     decisions::RetryAllowance &retriesTo(const core::ServiceId &service);
     void tick();
     void report();
@@ -116,7 +109,8 @@
     decisions::RequestRouter router_;
     decisions::TokenWallet wallet_;
     decisions::FairQueue fairQueue_;
-    /// Largest number of nodes that a coordinator has told.
+    /// Most nodes that a coordinator or its lease has named; zero before. Nodes that are out of
+    /// touch go on spending, so limits are divided by this number even if fewer are left.
     std::uint32_t mostNodes_ = 0;
     std::map<core::ServiceId, decisions::RetryAllowance> retries_;
     SendReport sendReport_;
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -265,7 +265,8 @@
              in.renewal(),
              in.released(),
              milliseconds(in.orders_after_ms()),
-             milliseconds(in.validity_ms())},
+             milliseconds(in.validity_ms()),
+             in.nodes()},
             in.version()};
 }
 
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -70,6 +70,7 @@
     out.set_released(sighting.record.isReleased);
     out.set_orders_after_ms(clampMilliseconds(sighting.record.ordersAfter));
     out.set_validity_ms(clampMilliseconds(sighting.record.validity));
+    out.set_nodes(sighting.record.nodes);
     out.set_version(sighting.version);
 }
 
