Begin a term with the known nodes only if they were confirmed recently

Ruled out: nodes without a coordinator (they name only themselves after 3 s). Change: a term begins with the known nodes only if no more than 3 s have passed since they were confirmed.

--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -125,7 +125,9 @@
                                              false,
                                              {},
                                              0});
-            term_->members.seed(fleet_->get()->members, clock_.now());
+            // Nodes that nobody has confirmed for some seconds may have ended.
+            if (const auto fleet = fleet_->get(); !fleet->isStale)
+                term_->members.seed(fleet->members, clock_.now());
             applyConfiguration();
             applyTargets();
         }
