--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -15,7 +15,9 @@
 constexpr std::chrono::milliseconds kTick(50);
 /// Reports follow each other at least this far apart, also with urgent news.
 constexpr std::chrono::milliseconds kReportPause(15);
-/// With many nodes they are further apart, so that the coordinator can follow.
+/// With more nodes than this, early reports are further apart by so much for each further node, and
+/// the loads of the targets are asked for less often, so that the coordinator can follow.
+constexpr std::uint32_t kNodesAtFullRate = 16;
 constexpr std::chrono::microseconds kReportPausePerNode(3500);
 /// Without news a node reports this often until the coordinator sets another interval.
 constexpr std::chrono::milliseconds kReportInterval(100);
@@ -201,7 +203,8 @@
     const core::TimePoint now = clock_.now();
     lastAnswer_ = now;
     nextReport_ = now + answer.reportAfter;
-    loadsEvery_ = answer.reportAfter / 2;
+    loadsEvery_ =
+        nodeCount() > kNodesAtFullRate ? answer.reportAfter / 2 : std::chrono::milliseconds(0);
     if (answer.term != term_) {
         term_ = answer.term;
         membersVersion_ = 0;
@@ -319,7 +322,8 @@
 
 core::Duration RoutingTask::reportPause() const
 {
-    return std::max<core::Duration>(kReportPause, kReportPausePerNode * nodeCount());
+    const std::uint32_t further = std::max(nodeCount(), kNodesAtFullRate) - kNodesAtFullRate;
+    return kReportPause + kReportPausePerNode * further;
 }
 
 std::uint32_t RoutingTask::nodeCount() const
