--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -112,6 +112,8 @@
     std::uint64_t placementVersion = 0;
     std::uint64_t targetsVersion = 0;
     std::uint64_t configurationVersion = 0;
+    /// The node cannot read the platform.
+    bool isPlatformLost = false;
     /// The list is long, so that not every report asks for it.
     bool wantsLoads = false;
     std::vector<ArtifactDemand> demands;
@@ -170,7 +172,8 @@
     std::optional<std::vector<TargetLoad>> loads;
     std::vector<TokenAmount> granted;
     std::vector<core::Digest> quarantined;
-    /// The configuration as the platform keeps it; empty unless the report names an older one.
+    /// The configuration as the platform keeps it; empty unless the report names an older one, and
+    /// in a large fleet unless the node cannot read the platform.
     std::string configuration;
     /// The holder of the lease as the answering node last read it.
     std::optional<LeaseSighting> holder;
--- a/packages/decisions/include/boragerack/decisions/serving/MemberRoll.h
+++ b/packages/decisions/include/boragerack/decisions/serving/MemberRoll.h
@@ -23,7 +23,8 @@
     /// Nodes that have gone since the last call.
     std::vector<core::InstanceId> expire(core::TimePoint now);
 
-    /// Nodes that the coordinator's predecessor knew; they count as reported now.
+    /// Nodes that the coordinator's predecessor knew; they have a second longer than
+    /// `kSilence` to report.
     void seed(const std::vector<FleetMember> &members, core::TimePoint now);
     /// Part of the known nodes that are live. Nodes that have gone without a word may be cut off
     /// and run on, so they count for some time.
--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -132,7 +132,6 @@
     /// Demand since the last call, and what waits now.
     std::vector<ArtifactDemand> takeDemands(core::TimePoint now);
     std::vector<ArtifactUse> uses() const;
-    std::size_t waitingRequests() const { return waiting_.size(); }
     /// True if a request began to wait since the last call.
     bool takeNewlyWaiting();
 
--- a/packages/decisions/include/boragerack/decisions/serving/ServingConfiguration.h
+++ b/packages/decisions/include/boragerack/decisions/serving/ServingConfiguration.h
@@ -97,8 +97,6 @@
 struct ServingService
 {
     core::ServiceId service;
-    /// Connections that a target accepts from all callers together.
-    std::uint32_t maxConnections = 0;
     std::optional<EngineFigures> engine;
 
     friend auto operator<=>(const ServingService &, const ServingService &) = default;
--- a/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
@@ -56,8 +56,6 @@
     /// Number of orders that the target has accepted since its start.
     std::uint64_t orderSequence = 0;
     bool isBusy = false;
-    std::uint32_t running = 0;
-    std::uint32_t queued = 0;
     std::vector<ModelReplica> replicas;
     /// Adapters in transit to the target; they take places already.
     std::vector<Artifact> arriving;
--- a/packages/decisions/src/serving/MemberRoll.cpp
+++ b/packages/decisions/src/serving/MemberRoll.cpp
@@ -33,8 +33,10 @@
 
 void MemberRoll::seed(const std::vector<FleetMember> &members, core::TimePoint now)
 {
+    // The nodes of a large fleet take up to two seconds to find the new coordinator.
+    const auto lastWord = now + std::chrono::seconds(1);
     for (const FleetMember &member : members)
-        report(member, false, now);
+        report(member, false, lastWord);
 }
 
 double MemberRoll::liveShare(core::TimePoint now) const
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -16,7 +16,7 @@
 
 /// Questions for reports that are open at once. A new coordinator asks every target, and on a slow
 /// machine many answers at once come too late to be used.
-constexpr std::size_t kMaxOpenQuestions = 12;
+constexpr std::size_t kMaxOpenQuestions = 8;
 /// The same for orders.
 constexpr std::size_t kMaxOpenOrders = 24;
 
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t kMailboxCapacity = 1024;
 /// Timers of the planner are due within this time.
 constexpr std::chrono::milliseconds kTick(25);
-/// A report that takes longer is lost.
-constexpr std::chrono::milliseconds kReportTimeout(700);
+/// A report that takes longer is lost. A coordinator of many targets needs seconds for all of them.
+constexpr std::chrono::milliseconds kReportTimeout(1500);
 /// An order that takes longer is lost. The lease allows an order only if this time ends within it.
 constexpr std::chrono::milliseconds kOrderTimeout = decisions::LeaseTimes().orderTimeout;
 /// Each node reports this often; with many nodes less often, so that the coordinator's work and
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds kReportIntervalPerNode(8);
 /// Longer intervals would let the nodes read the platform themselves.
 constexpr std::chrono::milliseconds kLongestReportInterval(500);
+/// Up to so many nodes get a newer configuration from the coordinator. In a larger fleet the nodes
+/// read it from the platform, as sending it to each of them would keep the coordinator busy.
+constexpr std::size_t kNodesServedInFull = 16;
 /// Deaths of targets after which a request is refused on all nodes.
 constexpr std::uint32_t kDeathsToQuarantine = 3;
 
@@ -230,7 +233,8 @@
     if (report.targetsVersion != answer.targetsVersion)
         answer.targets = term_->listed;
     answer.proof = proof();
-    if (report.configurationVersion < answer.proof.configurationVersion)
+    const bool mayHelp = report.isPlatformLost || term_->members.size() <= kNodesServedInFull;
+    if (mayHelp && report.configurationVersion < answer.proof.configurationVersion)
         answer.configuration = configuration_.text();
     answer.lease = lease_.lease().proof(now);
     answer.loads = term_->planner.loads();
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -168,6 +168,7 @@
     routing.start(
         [this](decisions::CoordinationReport report) {
             const RouteTablePointer table = configuration.table();
+            report.isPlatformLost = configuration.isPlatformLost();
             report.configurationVersion = table ? table->configuration().version : 0;
             reports.send(std::move(report));
         },
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -20,7 +20,7 @@
 /// A new coordinator opens a link to each node and answers its first report in full. With more
 /// nodes than this they report to it for the first time within this time per node.
 constexpr std::size_t kNodesAtOnce = 16;
-constexpr std::chrono::milliseconds kSpreadPerNode(14);
+constexpr std::chrono::milliseconds kSpreadPerNode(24);
 /// Another node answers at once or is out of reach, too.
 constexpr std::chrono::milliseconds kAskAroundTimeout(250);
 
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -18,7 +18,7 @@
 /// With more nodes than this, early reports are further apart by so much for each further node, and
 /// the loads of the targets are asked for less often, so that the coordinator can follow.
 constexpr std::uint32_t kNodesAtFullRate = 16;
-constexpr std::chrono::microseconds kReportPausePerNode(3500);
+constexpr std::chrono::microseconds kReportPausePerNode(6000);
 /// Without news a node reports this often until the coordinator sets another interval.
 constexpr std::chrono::milliseconds kReportInterval(100);
 /// Placements of a coordinator that has been silent for this long are not trusted any more.
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -279,6 +279,7 @@
     body.placementVersion = in.placement_version();
     body.targetsVersion = in.targets_version();
     body.configurationVersion = in.configuration_version();
+    body.isPlatformLost = in.platform_lost();
     body.term = in.term();
     body.wantsLoads = in.wants_loads();
     for (const wire::ArtifactDemand &record : in.demands()) {
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -310,6 +310,7 @@
     out.set_placement_version(body.placementVersion);
     out.set_targets_version(body.targetsVersion);
     out.set_configuration_version(body.configurationVersion);
+    out.set_platform_lost(body.isPlatformLost);
     out.set_term(body.term);
     out.set_wants_loads(body.wantsLoads);
     for (const decisions::ArtifactDemand &demand : body.demands) {
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -92,6 +92,7 @@
                                        3,
                                        4,
                                        true,
+                                       true,
                                        {{artifact, {"s"}, 4, 5, milliseconds(6), milliseconds(7)}},
                                        {{core::TargetId {"t"}, artifact, 8}},
                                        {{organisation, 9, 10}},
