--- a/packages/gateway/src/LeaseTask.h
+++ b/packages/gateway/src/LeaseTask.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 
 #include <boost/fiber/fiber.hpp>
 
@@ -36,7 +37,7 @@
     ~LeaseTask();
 
     void start();
-    [[nodiscard]] bool trySend(Message message) { return mailbox_.trySend(message); }
+    [[nodiscard]] bool trySend(Message message) { return mailbox_.trySend(std::move(message)); }
     /// Releases the lease if this node holds it, and ends the task.
     void stop();
     /// Stops and waits until the task has ended.
--- a/packages/runtime/tests/HttpFuzzTest.cpp
+++ b/packages/runtime/tests/HttpFuzzTest.cpp
@@ -117,7 +117,8 @@
             break;
         case 1:
             input.insert(at,
-                         pick({"\r", "\n", "\0", "\r\n\r\n", ":", ";", std::string(20'000, 'x')}));
+                         pick({"\r", "\n", std::string(1, '\0'), "\r\n\r\n", ":", ";",
+                               std::string(20'000, 'x')}));
             break;
         case 2:
             input[at] = static_cast<char>(random_.next() % 256);
