Say once what a large fleet is, how nodes stagger, and what a call error means

Cause: on reading the whole change: five constants of 16 nodes in five files meant the same limit; the lease and the report task each computed a node's stagger; the adapter and HttpPlatformStore mapped the error of a call in the same lines; the planner added up the demand again for each adapter to evict; tokens accrued every 25 ms although the live share had not changed; a relayed configuration was copied to be cleared at once; askAround was a loop that ended in its first round. Change: decisions/serving/FleetSize.h, core::staggerOf, platform::makeCallError; demands are passed on; setShare returns when nothing changes; nextMember chooses whom to ask. Behaviour is the same.

--- a/packages/core/src/RendezvousHash.cpp
+++ b/packages/core/src/RendezvousHash.cpp
@@ -12,6 +12,12 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
+Duration staggerOf(const InstanceId &instance, Duration span, std::uint64_t seed)
+{
+    constexpr int kParts = 64;
+    return span * static_cast<int>(stableHash(instance.value, seed) % kParts) / kParts;
+}
+
 std::vector<InstanceId> rendezvousOwners(std::string_view key, std::span<const InstanceId> members,
                                          std::size_t count)
 {
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -21,16 +21,15 @@
 {
     /// A holder acts for this long after it sent its last confirmed renewal.
     std::chrono::milliseconds validity = std::chrono::milliseconds(1300);
-    /// The same with more than `nodesLooking` nodes, which keep a coordinator so busy that its
+    /// The same in a large fleet, whose nodes keep a coordinator so busy that its
     /// renewals take longer.
     std::chrono::milliseconds validityOfMany = std::chrono::milliseconds(2000);
     std::chrono::milliseconds renewEvery = std::chrono::milliseconds(350);
     /// An order may be on its way for this long after it was allowed.
     std::chrono::milliseconds orderTimeout = std::chrono::milliseconds(500);
     std::chrono::milliseconds lookEvery = std::chrono::milliseconds(200);
-    /// Up to so many nodes look that often; more nodes look less often, as each look is a call to
-    /// the platform, but no less often than this.
-    std::uint32_t nodesLooking = 16;
+    /// The nodes of a large fleet look less often, as each look is a call to the platform, but no
+    /// less often than this.
     std::chrono::milliseconds longestLook = std::chrono::milliseconds(800);
     /// No two holders may give one target orders within this time.
     std::chrono::milliseconds orderHandover = std::chrono::milliseconds(3000);
--- a/packages/decisions/include/boragerack/decisions/serving/MemberRoll.h
+++ b/packages/decisions/include/boragerack/decisions/serving/MemberRoll.h
@@ -16,7 +16,8 @@
 public:
     /// A node that has not reported for this long is taken as gone.
     static constexpr std::chrono::milliseconds kSilence {1500};
-    static constexpr std::size_t kMany = 16;
+    /// A node looks at the lease each 0.2 s, in a large fleet each 0.8 s, and its first report to a
+    /// new coordinator may be delayed by up to 1.8 s there.
     static constexpr std::chrono::milliseconds kSeedTrust {700};
     static constexpr std::chrono::milliseconds kSeedTrustOfMany {2500};
     /// A node that has gone without a word may run on for this long.
@@ -27,7 +28,7 @@
     std::vector<core::InstanceId> expire(core::TimePoint now);
 
     /// Nodes that the coordinator's predecessor knew; they are dropped unless they report
-    /// within `kSeedTrust`, or `kSeedTrustOfMany` if they are many, which takes them longer.
+    /// within `kSeedTrust`, or `kSeedTrustOfMany` if the fleet is large, which takes it longer.
     void seed(const std::vector<FleetMember> &members, core::TimePoint now);
     /// Part of the known nodes that are live. Nodes that have gone without a word may be cut off
     /// and run on, so they count for some time.
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -105,8 +105,8 @@
     std::vector<Need> modelNeeds(const std::map<Artifact, FleetDemand> &demands,
                                  const Survey &survey) const;
     void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
-    void placeAdapter(const Artifact &artifact, const core::ServiceId &service, core::TimePoint now,
-                      Actions &actions);
+    void placeAdapter(const Artifact &artifact, const std::map<Artifact, FleetDemand> &demands,
+                      core::TimePoint now, Actions &actions);
     std::optional<Option> makeOption(Target &target, const Need &need, bool mayUseStore,
                                      const Survey &survey, core::TimePoint now);
     bool addVictims(Option &option, const Need &need, std::uint64_t missingMb, const Survey &survey,
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -3,21 +3,10 @@
 #include <algorithm>
 
 #include "boragerack/core/RendezvousHash.h"
+#include "boragerack/decisions/serving/FleetSize.h"
 
 namespace boragerack::decisions {
 
-namespace {
-
-/// A time within the pause that depends on the node.
-core::Duration staggerOf(const core::InstanceId &instance, core::Duration pause)
-{
-    constexpr std::uint64_t kParts = 64;
-    return pause * static_cast<int>(core::stableHash(instance.value) % kParts)
-        / static_cast<int>(kParts);
-}
-
-} // namespace
-
 CoordinatorLease::CoordinatorLease(std::shared_ptr<const CoordinatorBinding> chart,
                                    LeaseRecord self, const LeaseTimes &times)
     : chart_(std::move(chart))
@@ -107,7 +96,7 @@
         && chart_.state() == CoordinatorState::Following;
     // All nodes lose a coordinator at once; each looks at its own time within the pause.
     if (!isHeard && !isSilent_ && heardAt_)
-        nextLook_ = std::max(nextLook_, now + staggerOf(self_.holder, lookPause()));
+        nextLook_ = std::max(nextLook_, now + core::staggerOf(self_.holder, lookPause()));
     isSilent_ = !isHeard;
     if (!chart_.accepts(CoordinatorTrigger::Look) || now < nextLook_ || isHeard)
         return;
@@ -117,7 +106,7 @@
 
 core::Duration CoordinatorLease::lookPause() const
 {
-    const auto pause = times_.lookEvery * self_.nodes / times_.nodesLooking;
+    const auto pause = times_.lookEvery * self_.nodes / kSmallFleetNodes;
     return std::clamp<std::chrono::milliseconds>(pause, times_.lookEvery, times_.longestLook);
 }
 
@@ -166,8 +155,7 @@
             std::max(core::Duration(0), ordersFrom_ - now));
         // A shorter validity within a term would let a successor act before the longer one ends.
         if (!hasTerm())
-            self_.validity =
-                self_.nodes > times_.nodesLooking ? times_.validityOfMany : times_.validity;
+            self_.validity = isLargeFleet(self_.nodes) ? times_.validityOfMany : times_.validity;
         writeSentAt_ = now;
         actions.emplace_back(lease::Write {self_, knownVersion_});
         break;
--- a/packages/decisions/src/serving/MemberRoll.cpp
+++ b/packages/decisions/src/serving/MemberRoll.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "boragerack/decisions/serving/FleetSize.h"
+
 namespace boragerack::decisions {
 
 void MemberRoll::report(const FleetMember &member, bool isStopping, core::TimePoint now)
@@ -33,7 +35,7 @@
 
 void MemberRoll::seed(const std::vector<FleetMember> &members, core::TimePoint now)
 {
-    const auto trust = members.size() > kMany ? kSeedTrustOfMany : kSeedTrust;
+    const auto trust = isLargeFleet(members.size()) ? kSeedTrustOfMany : kSeedTrust;
     const core::TimePoint lastWord = now + trust - kSilence;
     for (const FleetMember &member : members)
         report(member, false, lastWord);
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -138,7 +138,7 @@
     }
     for (const auto &[artifact, demand] : demands) {
         if (artifact.isAdapter() && demand.waiting > 0)
-            placeAdapter(artifact, demand.service, now, actions);
+            placeAdapter(artifact, demands, now, actions);
     }
     Survey found = survey(now);
     std::vector<Need> needs = modelNeeds(demands, found);
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -157,10 +157,11 @@
                                     .isDurationCertain = !option.isFromStore}));
 }
 
-void SwapPlanner::placeAdapter(const Artifact &artifact, const core::ServiceId &service,
-                               core::TimePoint now, Actions &actions)
+void SwapPlanner::placeAdapter(const Artifact &artifact,
+                               const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
+                               Actions &actions)
 {
-    const Engine *engine = engineOf(service);
+    const Engine *engine = engineOf(demands.at(artifact).service);
     if (!engine)
         return;
     Target *best = nullptr;
@@ -184,7 +185,6 @@
         return;
     }
     // Any adapter that no request uses makes way.
-    const auto demands = book_.demands(now);
     for (const auto &[model, holding] : best->orders.holdings()) {
         for (const core::AdapterId &adapter : holding.adapters) {
             const Artifact victim {model, {}, adapter};
--- a/packages/decisions/src/serving/TokenAllotment.cpp
+++ b/packages/decisions/src/serving/TokenAllotment.cpp
@@ -49,6 +49,8 @@
 
 void TokenAllotment::setShare(double share, core::TimePoint now)
 {
+    if (share == share_)
+        return;
     for (auto &[organisation, bucket] : buckets_)
         accrue(bucket, now);
     share_ = share;
--- a/packages/decisions/tests/serving/MemberRollTest.cpp
+++ b/packages/decisions/tests/serving/MemberRollTest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "boragerack/decisions/serving/FleetSize.h"
 #include "boragerack/decisions/serving/MemberRoll.h"
 
 namespace boragerack::decisions::testing {
@@ -29,7 +30,7 @@
         MemberRoll roll;
         roll.seed(known, now);
         BOOST_TEST(roll.members().size() == count);
-        now += count > MemberRoll::kMany ? 2s : 500ms;
+        now += isLargeFleet(count) ? 2s : 500ms;
         BOOST_TEST(roll.expire(now).empty());
         for (std::size_t i = 1; i < count; ++i)
             roll.report(known[i], false, now);
--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -85,11 +85,10 @@
 
 void ConfigurationTask::takeRelayed(const RelayedProof &proof)
 {
-    relayed_ = proof;
+    relayed_ = {proof.version, proof.provenAt, {}};
     const std::uint64_t version = table_ ? table_->configuration().version : 0;
     if (proof.version > version && !proof.text.empty())
         adoptRelayed(proof);
-    relayed_.text.clear();
 }
 
 void ConfigurationTask::adoptRelayed(const RelayedProof &proof)
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 
+#include "boragerack/decisions/serving/FleetSize.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -24,9 +25,6 @@
 constexpr std::chrono::milliseconds kReportIntervalPerNode(8);
 /// Longer intervals would let the nodes read the platform themselves.
 constexpr std::chrono::milliseconds kLongestReportInterval(500);
-/// Up to so many nodes get a newer configuration from the coordinator. In a larger fleet the nodes
-/// read it from the platform, as sending it to each of them would keep the coordinator busy.
-constexpr std::size_t kNodesServedInFull = 16;
 /// Deaths of targets after which a request is refused on all nodes.
 constexpr std::uint32_t kDeathsToQuarantine = 3;
 
@@ -246,7 +244,8 @@
     if (report.targetsVersion != answer.targetsVersion)
         answer.targets = term_->listed;
     answer.proof = proof();
-    const bool mayHelp = report.isPlatformLost || term_->members.size() <= kNodesServedInFull;
+    // Sending the configuration to each node of a large fleet would keep the coordinator busy.
+    const bool mayHelp = report.isPlatformLost || !decisions::isLargeFleet(term_->members.size());
     if (mayHelp && report.configurationVersion < answer.proof.configurationVersion)
         answer.configuration = configuration_.text();
     answer.lease = lease_.lease().proof(now);
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "boragerack/core/RendezvousHash.h"
+#include "boragerack/decisions/serving/FleetSize.h"
 #include "boragerack/runtime/EventLog.h"
 #include "boragerack/runtime/Reply.h"
 
@@ -17,9 +18,8 @@
 constexpr std::size_t kMailboxCapacity = 2;
 /// A coordinator that does not answer within this time is asked again with the next report.
 constexpr std::chrono::milliseconds kAnswerTimeout(500);
-/// A new coordinator opens a link to each node and answers its first report in full. With more
-/// nodes than this they report to it for the first time within this time per node.
-constexpr std::size_t kNodesAtOnce = 16;
+/// A new coordinator opens a link to each node and answers its first report in full. The nodes of a
+/// large fleet report to it for the first time within this time per node.
 constexpr std::chrono::milliseconds kSpreadPerNode(24);
 /// Another node answers at once or is out of reach, too.
 constexpr std::chrono::milliseconds kAskAroundTimeout(250);
@@ -126,12 +126,10 @@
     if (std::exchange(lastHolder_, holder.incarnation) == holder.incarnation)
         return;
     const std::size_t nodes = routing_.fleet().get()->members.size();
-    if (nodes <= kNodesAtOnce)
+    if (!decisions::isLargeFleet(nodes))
         return;
-    constexpr std::uint64_t kParts = 64;
-    const auto part = static_cast<int>(core::stableHash(self.value, holder.incarnation) % kParts);
-    boost::this_fiber::sleep_for(kSpreadPerNode * static_cast<int>(nodes) * part
-                                 / static_cast<int>(kParts));
+    boost::this_fiber::sleep_for(
+        core::staggerOf(self, kSpreadPerNode * static_cast<int>(nodes), holder.incarnation));
 }
 
 std::optional<decisions::CoordinationAnswer>
@@ -149,29 +147,34 @@
     return std::nullopt;
 }
 
-std::optional<decisions::CoordinationAnswer>
-ReportTask::askAround(const decisions::CoordinationReport &report)
+std::optional<decisions::FleetMember> ReportTask::nextMember(const core::InstanceId &self)
 {
     const auto fleet = routing_.fleet().get();
     const auto &holder = lease_.lease().holder();
     for (std::size_t i = 0; i < fleet->members.size(); ++i) {
         const decisions::FleetMember &member = fleet->members[nextAsked_++ % fleet->members.size()];
-        if (member.instance == report.member.instance
-            || (holder && member.instance == holder->holder))
-            continue;
-        auto answer = askPeer(member.instance, member.peerAddress, report, kAskAroundTimeout);
-        if (!answer)
-            return std::nullopt;
-        if (answer->holder
-            && !lease_.trySend(decisions::lease::HolderTold {std::move(*answer->holder)}))
-            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=holder_told");
-        if (answer->standing == decisions::CoordinatorStanding::Holding)
-            return answer;
-        return std::nullopt;
+        if (member.instance != self && !(holder && member.instance == holder->holder))
+            return member;
     }
     return std::nullopt;
 }
 
+std::optional<decisions::CoordinationAnswer>
+ReportTask::askAround(const decisions::CoordinationReport &report)
+{
+    const auto member = nextMember(report.member.instance);
+    if (!member)
+        return std::nullopt;
+    auto answer = askPeer(member->instance, member->peerAddress, report, kAskAroundTimeout);
+    if (!answer)
+        return std::nullopt;
+    if (answer->holder && !lease_.trySend(LeaseTask::HolderTold {std::move(*answer->holder)}))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=holder_told");
+    if (answer->standing != decisions::CoordinatorStanding::Holding)
+        return std::nullopt;
+    return answer;
+}
+
 std::optional<decisions::CoordinationAnswer>
 ReportTask::askHere(const decisions::CoordinationReport &report)
 {
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -38,6 +38,8 @@
     std::optional<decisions::CoordinationAnswer>
     askPeer(const core::InstanceId &instance, const std::string &address,
             const decisions::CoordinationReport &report, std::chrono::milliseconds timeout);
+    /// The next node that is neither this one nor the holder of the lease.
+    std::optional<decisions::FleetMember> nextMember(const core::InstanceId &self);
     /// Asks one other node, in turn, who coordinates. Only a node without the platform does that;
     /// the others see there who holds the lease.
     std::optional<decisions::CoordinationAnswer>
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "boragerack/decisions/DeficitRoundRobinPolicy.h"
+#include "boragerack/decisions/serving/FleetSize.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -15,9 +16,8 @@
 constexpr std::chrono::milliseconds kTick(50);
 /// Reports follow each other at least this far apart, also with urgent news.
 constexpr std::chrono::milliseconds kReportPause(15);
-/// With more nodes than this, early reports are further apart by so much for each further node, and
-/// the loads of the targets are asked for less often, so that the coordinator can follow.
-constexpr std::uint32_t kNodesAtFullRate = 16;
+/// In a large fleet early reports are further apart by so much for each node beyond a small one, so
+/// that the coordinator can follow.
 constexpr std::chrono::microseconds kReportPausePerNode(6000);
 /// Without news a node reports this often until the coordinator sets another interval.
 constexpr std::chrono::milliseconds kReportInterval(100);
@@ -203,8 +203,8 @@
     const core::TimePoint now = clock_.now();
     lastAnswer_ = now;
     nextReport_ = now + answer.reportAfter;
-    loadsEvery_ =
-        nodeCount() > kNodesAtFullRate ? answer.reportAfter / 2 : std::chrono::milliseconds(0);
+    loadsEvery_ = decisions::isLargeFleet(nodeCount()) ? answer.reportAfter / 2
+                                                       : std::chrono::milliseconds(0);
     if (answer.term != term_) {
         term_ = answer.term;
         membersVersion_ = 0;
@@ -322,7 +322,8 @@
 
 core::Duration RoutingTask::reportPause() const
 {
-    const std::uint32_t further = std::max(nodeCount(), kNodesAtFullRate) - kNodesAtFullRate;
+    const std::uint32_t further =
+        std::max(nodeCount(), decisions::kSmallFleetNodes) - decisions::kSmallFleetNodes;
     return kReportPause + kReportPausePerNode * further;
 }
 
--- /dev/null
+++ b/packages/platform/src/CallError.cpp
@@ -0,0 +1,14 @@
+#include "boragerack/platform/CallError.h"
+
+namespace boragerack::platform {
+
+core::Error makeCallError(core::Error error)
+{
+    error.code = core::ErrorCode::PlatformUnavailable;
+    // A connection that broke after the answer had begun leaves the outcome unknown as well.
+    if (error.verdict == core::Verdict::Ran)
+        error.verdict = core::Verdict::MayHaveRun;
+    return error;
+}
+
+} // namespace boragerack::platform
--- a/packages/platform/src/HttpPlatformStore.cpp
+++ b/packages/platform/src/HttpPlatformStore.cpp
@@ -7,6 +7,7 @@
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 #include "PlatformJson.h"
+#include "boragerack/platform/CallError.h"
 #include "boragerack/runtime/HttpClient.h"
 
 namespace boragerack::platform {
@@ -52,12 +53,8 @@
     const auto deadline = std::chrono::steady_clock::now() + callTimeout_ + extraTime;
     auto result = client_.call(address_, std::move(request), deadline);
     if (!core::isOk(result)) {
-        core::Error error = core::errorOf(result);
-        error.code = core::ErrorCode::PlatformUnavailable;
+        core::Error error = makeCallError(core::errorOf(result));
         error.retryAfter = std::chrono::seconds(1);
-        // A connection that broke after the answer had begun leaves the outcome unknown as well.
-        if (error.verdict == core::Verdict::Ran)
-            error.verdict = core::Verdict::MayHaveRun;
         return error;
     }
     return result;
