--- a/bench/SwapPlannerBench.cpp
+++ b/bench/SwapPlannerBench.cpp
@@ -194,11 +194,11 @@
             ++demand.waiting;
             ++demand.arrived;
         }
-        swap::DemandReported event {{"node-" + std::to_string(node)}, {}, {}};
+        swap::DemandReported event {{"node-" + std::to_string(node)}, {}, std::vector<ArtifactInFlight>()};
         for (const auto &[artifact, demand] : demands)
             event.demands.push_back(demand);
         for (const auto &[key, count] : uses)
-            event.uses.push_back({key.first, key.second, count});
+            event.uses->push_back({key.first, key.second, count});
         handle(event);
     }
 
--- a/packages/config/include/boragerack/config/GatewaySettings.h
+++ b/packages/config/include/boragerack/config/GatewaySettings.h
@@ -39,6 +39,8 @@
     std::chrono::milliseconds retryWindow = std::chrono::seconds(10);
     /// Tokens that an organisation may use beyond its limit before the limit counts as violated.
     std::int64_t quotaTolerance = 100000;
+    /// Share of a processor core that this node has.
+    double processorShare = 1;
     /// Maximum number of requests that this node forwards, or holds for a target, at the same time;
     /// each needs two connections and about 20 kB of memory. Requests over this limit wait and are
     /// admitted in turn by organisation.
--- a/packages/config/src/GatewaySettings.cpp
+++ b/packages/config/src/GatewaySettings.cpp
@@ -30,6 +30,7 @@
     settings.retryWindow = readMs(reader, "retryWindowMs", defaults.retryWindow);
     settings.quotaTolerance =
         reader.readInteger("quotaTolerance", 0, kMaxCount, defaults.quotaTolerance);
+    settings.processorShare = reader.readNumber("processorShare", defaults.processorShare);
     settings.maxActiveRequests =
         reader.readInteger("maxActiveRequests", 1, kMaxCount, defaults.maxActiveRequests);
     settings.maxWaitingRequests =
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -10,6 +10,7 @@
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/Artifact.h"
 #include "boragerack/decisions/serving/LeaseRecord.h"
+#include "boragerack/decisions/serving/ListChange.h"
 #include "boragerack/decisions/serving/TargetEntry.h"
 
 namespace boragerack::decisions {
@@ -97,30 +98,54 @@
     core::DataCentreId dataCentre;
     /// Address for connections from other nodes.
     std::string peerAddress;
+    /// Processor share in thousandths of a core; zero if unknown.
+    std::uint32_t processorShare = 0;
 
     friend auto operator<=>(const FleetMember &, const FleetMember &) = default;
 };
 
-/// Sent by each node to the coordinator, several times a second.
+/// Versions of the lists in FleetState that a node knows; zero for none.
+struct FleetVersions
+{
+    /// Term of the coordinator that issued the versions.
+    std::uint64_t term = 0;
+    std::uint64_t members = 0;
+    std::uint64_t targets = 0;
+    std::uint64_t placements = 0;
+
+    friend auto operator<=>(const FleetVersions &, const FleetVersions &) = default;
+};
+
+/// Part of a report about a node that reports through another node.
+struct ChildReport
+{
+    FleetMember member;
+    bool isStopping = false;
+    std::vector<TokenRequest> wanted;
+
+    friend bool operator==(const ChildReport &, const ChildReport &) = default;
+};
+
+/// Sent by each node to the coordinator, or to a relay that adds it to its own report, several times
+/// a second.
 struct CoordinationReport
 {
     FleetMember member;
     bool isStopping = false;
-    /// Term of the coordinator that issued the versions below. A coordinator with another term
-    /// responds with its complete state.
-    std::uint64_t term = 0;
-    std::uint64_t membersVersion = 0;
-    std::uint64_t placementVersion = 0;
-    std::uint64_t targetsVersion = 0;
+    FleetVersions known;
     std::uint64_t configurationVersion = 0;
     /// The node cannot read from the platform.
     bool isPlatformLost = false;
-    /// Requests `CoordinationAnswer::loads`. The list is long, so not every report requests it.
-    bool wantsLoads = false;
+    /// Demand of the node and of its children.
     std::vector<ArtifactDemand> demands;
-    std::vector<ArtifactInFlight> uses;
+    /// Requests in flight of the node and of its children; empty if not reported this time.
+    std::optional<std::vector<ArtifactInFlight>> uses;
     std::vector<TokenRequest> wanted;
     std::vector<RequestCrash> crashes;
+    /// Nodes that report through this one and reported since its last report.
+    std::vector<ChildReport> children;
+    /// The relay that did not answer the node; empty if none.
+    core::InstanceId unresponsiveRelay;
 
     friend bool operator==(const CoordinationReport &, const CoordinationReport &) = default;
 };
@@ -129,6 +154,7 @@
     Holding, ///< The lease is valid.
     Lapsed, ///< The lease could not be renewed in time; another node may take it.
     Absent, ///< The responding node does not hold the lease.
+    Unreachable, ///< The responding node relays reports, but the coordinator did not answer it.
 };
 
 /// Artifacts that one target serves. Others that it may hold must not be used.
@@ -153,26 +179,63 @@
     friend auto operator<=>(const PlatformReadStatus &, const PlatformReadStatus &) = default;
 };
 
-/// The coordinator's response to a report. Members, placements and targets are omitted if they have
-/// not changed since the versions in the report.
-struct CoordinationAnswer
+/// Changes of FleetState since the versions that a node knows.
+struct FleetChange
 {
-    CoordinatorStanding standing = CoordinatorStanding::Absent;
-    /// Identifies the coordinator that issued the versions below; the next one has its own
-    /// sequence.
     std::uint64_t term = 0;
-    std::uint64_t membersVersion = 0;
-    std::vector<FleetMember> members;
-    std::uint64_t placementVersion = 0;
-    std::vector<TargetPlacement> placements;
+    ListChange<core::InstanceId, FleetMember> members;
+    /// Targets without their replicas, which `placements` contains.
+    ListChange<core::TargetId, TargetEntry> targets;
+    ListChange<core::TargetId, TargetPlacement> placements;
+
+    friend bool operator==(const FleetChange &, const FleetChange &) = default;
+};
+
+/// Requests in flight at each target, in the order of the target list of this version.
+struct TargetLoads
+{
     std::uint64_t targetsVersion = 0;
-    /// All targets, without their replicas: `placements` contains these.
-    std::vector<TargetEntry> targets;
+    std::vector<std::uint32_t> inFlight;
+
+    friend bool operator==(const TargetLoads &, const TargetLoads &) = default;
+};
+
+/// Changes of FleetState for the tasks of a node; lists that did not change are empty.
+struct FleetUpdate
+{
+    FleetVersions versions;
+    std::optional<std::vector<FleetMember>> members;
+    std::optional<std::vector<TargetEntry>> targets;
+    /// Only the placements that changed.
+    std::vector<TargetPlacement> placements;
+    std::optional<std::vector<TargetLoad>> loads;
+
+    friend bool operator==(const FleetUpdate &, const FleetUpdate &) = default;
+};
+
+/// Tokens granted to a node that reports through the receiver.
+struct ChildGrant
+{
+    core::InstanceId instance;
+    std::vector<TokenAmount> granted;
+
+    friend bool operator==(const ChildGrant &, const ChildGrant &) = default;
+};
+
+/// The coordinator's response to a report.
+struct CoordinationAnswer
+{
+    CoordinatorStanding standing = CoordinatorStanding::Absent;
+    /// Empty if the node has to report through a relay, which sends the state.
+    std::optional<FleetChange> change;
+    /// Node to which further reports are to be sent; empty if that is the coordinator itself.
+    std::optional<FleetMember> relay;
     PlatformReadStatus platformReadStatus;
     ConfirmedRenewal lease;
-    /// Targets with requests in flight; set only if the report requested them.
-    std::optional<std::vector<TargetLoad>> loads;
+    /// Empty if the node has to report through a relay.
+    std::optional<TargetLoads> loads;
     std::vector<TokenAmount> granted;
+    std::vector<ChildGrant> childGrants;
     std::vector<core::Digest> quarantined;
     /// The configuration as stored by the platform. Empty unless the report has an older version;
     /// in a large fleet also empty unless the node cannot read from the platform.
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -26,16 +26,17 @@
     std::chrono::milliseconds renewInterval = std::chrono::milliseconds(350);
     /// An order may be in transit for this long after `mayOrder()` allowed it.
     std::chrono::milliseconds orderTimeout = std::chrono::milliseconds(500);
+    /// Poll interval of a small fleet. In a larger one it grows so that the calls of all nodes to
+    /// the platform do not exceed those of `kSmallFleetNodes` nodes.
     std::chrono::milliseconds pollInterval = std::chrono::milliseconds(200);
-    /// Upper bound of the poll interval. It grows with the size of the fleet, because each poll is
-    /// a call to the platform.
-    std::chrono::milliseconds maxPollInterval = std::chrono::milliseconds(800);
     /// Minimum time between orders of two different holders to the same target.
     std::chrono::milliseconds orderHandover = std::chrono::milliseconds(3000);
     /// Processes older than this wait for `olderProcessDelay` before they acquire a released lease:
     /// in a rolling restart the younger processes are not the next to be stopped.
     std::chrono::milliseconds youngProcessAge = std::chrono::seconds(15);
     std::chrono::milliseconds olderProcessDelay = std::chrono::milliseconds(400);
+    /// Additional time for which a lease must be free before this node acquires it.
+    std::chrono::milliseconds acquireDelay = {};
     /// Added to the waits of a successor for the lapse of the lease and for the handover; covers
     /// timers that fire late.
     std::chrono::milliseconds margin = std::chrono::milliseconds(200);
@@ -86,6 +87,8 @@
 struct NodesCounted
 {
     std::uint32_t nodes = 0;
+    /// Other nodes report through this one and learn the coordinator from it.
+    bool isRelay = false;
     friend bool operator==(const NodesCounted &, const NodesCounted &) = default;
 };
 
@@ -161,6 +164,7 @@
     const std::optional<core::InstanceId> &lapsedHolder() const { return lapsedHolder_; }
     /// Largest number of nodes known to this node or the holder; zero if neither knows any.
     std::uint32_t peakNodeCount() const { return self_.nodes; }
+    bool isRelay() const { return isRelay_; }
     /// The lease as last read, for reports to other nodes.
     std::optional<LeaseObservation> observation() const;
     bool isStopped() const { return chart_.isFinished(); }
@@ -199,6 +203,7 @@
     core::TimePoint confirmedAt_ = {};
     core::Duration confirmedValidity_ = {};
     std::uint64_t confirmedRenewal_ = 0;
+    bool isRelay_ = false;
     bool isStopAnnounced_ = false;
     bool isStopRequested_ = false;
     std::optional<core::TimePoint> startedAt_;
--- a/packages/decisions/include/boragerack/decisions/serving/DemandTracker.h
+++ b/packages/decisions/include/boragerack/decisions/serving/DemandTracker.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "boragerack/core/Clock.h"
@@ -28,8 +29,9 @@
 class DemandTracker
 {
 public:
+    /// Without `uses`, the requests in flight of the node are unchanged.
     void report(const core::InstanceId &node, const std::vector<ArtifactDemand> &demands,
-                const std::vector<ArtifactInFlight> &uses, core::TimePoint now);
+                const std::optional<std::vector<ArtifactInFlight>> &uses, core::TimePoint now);
     void removeNode(const core::InstanceId &node);
 
     /// Demand by artifact; only artifacts with waiting requests or requests in flight.
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/FleetState.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "boragerack/decisions/serving/CoordinationMessages.h"
+#include "boragerack/decisions/serving/VersionedList.h"
+
+namespace boragerack::decisions {
+
+/// State of the fleet that the coordinator distributes: members, targets, placements and loads. Each
+/// node keeps a copy, which it updates with changes and from which it can answer other nodes.
+class FleetState
+{
+public:
+    FleetState() = default;
+    explicit FleetState(std::uint64_t term);
+
+    const FleetVersions &versions() const { return versions_; }
+    std::size_t memberCount() const { return members_.size(); }
+
+    void setMembers(const std::vector<FleetMember> &members);
+    void setTargets(const std::vector<TargetEntry> &targets);
+    /// Adds placements of the given version; the others are unchanged.
+    void updatePlacements(std::uint64_t version, const std::vector<TargetPlacement> &placements);
+    void setLoads(const std::vector<TargetLoad> &loads);
+
+    /// Changes after `known`, which may belong to another term.
+    FleetChange changesSince(const FleetVersions &known) const;
+    /// Requests in flight at each target, empty before the first report of them.
+    const std::optional<TargetLoads> &loads() const { return loads_; }
+
+    void apply(const FleetChange &change);
+    /// Ignores loads for another version of the targets.
+    void apply(const TargetLoads &loads);
+
+    /// Changes after `known` with complete lists of members and targets.
+    FleetUpdate updateSince(const FleetVersions &known) const;
+
+private:
+    void updateVersions();
+
+    VersionedList<core::InstanceId, FleetMember, &FleetMember::instance> members_;
+    VersionedList<core::TargetId, TargetEntry, &TargetEntry::target> targets_;
+    VersionedList<core::TargetId, TargetPlacement, &TargetPlacement::target> placements_;
+    FleetVersions versions_;
+    std::optional<TargetLoads> loads_;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/ListChange.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace boragerack::decisions {
+
+/// Difference between two versions of a list.
+template <typename Key, typename Value> struct ListChange
+{
+    /// Version of the list after the change.
+    std::uint64_t version = 0;
+    /// `changed` is the whole list; entries that it does not contain are removed.
+    bool isComplete = false;
+    std::vector<Value> changed;
+    std::vector<Key> removed;
+
+    friend bool operator==(const ListChange &, const ListChange &) = default;
+};
+
+} // namespace boragerack::decisions
--- /dev/null
+++ b/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <vector>
+
+#include "boragerack/core/Clock.h"
+#include "boragerack/decisions/serving/CoordinationMessages.h"
+
+namespace boragerack::decisions {
+
+/// Combines the reports of a node and of the nodes that report through it into one report, whose
+/// size depends on the distinct artifacts and targets rather than on the number of nodes.
+class ReportAggregator
+{
+public:
+    /// A child that has not reported for this long no longer counts.
+    static constexpr std::chrono::milliseconds kChildTimeout {1500};
+
+    explicit ReportAggregator(core::InstanceId self);
+
+    /// Adds a report of this node or of a child; replaces its earlier one.
+    void add(const CoordinationReport &report, core::TimePoint now);
+    /// The combined report since the last call. Its versions are left to the caller.
+    CoordinationReport take(core::TimePoint now);
+
+    /// Number of nodes that report through this one.
+    std::size_t childCount() const;
+    /// Whether some report since the last `take()` has requests that wait.
+    bool isUrgent() const { return isUrgent_; }
+
+private:
+    struct Source
+    {
+        CoordinationReport last;
+        core::TimePoint at = {};
+        /// Reported since the last `take()`.
+        bool isNew = false;
+    };
+
+    void mergeDemands(core::TimePoint now, CoordinationReport &merged) const;
+    void mergeUses(CoordinationReport &merged) const;
+
+    core::InstanceId self_;
+    std::map<core::InstanceId, Source> sources_;
+    std::vector<RequestCrash> crashes_;
+    bool isUrgent_ = false;
+};
+
+} // namespace boragerack::decisions
--- a/packages/decisions/include/boragerack/decisions/serving/SwapMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapMessages.h
@@ -30,12 +30,15 @@
     friend bool operator==(const ServicesChanged &, const ServicesChanged &) = default;
 };
 
-/// Demand of one node; replaces its earlier report.
+/// Demand of one node, including the nodes that report through it; replaces its earlier report.
 struct DemandReported
 {
     core::InstanceId node;
     std::vector<ArtifactDemand> demands;
-    std::vector<ArtifactInFlight> uses;
+    /// Empty if unchanged since the previous report.
+    std::optional<std::vector<ArtifactInFlight>> uses;
+    /// Nodes that the report includes; their own earlier reports no longer count.
+    std::vector<core::InstanceId> children;
     friend bool operator==(const DemandReported &, const DemandReported &) = default;
 };
 
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -4,6 +4,7 @@
 
 #include "boragerack/core/RendezvousHash.h"
 #include "boragerack/decisions/serving/FleetSize.h"
+#include "boragerack/decisions/serving/ReportTree.h"
 
 namespace boragerack::decisions {
 
@@ -40,6 +41,7 @@
         onHolderReported(reported->observation, now, actions);
     } else if (const auto *counted = std::get_if<lease::NodesCounted>(&event)) {
         self_.nodes = std::max(self_.nodes, counted->nodes);
+        isRelay_ = counted->isRelay;
     } else if (std::holds_alternative<lease::StopAnnounced>(event)) {
         isStopAnnounced_ = true;
     } else if (std::holds_alternative<lease::StopRequested>(event)) {
@@ -110,9 +112,10 @@
 
 core::Duration CoordinatorLease::pollInterval() const
 {
-    const auto interval = times_.pollInterval * self_.nodes / kSmallFleetNodes;
-    return std::clamp<std::chrono::milliseconds>(interval, times_.pollInterval,
-                                                 times_.maxPollInterval);
+    // Relays pass the successor of a coordinator on to their children, so they poll more often.
+    const std::uint32_t pollers =
+        isRelay_ ? self_.nodes / static_cast<std::uint32_t>(ReportTree::kMaxFanOut) : self_.nodes;
+    return std::max(times_.pollInterval, times_.pollInterval * pollers / kSmallFleetNodes);
 }
 
 std::optional<LeaseObservation> CoordinatorLease::observation() const
@@ -220,7 +223,7 @@
     lapsedHolder_.reset();
     if (!known_) {
         ordersFrom_ = now;
-        return true;
+        return now >= *startedAt_ + times_.acquireDelay;
     }
     // Targets regard a restarted process as the same holder. Its predecessor has terminated,
     // because this process is bound to its address.
@@ -233,12 +236,13 @@
         // The last orders of the holder may still have been in transit at the release.
         ordersFrom_ = knownSince_ + times_.orderTimeout + times_.orderHandover + times_.margin;
         const bool isYoung = now - *startedAt_ < times_.youngProcessAge;
-        return isYoung || now >= knownSince_ + times_.olderProcessDelay;
+        return now >= knownSince_ + times_.acquireDelay
+                   + (isYoung ? std::chrono::milliseconds(0) : times_.olderProcessDelay);
     }
     const core::TimePoint lapsesAt = lastRenewalBefore() + known_->validity + times_.margin;
     ordersFrom_ = lapsesAt + times_.orderHandover;
     lapsedHolder_ = known_->holder;
-    return now >= lapsesAt;
+    return now >= lapsesAt + times_.acquireDelay;
 }
 
 } // namespace boragerack::decisions
--- a/packages/decisions/src/serving/DemandTracker.cpp
+++ b/packages/decisions/src/serving/DemandTracker.cpp
@@ -20,7 +20,8 @@
 } // namespace
 
 void DemandTracker::report(const core::InstanceId &node, const std::vector<ArtifactDemand> &demands,
-                           const std::vector<ArtifactInFlight> &uses, core::TimePoint now)
+                           const std::optional<std::vector<ArtifactInFlight>> &uses,
+                           core::TimePoint now)
 {
     for (const ArtifactDemand &demand : demands) {
         Usage &usage = usage_[demand.artifact.model];
@@ -29,14 +30,18 @@
         usage.updatedAt = now;
         usage.lastUse = now;
     }
-    for (const ArtifactInFlight &use : uses)
-        usage_[use.artifact.model].lastUse = now;
     NodeReport &report = nodes_[node];
-    subtract(report.uses);
-    report = {{}, uses, now};
+    report.at = now;
+    report.demands.clear();
     std::ranges::copy_if(demands, std::back_inserter(report.demands),
                          [](const ArtifactDemand &demand) { return demand.waiting > 0; });
-    add(uses);
+    if (uses) {
+        subtract(report.uses);
+        report.uses = *uses;
+        add(report.uses);
+    }
+    for (const ArtifactInFlight &use : report.uses)
+        usage_[use.artifact.model].lastUse = now;
 }
 
 void DemandTracker::removeNode(const core::InstanceId &node)
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -79,6 +79,8 @@
 
 void SwapPlanner::on(const swap::DemandReported &event, core::TimePoint now)
 {
+    for (const core::InstanceId &child : event.children)
+        demandTracker_.removeNode(child);
     demandTracker_.report(event.node, event.demands, event.uses, now);
 }
 
--- /dev/null
+++ b/packages/decisions/tests/serving/FleetStateTest.cpp
@@ -0,0 +1,155 @@
+#include <boost/test/unit_test.hpp>
+
+#include <rapidcheck.h>
+
+#include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/decisions/serving/FleetState.h"
+
+namespace boragerack::decisions::testing {
+
+namespace {
+
+FleetMember memberOf(std::uint64_t number)
+{
+    return {{"n" + std::to_string(number)}, "a:1", {"x"}, "a:2", 100};
+}
+
+TargetEntry targetOf(std::uint64_t number)
+{
+    TargetEntry entry;
+    entry.target.value = "t" + std::to_string(number);
+    entry.address = "b:" + std::to_string(number);
+    return entry;
+}
+
+/// Members and targets of a coordinator, which change at random.
+struct Source
+{
+    std::vector<FleetMember> members;
+    std::vector<TargetEntry> targets;
+    std::uint64_t placementVersion = 1;
+    FleetState state {1};
+
+    void change(core::SeededRandomSource &random)
+    {
+        const std::uint64_t number = random.next() % 12;
+        if (random.next() % 2 == 0) {
+            if (std::erase(members, memberOf(number)) == 0)
+                members.push_back(memberOf(number));
+            state.setMembers(members);
+        } else {
+            const auto isSame = [&](const TargetEntry &entry) {
+                return entry.target == targetOf(number).target;
+            };
+            const auto position = std::ranges::find_if(targets, isSame);
+            if (position == targets.end())
+                targets.push_back(targetOf(number));
+            else if (random.next() % 2 == 0)
+                position->isLeaving = !position->isLeaving;
+            else
+                targets.erase(position);
+            state.setTargets(targets);
+        }
+        state.updatePlacements(++placementVersion,
+                               {{targetOf(number).target, placementVersion, {}}});
+    }
+};
+
+bool isSameContent(const FleetState &left, const FleetState &right)
+{
+    return left.updateSince({}) == right.updateSince({});
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetStateTest)
+
+// Guards against a node that keeps a removed member or target, or misses a change, because its
+// relay has followed the coordinator through other versions than the node.
+BOOST_AUTO_TEST_CASE(copiesThroughChangingRelaysConverge)
+{
+    const bool passed = rc::check([](std::uint64_t seed) {
+        core::SeededRandomSource random(seed);
+        Source source;
+        std::vector<FleetState> relays(3);
+        FleetState node;
+        for (int step = 0; step < 120; ++step) {
+            if (random.next() % 20 == 0) {
+                // A successor numbers its versions from the beginning.
+                source.state = FleetState(source.state.versions().term + 1);
+                source.placementVersion = 1;
+                source.state.setMembers(source.members);
+                source.state.setTargets(source.targets);
+            }
+            source.change(random);
+            FleetState &relay = relays[random.next() % relays.size()];
+            if (random.next() % 3 != 0)
+                relay.apply(source.state.changesSince(relay.versions()));
+            if (random.next() % 3 != 0)
+                node.apply(relay.changesSince(node.versions()));
+        }
+        FleetState &relay = relays.front();
+        relay.apply(source.state.changesSince(relay.versions()));
+        node.apply(relay.changesSince(node.versions()));
+        RC_ASSERT(isSameContent(node, source.state));
+    });
+    BOOST_TEST(passed);
+}
+
+// Guards against answers whose size grows with the fleet although only one entry changed.
+BOOST_AUTO_TEST_CASE(changesContainOnlyWhatChanged)
+{
+    FleetState source(7);
+    std::vector<FleetMember> members;
+    for (std::uint64_t i = 0; i < 1000; ++i)
+        members.push_back(memberOf(i));
+    source.setMembers(members);
+    FleetState copy;
+    copy.apply(source.changesSince({}));
+    BOOST_TEST(source.changesSince(copy.versions()).members.changed.empty());
+    members.erase(members.begin() + 10);
+    members.push_back(memberOf(2000));
+    source.setMembers(members);
+    const FleetChange change = source.changesSince(copy.versions());
+    BOOST_TEST(!change.members.isComplete);
+    BOOST_TEST(change.members.changed.size() == 1U);
+    BOOST_TEST(change.members.removed.size() == 1U);
+    copy.apply(change);
+    BOOST_TEST(isSameContent(copy, source));
+}
+
+// Guards against loads that are attributed to the wrong targets, because the sender's list of targets
+// differs from the receiver's.
+BOOST_AUTO_TEST_CASE(loadsOfAnotherTargetListAreIgnored)
+{
+    FleetState source(1);
+    source.setTargets({targetOf(1), targetOf(2)});
+    source.setLoads({{targetOf(2).target, 5}});
+    FleetState copy;
+    copy.apply(source.changesSince({}));
+    copy.apply(*source.loads());
+    const std::vector<TargetLoad> expected {{targetOf(2).target, 5}};
+    BOOST_TEST((copy.updateSince({}).loads == expected));
+    source.setTargets({targetOf(2), targetOf(3)});
+    source.setLoads({{targetOf(3).target, 9}});
+    copy.apply(*source.loads());
+    BOOST_TEST((copy.updateSince({}).loads == expected));
+}
+
+// Guards against a relay that has not followed the new coordinator and takes its children back to
+// the state of the previous one.
+BOOST_AUTO_TEST_CASE(stateOfAnEarlierTermIsIgnored)
+{
+    FleetState former(3);
+    former.setMembers({memberOf(1)});
+    FleetState successor(5);
+    successor.setMembers({memberOf(2)});
+    FleetState copy;
+    copy.apply(successor.changesSince({}));
+    copy.apply(former.changesSince(copy.versions()));
+    BOOST_TEST(isSameContent(copy, successor));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::decisions::testing
--- /dev/null
+++ b/packages/decisions/tests/serving/ReportAggregatorTest.cpp
@@ -0,0 +1,114 @@
+#include <boost/test/unit_test.hpp>
+
+#include "boragerack/decisions/serving/ReportAggregator.h"
+
+namespace boragerack::decisions::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+const Artifact kArtifact {{"m"}, {}, {}};
+const core::TargetId kTarget {"t"};
+const core::InstanceId kSelf {"relay"};
+
+CoordinationReport reportOf(const std::string &name)
+{
+    CoordinationReport report;
+    report.member = {{name}, name + ":1", {"x"}, name + ":2"};
+    return report;
+}
+
+CoordinationReport waitingReport(const std::string &name, std::chrono::milliseconds wait)
+{
+    CoordinationReport report = reportOf(name);
+    report.demands = {{kArtifact, {"s"}, 1, 1, wait, 3000ms}};
+    return report;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ReportAggregatorTest)
+
+// Guards against arrivals that count twice, and against requests that no longer count as waiting
+// because another child reported after theirs.
+BOOST_AUTO_TEST_CASE(arrivalsCountOnceAndWaitingUntilTheNextReport)
+{
+    core::TimePoint now(1h);
+    ReportAggregator aggregator(kSelf);
+    aggregator.add(reportOf(kSelf.value), now);
+    aggregator.add(waitingReport("a", 100ms), now);
+    aggregator.add(waitingReport("b", 400ms), now);
+    BOOST_TEST(aggregator.isUrgent());
+    const CoordinationReport first = aggregator.take(now);
+    BOOST_REQUIRE(first.demands.size() == 1U);
+    BOOST_TEST(first.demands.front().arrived == 2U);
+    BOOST_TEST(first.demands.front().waiting == 2U);
+    BOOST_TEST((first.demands.front().oldestWait == 400ms));
+    BOOST_TEST(first.children.size() == 2U);
+    BOOST_TEST(!aggregator.isUrgent());
+
+    now += 50ms;
+    aggregator.add(reportOf("a"), now);
+    const CoordinationReport second = aggregator.take(now);
+    BOOST_REQUIRE(second.demands.size() == 1U);
+    BOOST_TEST(second.demands.front().arrived == 0U);
+    BOOST_TEST(second.demands.front().waiting == 1U);
+    BOOST_TEST((second.demands.front().oldestWait == 450ms));
+    BOOST_TEST(second.children.size() == 1U);
+}
+
+// Guards against arrivals that are lost because a child reported again before the relay did.
+BOOST_AUTO_TEST_CASE(arrivalsOfTwoReportsAreAdded)
+{
+    const core::TimePoint now(1h);
+    ReportAggregator aggregator(kSelf);
+    aggregator.add(waitingReport("a", 100ms), now);
+    aggregator.add(waitingReport("a", 150ms), now);
+    const CoordinationReport merged = aggregator.take(now);
+    BOOST_REQUIRE(merged.demands.size() == 1U);
+    BOOST_TEST(merged.demands.front().arrived == 2U);
+    BOOST_TEST(merged.demands.front().waiting == 1U);
+}
+
+// Guards against requests in flight that vanish from the coordinator's view, so that their model is
+// evicted, because an urgent report did not repeat them.
+BOOST_AUTO_TEST_CASE(usesAreKeptUntilReplacedOrTimedOut)
+{
+    core::TimePoint now(1h);
+    ReportAggregator aggregator(kSelf);
+    CoordinationReport own = reportOf(kSelf.value);
+    own.uses = std::vector<ArtifactInFlight> {{kTarget, kArtifact, 2}};
+    aggregator.add(own, now);
+    CoordinationReport child = reportOf("a");
+    child.uses = std::vector<ArtifactInFlight> {{kTarget, kArtifact, 3}};
+    aggregator.add(child, now);
+    const auto inFlight = [&] {
+        const auto uses = aggregator.take(now).uses.value();
+        return uses.empty() ? 0U : uses.front().inFlight;
+    };
+    BOOST_TEST(inFlight() == 5U);
+    now += 100ms;
+    aggregator.add(reportOf("a"), now);
+    BOOST_TEST(inFlight() == 5U);
+    now += ReportAggregator::kChildTimeout;
+    BOOST_TEST(inFlight() == 2U);
+    BOOST_TEST(aggregator.childCount() == 0U);
+}
+
+// Guards against a crash that a relay reports again with each report, which would quarantine the
+// request after one crash.
+BOOST_AUTO_TEST_CASE(crashesAreReportedOnce)
+{
+    const core::TimePoint now(1h);
+    ReportAggregator aggregator(kSelf);
+    CoordinationReport child = reportOf("a");
+    child.crashes.push_back({core::makeDigest("request"), "attempt"});
+    aggregator.add(child, now);
+    BOOST_TEST(aggregator.take(now).crashes.size() == 1U);
+    BOOST_TEST(aggregator.take(now).crashes.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::decisions::testing
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "boragerack/decisions/serving/FleetSize.h"
+#include "boragerack/decisions/serving/ReportPace.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -19,12 +20,8 @@
 constexpr std::chrono::milliseconds kReportTimeout(1500);
 /// Timeout of an order. The lease allows an order only if this time ends before the lease expires.
 constexpr std::chrono::milliseconds kOrderTimeout = decisions::LeaseTimes().orderTimeout;
-/// Minimum report interval of a node. It increases with the number of nodes, so that the
-/// coordinator's load and traffic do not grow with that number.
-constexpr std::chrono::milliseconds kReportInterval(100);
-constexpr std::chrono::milliseconds kReportIntervalPerNode(8);
-/// With longer intervals, the relayed proofs would expire and the nodes would read the platform.
-constexpr std::chrono::milliseconds kMaxReportInterval(500);
+/// Interval at which the sums of requests in flight are computed for the answers.
+constexpr std::chrono::milliseconds kLoadsInterval(50);
 /// Number of target crashes after which a request is refused on all nodes.
 constexpr std::uint32_t kCrashesToQuarantine = 3;
 
@@ -124,8 +121,11 @@
                       decisions::Quarantine({.maxCrashes = kCrashesToQuarantine}),
                       {},
                       false,
+                      decisions::FleetState(fence),
+                      0,
+                      0,
                       {},
-                      0});
+                      {}});
             term_->members.seed(knownNodes(), clock_.now());
             applyConfiguration();
             applyTargets();
@@ -139,6 +139,7 @@
     }
     for (const core::InstanceId &node : term_->members.expire(clock_.now())) {
         runtime::logEvent(runtime::LogEvent::MemberLost, "instance=" + node.value);
+        term_->tree.remove(node);
         plan(swap::NodeLeft {node});
     }
     term_->tokenLimiter.setRateFraction(term_->members.liveShare(clock_.now()), clock_.now());
@@ -186,9 +187,24 @@
                           .slots = entry.slots,
                           .isLeaving = entry.isLeaving,
                           .startedAt = entry.startedAt});
-    if (listed != term_->listed || term_->listedVersion == 0) {
-        term_->listed = std::move(listed);
-        ++term_->listedVersion;
+    term_->state.setTargets(listed);
+}
+
+void CoordinatorTask::updateState()
+{
+    Term &term = *term_;
+    if (const std::uint64_t version = term.members.version(); version != term.membersVersion) {
+        term.membersVersion = version;
+        term.state.setMembers(term.members.members());
+    }
+    if (const std::uint64_t version = term.planner.placementVersion();
+        version != term.placementVersion) {
+        term.state.updatePlacements(version, term.planner.placementsSince(term.placementVersion));
+        term.placementVersion = version;
+    }
+    if (const core::TimePoint now = clock_.now(); now - term.loadsAt >= kLoadsInterval) {
+        term.loadsAt = now;
+        term.state.setLoads(term.planner.loads());
     }
 }
 
@@ -203,7 +219,7 @@
     const auto provenAt = configuration_.provenAt();
     const RouteTablePointer table = configuration_.table();
     return {table ? table->configuration().version : 0, provenAt ? ageOf(*provenAt) : kUnknown,
-            term_->listedVersion > 0 ? ageOf(targetsReadAt_) : kUnknown};
+            term_->state.versions().targets > 0 ? ageOf(targetsReadAt_) : kUnknown};
 }
 
 void CoordinatorTask::plan(const swap::Event &event)
@@ -222,43 +238,64 @@
     }
     const core::TimePoint now = clock_.now();
     const decisions::CoordinationReport &report = message.report;
-    term_->members.report(report.member, report.isStopping, now);
-    for (const decisions::RequestCrash &crash : report.crashes) {
-        const auto actions = term_->quarantine.handle(
-            decisions::quarantine::CrashReport {crash.fingerprint, {crash.attempt, 1}}, now);
-        if (!actions.empty() && term_->quarantined.insert(crash.fingerprint).second)
-            runtime::logEvent(runtime::LogEvent::RequestQuarantined,
-                              "fingerprint=" + core::toHex(crash.fingerprint).substr(0, 16));
-    }
-    plan(swap::DemandReported {report.member.instance, report.demands, report.uses});
-
+    recordReport(report);
+    updateState();
     answer.standing = lease_.isHolding() ? decisions::CoordinatorStanding::Holding
                                          : decisions::CoordinatorStanding::Lapsed;
-    answer.term = term_->fence;
-    answer.membersVersion = term_->members.version();
-    if (report.membersVersion != answer.membersVersion)
-        answer.members = term_->members.members();
-    answer.placementVersion = term_->planner.placementVersion();
-    answer.placements = term_->planner.placementsSince(report.placementVersion);
-    answer.targetsVersion = term_->listedVersion;
-    if (report.targetsVersion != answer.targetsVersion)
-        answer.targets = term_->listed;
     answer.platformReadStatus = makePlatformReadStatus();
+    answer.lease = lease_.lease().confirmedRenewal(now);
+    answer.quarantined = {term_->quarantined.begin(), term_->quarantined.end()};
+    grantTokens(report, answer);
+    if (report.member.instance != self_)
+        answer.relay = term_->tree.report(report);
+    if (!answer.relay) {
+        answer.change = term_->state.changesSince(report.known);
+        answer.loads = term_->state.loads();
+        answer.reportAfter = decisions::reportInterval(term_->tree.directCount());
+    }
     // Sending the configuration to each node of a large fleet would overload the coordinator.
     const bool sendsConfiguration =
         report.isPlatformLost || !decisions::isLargeFleet(term_->members.size());
     if (sendsConfiguration
         && report.configurationVersion < answer.platformReadStatus.configurationVersion)
         answer.configuration = configuration_.text();
-    answer.lease = lease_.lease().confirmedRenewal(now);
-    answer.loads = term_->planner.loads();
+    message.receiver->receive(std::move(answer));
+}
+
+void CoordinatorTask::recordReport(const decisions::CoordinationReport &report)
+{
+    const core::TimePoint now = clock_.now();
+    term_->members.report(report.member, report.isStopping, now);
+    std::vector<core::InstanceId> children;
+    for (const decisions::ChildReport &child : report.children) {
+        term_->members.report(child.member, child.isStopping, now);
+        children.push_back(child.member.instance);
+    }
+    for (const decisions::RequestCrash &crash : report.crashes) {
+        const auto actions = term_->quarantine.handle(
+            decisions::quarantine::CrashReport {crash.fingerprint, {crash.attempt, 1}}, now);
+        if (!actions.empty() && term_->quarantined.insert(crash.fingerprint).second)
+            runtime::logEvent(runtime::LogEvent::RequestQuarantined,
+                              "fingerprint=" + core::toHex(crash.fingerprint).substr(0, 16));
+    }
+    plan(swap::DemandReported {report.member.instance, report.demands, report.uses,
+                               std::move(children)});
+}
+
+void CoordinatorTask::grantTokens(const decisions::CoordinationReport &report,
+                                  decisions::CoordinationAnswer &answer)
+{
+    const core::TimePoint now = clock_.now();
     for (const decisions::TokenRequest &tokenRequest : report.wanted)
         answer.granted.push_back(term_->tokenLimiter.grant(tokenRequest, now));
-    answer.quarantined = {term_->quarantined.begin(), term_->quarantined.end()};
-    answer.reportAfter =
-        std::clamp(kReportIntervalPerNode * static_cast<int>(term_->members.size()),
-                   kReportInterval, kMaxReportInterval);
-    message.receiver->receive(std::move(answer));
+    for (const decisions::ChildReport &child : report.children) {
+        if (child.wanted.empty())
+            continue;
+        decisions::ChildGrant grant {child.member.instance, {}};
+        for (const decisions::TokenRequest &tokenRequest : child.wanted)
+            grant.granted.push_back(term_->tokenLimiter.grant(tokenRequest, now));
+        answer.childGrants.push_back(std::move(grant));
+    }
 }
 
 void CoordinatorTask::on(OrderFinished &message)
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -13,8 +13,10 @@
 #include "LeaseTask.h"
 #include "boragerack/core/Clock.h"
 #include "boragerack/decisions/Quarantine.h"
+#include "boragerack/decisions/serving/FleetState.h"
 #include "boragerack/decisions/serving/FleetTokenLimiter.h"
 #include "boragerack/decisions/serving/MembershipTracker.h"
+#include "boragerack/decisions/serving/ReportTree.h"
 #include "boragerack/decisions/serving/SwapPlanner.h"
 #include "boragerack/gateway/TargetControl.h"
 #include "boragerack/runtime/FiberGroup.h"
@@ -57,9 +59,12 @@
         decisions::Quarantine quarantine;
         std::set<core::Digest> quarantined;
         bool mayOrder = false;
-        /// Targets as last sent to the nodes, and the version of this list.
-        std::vector<decisions::TargetEntry> listed;
-        std::uint64_t listedVersion = 0;
+        /// State that the answers distribute, and the versions of its sources.
+        decisions::FleetState state;
+        std::uint64_t membersVersion = 0;
+        std::uint64_t placementVersion = 0;
+        core::TimePoint loadsAt = {};
+        decisions::ReportTree tree;
     };
 
     void run();
@@ -70,6 +75,10 @@
     void on(CoordinatorConfigurationChanged &message);
     void on(StopCoordinating &message);
 
+    void recordReport(const decisions::CoordinationReport &report);
+    void grantTokens(const decisions::CoordinationReport &report,
+                     decisions::CoordinationAnswer &answer);
+    void updateState();
     void updateTerm();
     std::vector<decisions::FleetMember> knownNodes() const;
     void applyConfiguration();
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -1,5 +1,7 @@
 #include "boragerack/gateway/Gateway.h"
 
+#include <cmath>
+
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 
@@ -41,6 +43,11 @@
 constexpr int kLifetimesToDrain = 3;
 /// Time between the end of draining and the forced termination of the process.
 constexpr std::chrono::milliseconds kStopMargin(700);
+constexpr double kThousandths = 1000;
+/// A node with a smaller share of a processor takes the lease only if no larger one does, because the
+/// coordinator receives the reports of the whole fleet.
+constexpr double kMinCoordinatorShare = 0.2;
+constexpr std::chrono::milliseconds kSmallNodeDelay(800);
 /// Number of low bits of the incarnation that are random; the store's revision is above them.
 constexpr unsigned kIncarnationBits = 16;
 
@@ -81,6 +88,8 @@
 {
     decisions::LeaseTimes times;
     times.orderHandover = settings.orderHandover;
+    if (settings.processorShare < kMinCoordinatorShare)
+        times.acquireDelay = kSmallNodeDelay;
     return times;
 }
 
@@ -95,7 +104,8 @@
         , dependencies(gatewayDependencies)
         , charts(std::move(gatewayCharts))
         , self {settings.instance, textOf(settings.callerListen), settings.dataCentre,
-                textOf(settings.peerListen)}
+                textOf(settings.peerListen),
+                static_cast<std::uint32_t>(std::lround(settings.processorShare * kThousandths))}
         , client(fibers.ioContext(), clientOptions())
         , source(dependencies.source, metrics)
         , store(dependencies.store, metrics)
@@ -112,7 +122,7 @@
         , coordinator(settings.instance, lease, configuration, dependencies.control,
                       charts.targetOrder, settings.quotaTolerance, clock, metrics)
         , routing(self, routingLimitsOf(settings), clock, random, metrics)
-        , reports(lease, coordinator, routing, configuration, clock)
+        , reports(self, lease, coordinator, routing, configuration, clock)
         , lifecycle(charts.node, kLifetimesToDrain * settings.addressLifetime,
                     settings.stopTimeout - kStopMargin, configuration, clock)
         , requestHandler({charts, dependencies.protocol, configuration, lifecycle, routing, client,
@@ -124,7 +134,7 @@
         , readyServer(fibers.ioContext(), addressHandler, {})
         , directoryServer(fibers.ioContext(), addressHandler, {})
         , metricsServer(fibers.ioContext(), metricsHandler, {})
-        , reportHandler(coordinator)
+        , reportHandler(coordinator, reports)
     {
     }
 
@@ -171,7 +181,8 @@
             const RouteTablePointer table = configuration.table();
             report.isPlatformLost = configuration.isPlatformLost();
             report.configurationVersion = table ? table->configuration().version : 0;
-            reports.send(std::move(report));
+            if (!reports.trySend(OwnReport {std::move(report)}))
+                runtime::logEvent(runtime::LogEvent::MessageDropped, "message=report");
         },
         [this](RoutingTask::Relay relay) { relayToTasks(std::move(relay)); });
     reports.start();
--- a/packages/gateway/src/ReportHandler.cpp
+++ b/packages/gateway/src/ReportHandler.cpp
@@ -1,6 +1,7 @@
 #include "ReportHandler.h"
 
 #include "boragerack/peer/Envelope.h"
+#include "boragerack/peer/PeerResponder.h"
 
 namespace boragerack::gateway {
 
@@ -26,8 +27,9 @@
 
 } // namespace
 
-ReportHandler::ReportHandler(CoordinatorTask &coordinator)
+ReportHandler::ReportHandler(CoordinatorTask &coordinator, ReportTask &reports)
     : coordinator_(coordinator)
+    , reports_(reports)
 {
 }
 
@@ -39,9 +41,11 @@
                                               "only reports of the sender itself are taken"));
         return;
     }
+    ReportReceived received {*report, std::make_shared<PeerAnswerReceiver>(std::move(reply))};
     // If the mailbox is full, the report is dropped; the next report of the peer is the retry.
-    static_cast<void>(coordinator_.trySend(
-        ReportReceived {*report, std::make_shared<PeerAnswerReceiver>(std::move(reply))}));
+    const bool isSent = coordinator_.isCoordinating() ? coordinator_.trySend(std::move(received))
+                                                      : reports_.trySend(std::move(received));
+    static_cast<void>(isSent);
 }
 
 } // namespace boragerack::gateway
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -81,6 +81,8 @@
 struct ReportAnswered
 {
     std::optional<decisions::CoordinationAnswer> answer;
+    /// Changes since the versions in the report.
+    decisions::FleetUpdate update;
     core::TimePoint reportedAt = {};
     /// This node is the coordinator and reads the platform itself.
     bool isLocal = false;
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "boragerack/decisions/DeficitRoundRobinPolicy.h"
-#include "boragerack/decisions/serving/FleetSize.h"
+#include "boragerack/decisions/serving/ReportPace.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -15,11 +15,6 @@
 /// Maximum interval between timer checks. Each check also routes waiting requests for which a
 /// target has become available.
 constexpr std::chrono::milliseconds kTick(50);
-/// Minimum time between two reports, including urgent ones.
-constexpr std::chrono::milliseconds kMinReportGap(15);
-/// Added to the minimum time for each node above the size of a small fleet, so that urgent reports
-/// do not overload the coordinator.
-constexpr std::chrono::microseconds kMinReportGapPerNode(6000);
 /// Report interval until the coordinator sets another one.
 constexpr std::chrono::milliseconds kReportInterval(100);
 /// Placements expire if the coordinator has not answered for this long.
@@ -194,7 +189,8 @@
 {
     isReporting_ = false;
     setNodes(message.nodes);
-    if (!message.answer || message.answer->standing == decisions::CoordinatorStanding::Absent) {
+    if (!message.answer || message.answer->standing == decisions::CoordinatorStanding::Absent
+        || message.answer->standing == decisions::CoordinatorStanding::Unreachable) {
         nextReport_ = clock_.now() + kReportInterval;
         return;
     }
@@ -206,56 +202,60 @@
     const core::TimePoint now = clock_.now();
     lastAnswer_ = now;
     nextReport_ = now + answer.reportAfter;
-    loadsInterval_ = decisions::isLargeFleet(nodeCount()) ? answer.reportAfter / 2
-                                                          : std::chrono::milliseconds(0);
-    if (answer.term != term_) {
-        term_ = answer.term;
-        membersVersion_ = 0;
-        placementVersion_ = 0;
-        targetsVersion_ = 0;
-        route(decisions::routing::PlacementsOutdated());
-        runtime::logEvent(runtime::LogEvent::CoordinatorFollowed,
-                          "term=" + std::to_string(answer.term));
-    }
-    relay(message, answer);
+    reportInterval_ = answer.reportAfter;
+    const std::uint64_t relayedTargets =
+        relay(message, answer) ? message.update.versions.targets : known_.targets;
     tokenLimiter_.stopAccruing();
     for (const decisions::TokenAmount &grant : answer.granted)
         tokenLimiter_.credit(grant);
     serveTokenQueue(true);
-    if (answer.membersVersion != membersVersion_ || !answer.quarantined.empty()) {
+    applyUpdate(message.update);
+    // A list that was not relayed has to be in the next update as well.
+    known_.targets = relayedTargets;
+    if (const std::set<core::Digest> quarantined(answer.quarantined.begin(),
+                                                 answer.quarantined.end());
+        quarantined != fleet_.get()->quarantined) {
         FleetView view = *fleet_.get();
-        if (answer.membersVersion != membersVersion_) {
-            view.members = answer.members;
-            view.isStale = false;
-            setNodes(answer.members.size());
-        }
-        view.quarantined = {answer.quarantined.begin(), answer.quarantined.end()};
+        view.quarantined = quarantined;
         fleet_.set(std::move(view));
-        membersVersion_ = answer.membersVersion;
     }
-    if (answer.loads)
-        route(decisions::routing::LoadsReported {*answer.loads});
-    if (answer.placementVersion != placementVersion_) {
-        placementVersion_ = answer.placementVersion;
-        route(decisions::routing::PlacementsChanged {answer.placements});
+    if (answer.loads && message.update.loads)
+        route(decisions::routing::LoadsReported {*message.update.loads});
+}
+
+void RoutingTask::applyUpdate(const decisions::FleetUpdate &update)
+{
+    if (update.versions.term != known_.term) {
+        known_ = {.term = update.versions.term};
+        route(decisions::routing::PlacementsOutdated());
+        runtime::logEvent(runtime::LogEvent::CoordinatorFollowed,
+                          "term=" + std::to_string(update.versions.term));
     }
+    if (update.members) {
+        FleetView view = *fleet_.get();
+        view.members = *update.members;
+        view.isStale = false;
+        setNodes(update.members->size());
+        fleet_.set(std::move(view));
+    }
+    if (update.versions.placements != known_.placements)
+        route(decisions::routing::PlacementsChanged {update.placements});
+    known_ = update.versions;
 }
 
-void RoutingTask::relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer)
+bool RoutingTask::relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer)
 {
     if (message.isLocal || answer.standing != decisions::CoordinatorStanding::Holding)
-        return;
+        return false;
     // The ages are relative to the answer. The time of the report is earlier, so the result is
     // never too recent.
     Relay relay {answer.platformReadStatus.configurationVersion,
                  message.reportedAt - answer.platformReadStatus.configurationAge,
                  answer.configuration, message.reportedAt - answer.platformReadStatus.targetsAge,
                  std::nullopt};
-    if (answer.targetsVersion != targetsVersion_) {
-        relay.targets = answer.targets;
-        targetsVersion_ = answer.targetsVersion;
-    }
+    relay.targets = message.update.targets;
     onRelay_(std::move(relay));
+    return true;
 }
 
 void RoutingTask::setNodes(std::size_t nodes)
@@ -267,10 +267,7 @@
 
 void RoutingTask::handleCoordinatorTimeout()
 {
-    term_ = 0;
-    membersVersion_ = 0;
-    placementVersion_ = 0;
-    targetsVersion_ = 0;
+    known_ = {};
     runtime::logEvent(runtime::LogEvent::CoordinatorLost, "reason=no_answer");
     route(decisions::routing::PlacementsOutdated());
 }
@@ -284,7 +281,7 @@
         fleet_.set(std::move(view));
     }
     if (now - lastAnswer_ > kCoordinatorTimeout) {
-        if (term_ != 0)
+        if (known_.term != 0)
             handleCoordinatorTimeout();
         tokenLimiter_.accrue(now, nodeCount());
         serveTokenQueue(false);
@@ -301,7 +298,9 @@
 {
     const core::TimePoint now = clock_.now();
     const bool isDue =
-        now >= nextReport_ || (hasUrgentReport_ && now - lastReport_ >= minReportGap());
+        now >= nextReport_
+        || (hasUrgentReport_
+            && now - lastReport_ >= decisions::urgentReportGap(reportInterval_));
     if (isReporting_ || !isDue)
         return;
     isReporting_ = true;
@@ -312,13 +311,7 @@
     decisions::CoordinationReport report;
     report.member = self_;
     report.isStopping = isStopping_;
-    report.term = term_;
-    report.wantsLoads = now - loadsRequestedAt_ >= loadsInterval_;
-    if (report.wantsLoads)
-        loadsRequestedAt_ = now;
-    report.membersVersion = membersVersion_;
-    report.placementVersion = placementVersion_;
-    report.targetsVersion = targetsVersion_;
+    report.known = known_;
     report.demands = router_.takeDemands(now);
     report.uses = router_.uses();
     report.wanted = tokenLimiter_.wanted(now);
@@ -326,13 +319,6 @@
     sendReport_(std::move(report));
 }
 
-core::Duration RoutingTask::minReportGap() const
-{
-    const std::uint32_t extraNodes =
-        std::max(nodeCount(), decisions::kSmallFleetNodes) - decisions::kSmallFleetNodes;
-    return kMinReportGap + kMinReportGapPerNode * extraNodes;
-}
-
 std::uint32_t RoutingTask::nodeCount() const
 {
     return peakNodes_ == 0 ? kAssumedNodes : peakNodes_;
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -92,13 +92,14 @@
     void serveTokenQueue(bool refuseReported);
     void updateWaitingTokens();
     void adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
-    void relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
+    /// Passes on what the coordinator has read. False if it is not valid for this node.
+    bool relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
+    void applyUpdate(const decisions::FleetUpdate &update);
     void handleCoordinatorTimeout();
     void setNodes(std::size_t nodes);
     decisions::RetryBudget &retryBudgetFor(const core::ServiceId &service);
     void tick();
     void report();
-    core::Duration minReportGap() const;
     std::uint32_t nodeCount() const;
 
     decisions::FleetMember self_;
@@ -127,21 +128,16 @@
     /// How many of them are included in the report in flight.
     std::size_t reportedTokenQueueSize_ = 0;
     std::vector<decisions::RequestCrash> crashes_;
-    std::uint64_t term_ = 0;
-    std::uint64_t membersVersion_ = 0;
-    std::uint64_t placementVersion_ = 0;
-    std::uint64_t targetsVersion_ = 0;
+    /// Versions of the fleet's state that the router and other tasks have.
+    decisions::FleetVersions known_;
     bool isReporting_ = false;
     bool hasUrgentReport_ = false;
     bool isStopping_ = false;
     bool isRunning_ = true;
     core::TimePoint lastReport_ = {};
     core::TimePoint nextReport_ = {};
+    std::chrono::milliseconds reportInterval_ = {};
     core::TimePoint lastAnswer_ = {};
-    /// When the loads of the targets were last requested. The list is long, so urgent reports often
-    /// do not request it.
-    core::TimePoint loadsRequestedAt_ = {};
-    std::chrono::milliseconds loadsInterval_ = {};
     boost::fibers::fiber fiber_;
 };
 
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -255,7 +255,11 @@
 
 decisions::FleetMember read(const wire::FleetMember &in)
 {
-    return {{in.instance()}, in.caller_address(), {in.data_centre()}, in.peer_address()};
+    return {{in.instance()},
+            in.caller_address(),
+            {in.data_centre()},
+            in.peer_address(),
+            in.processor_share()};
 }
 
 decisions::LeaseObservation read(const wire::LeaseSighting &in)
@@ -271,18 +275,62 @@
             in.version()};
 }
 
+decisions::TokenRequest read(const wire::TokenAsk &in)
+{
+    return {{in.organisation()},
+            static_cast<std::int64_t>(in.waiting()),
+            static_cast<std::int64_t>(in.reserve())};
+}
+
+decisions::TargetPlacement read(const wire::TargetPlacement &in)
+{
+    decisions::TargetPlacement placement {{in.target()}, in.started_at(), {}};
+    for (const wire::Artifact &artifact : in.artifacts())
+        placement.artifacts.push_back(read(artifact));
+    return placement;
+}
+
+decisions::TargetEntry read(const wire::ListedTarget &in)
+{
+    decisions::TargetEntry entry;
+    entry.target.value = in.target();
+    entry.service.value = in.service();
+    entry.address = in.address();
+    entry.dataCentre.value = in.data_centre();
+    entry.slots = in.slots();
+    entry.isLeaving = in.leaving();
+    entry.startedAt = in.started_at();
+    return entry;
+}
+
+std::vector<decisions::TokenAmount>
+read(const google::protobuf::RepeatedPtrField<wire::TokenAmount> &in)
+{
+    std::vector<decisions::TokenAmount> amounts;
+    for (const wire::TokenAmount &record : in)
+        amounts.push_back({{record.organisation()}, record.tokens()});
+    return amounts;
+}
+
+template <typename Key, typename Value, typename WireChange>
+void read(const WireChange &in, decisions::ListChange<Key, Value> &change)
+{
+    change.version = in.version();
+    change.isComplete = in.complete();
+    for (const auto &record : in.changed())
+        change.changed.push_back(read(record));
+    for (const std::string &key : in.removed())
+        change.removed.push_back({key});
+}
+
 std::optional<MessageBody> fromWire(const wire::CoordinationReport &in)
 {
     decisions::CoordinationReport body;
     body.member = read(in.member());
     body.isStopping = in.stopping();
-    body.membersVersion = in.members_version();
-    body.placementVersion = in.placement_version();
-    body.targetsVersion = in.targets_version();
+    body.known = {in.term(), in.members_version(), in.targets_version(), in.placement_version()};
     body.configurationVersion = in.configuration_version();
     body.isPlatformLost = in.platform_lost();
-    body.term = in.term();
-    body.wantsLoads = in.wants_loads();
     for (const wire::ArtifactDemand &record : in.demands()) {
         body.demands.push_back({read(record.artifact()),
                                 {record.service()},
@@ -291,18 +339,27 @@
                                 milliseconds(record.oldest_wait_ms()),
                                 milliseconds(record.aim_ms())});
     }
-    for (const wire::ReplicaUse &record : in.uses())
-        body.uses.push_back({{record.target()}, read(record.artifact()), record.in_flight()});
+    if (in.has_uses())
+        body.uses.emplace();
+    for (const wire::ReplicaUse &record : in.uses()) {
+        if (body.uses)
+            body.uses->push_back({{record.target()}, read(record.artifact()), record.in_flight()});
+    }
     for (const wire::TokenAsk &record : in.wanted())
-        body.wanted.push_back({{record.organisation()},
-                               static_cast<std::int64_t>(record.waiting()),
-                               static_cast<std::int64_t>(record.reserve())});
+        body.wanted.push_back(read(record));
     bool isValid = true;
     for (const wire::RequestDeath &record : in.deaths()) {
         decisions::RequestCrash crash {{}, record.attempt()};
         isValid = isValid && read(record.fingerprint(), crash.fingerprint);
         body.crashes.push_back(std::move(crash));
     }
+    for (const wire::ChildReport &record : in.children()) {
+        decisions::ChildReport child {read(record.member()), record.stopping(), {}};
+        for (const wire::TokenAsk &request : record.wanted())
+            child.wanted.push_back(read(request));
+        body.children.push_back(std::move(child));
+    }
+    body.unresponsiveRelay.value = in.unresponsive_relay();
     return checked(isValid, body);
 }
 
@@ -310,42 +367,26 @@
 {
     decisions::CoordinationAnswer body;
     body.standing = static_cast<decisions::CoordinatorStanding>(in.standing());
-    body.term = in.term();
-    body.membersVersion = in.members_version();
-    for (const wire::FleetMember &record : in.members())
-        body.members.push_back(read(record));
-    body.placementVersion = in.placement_version();
-    for (const wire::TargetPlacement &record : in.placements()) {
-        decisions::TargetPlacement placement {{record.target()}, record.started_at(), {}};
-        for (const wire::Artifact &artifact : record.artifacts())
-            placement.artifacts.push_back(read(artifact));
-        body.placements.push_back(std::move(placement));
-    }
-    body.targetsVersion = in.targets_version();
-    for (const wire::ListedTarget &record : in.targets()) {
-        decisions::TargetEntry entry;
-        entry.target.value = record.target();
-        entry.service.value = record.service();
-        entry.address = record.address();
-        entry.dataCentre.value = record.data_centre();
-        entry.slots = record.slots();
-        entry.isLeaving = record.leaving();
-        entry.startedAt = record.started_at();
-        body.targets.push_back(std::move(entry));
+    if (in.has_change()) {
+        body.change.emplace();
+        body.change->term = in.change().term();
+        read(in.change().members(), body.change->members);
+        read(in.change().targets(), body.change->targets);
+        read(in.change().placements(), body.change->placements);
     }
+    if (in.has_relay())
+        body.relay = read(in.relay());
     body.platformReadStatus = {in.proof().configuration_version(),
                                milliseconds(in.proof().configuration_age_ms()),
                                milliseconds(in.proof().targets_age_ms())};
     body.lease = {in.lease().incarnation(), in.lease().renewal(),
                   milliseconds(in.lease().age_ms())};
     if (in.has_loads())
-        body.loads.emplace();
-    for (const wire::TargetLoad &record : in.loads()) {
-        if (body.loads)
-            body.loads->push_back({{record.target()}, record.in_flight()});
-    }
-    for (const wire::TokenAmount &record : in.granted())
-        body.granted.push_back({{record.organisation()}, record.tokens()});
+        body.loads = {in.loads().targets_version(),
+                      {in.loads().in_flight().begin(), in.loads().in_flight().end()}};
+    body.granted = read(in.granted());
+    for (const wire::ChildGrant &record : in.child_grants())
+        body.childGrants.push_back({{record.instance()}, read(record.granted())});
     bool isValid = wire::CoordinationAnswer::Standing_IsValid(in.standing());
     for (const std::string &record : in.quarantined()) {
         core::Digest fingerprint;
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -60,6 +60,7 @@
     out.set_caller_address(member.callerAddress);
     out.set_data_centre(member.dataCentre.value);
     out.set_peer_address(member.peerAddress);
+    out.set_processor_share(member.processorShare);
 }
 
 void write(const decisions::LeaseObservation &observation, wire::LeaseSighting &out)
@@ -75,6 +76,13 @@
     out.set_version(observation.version);
 }
 
+void write(const decisions::TokenRequest &request, wire::TokenAsk &out)
+{
+    out.set_organisation(request.organisation.value);
+    out.set_waiting(static_cast<std::uint64_t>(request.waiting));
+    out.set_reserve(static_cast<std::uint64_t>(request.reserve));
+}
+
 void write(const decisions::TokenAmount &amount, wire::TokenAmount &out)
 {
     out.set_organisation(amount.organisation.value);
@@ -120,6 +128,35 @@
     out.set_retry_after_ms(clampMilliseconds(error.retryAfter));
 }
 
+void write(const decisions::TargetPlacement &placement, wire::TargetPlacement &out)
+{
+    out.set_target(placement.target.value);
+    out.set_started_at(placement.startedAt);
+    for (const decisions::Artifact &artifact : placement.artifacts)
+        write(artifact, *out.add_artifacts());
+}
+
+void write(const decisions::TargetEntry &entry, wire::ListedTarget &out)
+{
+    out.set_target(entry.target.value);
+    out.set_service(entry.service.value);
+    out.set_address(entry.address);
+    out.set_data_centre(entry.dataCentre.value);
+    out.set_slots(entry.slots);
+    out.set_leaving(entry.isLeaving);
+    out.set_started_at(entry.startedAt);
+}
+
+template <typename Change, typename WireChange> void write(const Change &change, WireChange &out)
+{
+    out.set_version(change.version);
+    out.set_complete(change.isComplete);
+    for (const auto &value : change.changed)
+        write(value, *out.add_changed());
+    for (const auto &key : change.removed)
+        out.add_removed(key.value);
+}
+
 } // namespace
 
 void toWire(const decisions::Heartbeat &body, wire::Envelope &message)
@@ -307,13 +344,12 @@
     wire::CoordinationReport &out = *message.mutable_coordination_report();
     write(body.member, *out.mutable_member());
     out.set_stopping(body.isStopping);
-    out.set_members_version(body.membersVersion);
-    out.set_placement_version(body.placementVersion);
-    out.set_targets_version(body.targetsVersion);
+    out.set_term(body.known.term);
+    out.set_members_version(body.known.members);
+    out.set_placement_version(body.known.placements);
+    out.set_targets_version(body.known.targets);
     out.set_configuration_version(body.configurationVersion);
     out.set_platform_lost(body.isPlatformLost);
-    out.set_term(body.term);
-    out.set_wants_loads(body.wantsLoads);
     for (const decisions::ArtifactDemand &demand : body.demands) {
         wire::ArtifactDemand &record = *out.add_demands();
         write(demand.artifact, *record.mutable_artifact());
@@ -323,52 +359,44 @@
         record.set_oldest_wait_ms(clampMilliseconds(demand.oldestWait));
         record.set_aim_ms(clampMilliseconds(demand.targetLatency));
     }
-    for (const decisions::ArtifactInFlight &use : body.uses) {
+    out.set_has_uses(body.uses.has_value());
+    for (const decisions::ArtifactInFlight &use :
+         body.uses.value_or(std::vector<decisions::ArtifactInFlight>())) {
         wire::ReplicaUse &record = *out.add_uses();
         write(use.artifact, *record.mutable_artifact());
         record.set_target(use.target.value);
         record.set_in_flight(use.inFlight);
     }
-    for (const decisions::TokenRequest &request : body.wanted) {
-        wire::TokenAsk &record = *out.add_wanted();
-        record.set_organisation(request.organisation.value);
-        record.set_waiting(static_cast<std::uint64_t>(request.waiting));
-        record.set_reserve(static_cast<std::uint64_t>(request.reserve));
-    }
+    for (const decisions::TokenRequest &request : body.wanted)
+        write(request, *out.add_wanted());
     for (const decisions::RequestCrash &crash : body.crashes) {
         wire::RequestDeath &record = *out.add_deaths();
         record.set_fingerprint(toBytes(crash.fingerprint));
         record.set_attempt(crash.attempt);
     }
+    for (const decisions::ChildReport &child : body.children) {
+        wire::ChildReport &record = *out.add_children();
+        write(child.member, *record.mutable_member());
+        record.set_stopping(child.isStopping);
+        for (const decisions::TokenRequest &request : child.wanted)
+            write(request, *record.add_wanted());
+    }
+    out.set_unresponsive_relay(body.unresponsiveRelay.value);
 }
 
 void toWire(const decisions::CoordinationAnswer &body, wire::Envelope &message)
 {
     wire::CoordinationAnswer &out = *message.mutable_coordination_answer();
     out.set_standing(static_cast<wire::CoordinationAnswer::Standing>(body.standing));
-    out.set_term(body.term);
-    out.set_members_version(body.membersVersion);
-    for (const decisions::FleetMember &member : body.members)
-        write(member, *out.add_members());
-    out.set_placement_version(body.placementVersion);
-    for (const decisions::TargetPlacement &placement : body.placements) {
-        wire::TargetPlacement &record = *out.add_placements();
-        record.set_target(placement.target.value);
-        record.set_started_at(placement.startedAt);
-        for (const decisions::Artifact &artifact : placement.artifacts)
-            write(artifact, *record.add_artifacts());
-    }
-    out.set_targets_version(body.targetsVersion);
-    for (const decisions::TargetEntry &entry : body.targets) {
-        wire::ListedTarget &record = *out.add_targets();
-        record.set_target(entry.target.value);
-        record.set_service(entry.service.value);
-        record.set_address(entry.address);
-        record.set_data_centre(entry.dataCentre.value);
-        record.set_slots(entry.slots);
-        record.set_leaving(entry.isLeaving);
-        record.set_started_at(entry.startedAt);
+    if (body.change) {
+        wire::FleetChange &change = *out.mutable_change();
+        change.set_term(body.change->term);
+        write(body.change->members, *change.mutable_members());
+        write(body.change->targets, *change.mutable_targets());
+        write(body.change->placements, *change.mutable_placements());
     }
+    if (body.relay)
+        write(*body.relay, *out.mutable_relay());
     out.mutable_proof()->set_configuration_version(body.platformReadStatus.configurationVersion);
     out.mutable_proof()->set_configuration_age_ms(
         ageMilliseconds(body.platformReadStatus.configurationAge));
@@ -376,15 +404,19 @@
     out.mutable_lease()->set_incarnation(body.lease.incarnation);
     out.mutable_lease()->set_renewal(body.lease.renewal);
     out.mutable_lease()->set_age_ms(clampMilliseconds(body.lease.age));
-    out.set_has_loads(body.loads.has_value());
-    for (const decisions::TargetLoad &load :
-         body.loads.value_or(std::vector<decisions::TargetLoad>())) {
-        wire::TargetLoad &record = *out.add_loads();
-        record.set_target(load.target.value);
-        record.set_in_flight(load.inFlight);
+    if (body.loads) {
+        wire::TargetLoads &loads = *out.mutable_loads();
+        loads.set_targets_version(body.loads->targetsVersion);
+        loads.mutable_in_flight()->Add(body.loads->inFlight.begin(), body.loads->inFlight.end());
     }
     for (const decisions::TokenAmount &amount : body.granted)
         write(amount, *out.add_granted());
+    for (const decisions::ChildGrant &grant : body.childGrants) {
+        wire::ChildGrant &record = *out.add_child_grants();
+        record.set_instance(grant.instance.value);
+        for (const decisions::TokenAmount &amount : grant.granted)
+            write(amount, *record.add_granted());
+    }
     for (const core::Digest &fingerprint : body.quarantined)
         out.add_quarantined(toBytes(fingerprint));
     out.set_configuration(body.configuration);
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -39,6 +39,8 @@
     CoordinatorLost = 1704,
     CoordinatorUnknown = 1705,
     MemberLost = 1706,
+    RelayAssigned = 1707,
+    RelayLost = 1708,
     MessageDropped = 1801,
     SettingsChanged = 1802,
     LinesDropped = 1803,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -94,6 +94,10 @@
         return {Severity::Warning, "coordinator does not answer"};
     case LogEvent::CoordinatorUnknown:
         return {Severity::Warning, "coordinator cannot be read"};
+    case LogEvent::RelayAssigned:
+        return {Severity::Info, "node reports through a relay"};
+    case LogEvent::RelayLost:
+        return {Severity::Warning, "relay does not answer; reporting to the coordinator"};
     case LogEvent::MemberLost:
         return {Severity::Warning, "node does not report"};
     case LogEvent::MessageDropped:
