Place another replica of a model whose requests queue, at the cost of models in use

An additional replica could evict only idle models, and was never loaded from the weight store as long as some target had a copy on disk, although the three targets with a copy held models in use.

Ruled out: the takeover of the coordinator (orders resumed at 24.5 s, about 40 a second) and the limit of open orders.

Change: the cost that an additional replica may evict grows with the requests that queue at the existing replicas; if no target with a copy has room, such a replica is loaded from the store.

Result: both new tests fail with the number of queued requests set to zero and pass with it.

--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -80,6 +80,8 @@
         /// The model is ready on other targets; an additional replica only evicts models at a low
         /// cost.
         bool isAdditional = false;
+        /// Requests in flight beyond those that the existing replicas can run at the same time.
+        std::uint32_t queued = 0;
     };
 
     /// A candidate placement for a need.
@@ -109,6 +111,8 @@
     void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
     void placeAdapter(const Artifact &artifact, const std::map<Artifact, FleetDemand> &demands,
                       core::TimePoint now, Actions &actions);
+    std::optional<Option> chooseOption(const Need &need, bool mayUseStore, const Survey &survey,
+                                       core::TimePoint now);
     std::optional<Option> makeOption(Target &target, const Need &need, bool mayUseStore,
                                      const Survey &survey, core::TimePoint now);
     bool addVictims(Option &option, const Need &need, std::uint64_t missingMb, const Survey &survey,
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -212,8 +212,10 @@
             needs.push_back({demand.service, model, demand.waiting,
                              demand.targetLatency - demand.oldestWait, false});
         } else if (seen.ready > 0 && demand.inFlight > kRequestsPerReplica * seen.ready) {
-            needs.push_back(
-                {seen.service, model, demand.inFlight, std::chrono::milliseconds(0), true});
+            const Engine *engine = engineOf(seen.service);
+            const std::uint32_t running = engine ? engine->figures.slots * seen.ready : 0;
+            needs.push_back({seen.service, model, demand.inFlight, std::chrono::milliseconds(0),
+                             true, demand.inFlight - std::min(demand.inFlight, running)});
         }
     }
     // Continue the placement on a reserved target, although its model counts as being placed.
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -31,6 +31,13 @@
 /// A model with a higher eviction cost is not evicted: it is worth more than a single request.
 constexpr double kMaxVictimCost = 1500;
 
+/// Highest eviction cost that an additional replica is worth: idle models yield to it, and others if
+/// requests queue at the existing replicas.
+double maxVictimCost(std::uint32_t queued)
+{
+    return std::min(kMaxVictimCost, kRecencyCost + kCostPerRequest * queued);
+}
+
 /// Replicas needed for the requests in flight are multiplied by this, as a reserve.
 constexpr double kReplicaHeadroom = 1.5;
 
@@ -40,6 +47,18 @@
                              Actions &actions)
 {
     const bool mayUseStore = !isCachedOnTarget(need.service, need.model) && mayLoadFromStore(now);
+    auto best = chooseOption(need, mayUseStore, survey, now);
+    // If the targets with a copy have no room, requests would queue for longer than a load takes.
+    if (!best && need.isAdditional && need.queued > 0 && !mayUseStore && mayLoadFromStore(now))
+        best = chooseOption(need, true, survey, now);
+    if (best)
+        applyOption(*best, need, survey, actions);
+}
+
+std::optional<SwapPlanner::Option> SwapPlanner::chooseOption(const Need &need, bool mayUseStore,
+                                                             const Survey &survey,
+                                                             core::TimePoint now)
+{
     std::optional<Option> best;
     for (Target *target : survey.freeTargets) {
         const bool isReserved = target->reservedFor == need.model;
@@ -48,15 +67,12 @@
         auto option = makeOption(*target, need, mayUseStore, survey, now);
         if (!option)
             continue;
-        if (isReserved) {
-            best = std::move(option);
-            break;
-        }
+        if (isReserved)
+            return option;
         if (!best || option->cost < best->cost)
             best = std::move(option);
     }
-    if (best)
-        applyOption(*best, need, survey, actions);
+    return best;
 }
 
 std::optional<SwapPlanner::Option> SwapPlanner::makeOption(Target &target, const Need &need,
@@ -109,7 +125,7 @@
     for (const auto &[cost, model] : candidates) {
         if (freed >= missingMb)
             break;
-        if (cost > (need.isAdditional ? kRecencyCost : kMaxVictimCost))
+        if (cost > (need.isAdditional ? maxVictimCost(need.queued) : kMaxVictimCost))
             return false;
         const ModelFigures *figures = figuresOf(need.service, model);
         freed += figures ? figures->weightsMb : 0;
--- a/packages/decisions/tests/serving/SwapPlannerTest.cpp
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -381,6 +381,105 @@
     BOOST_TEST(requested.size() == kTargetCount);
 }
 
+namespace {
+
+/// A busy model on one target with 12 slots, and a second target that holds models in use.
+class OverloadedModel
+{
+public:
+    explicit OverloadedModel(bool isCachedOnSecond)
+        : planner_(chart())
+    {
+        ServingService service = makeService();
+        service.engine->slots = 12;
+        TargetEntry first = targetOf("t0");
+        first.replicas = {{kBusy, 1, {}}};
+        first.onDisk = {kBusy};
+        TargetEntry second = targetOf("t1");
+        second.replicas = {{kVictim, 1, {}}, {kOther, 1, {}}};
+        if (isCachedOnSecond)
+            second.onDisk = {kBusy};
+        entries_ = {{first.target, first}, {second.target, second}};
+        dispatch(swap::ServicesChanged {{service}});
+        dispatch(swap::TargetsChanged {std::make_shared<const TargetEntries>(entries_)});
+        dispatch(swap::OrdersAllowed {true});
+    }
+
+    /// Orders within five seconds with this number of requests in flight on the busy model.
+    std::vector<swap::SendOrder> orders(std::uint32_t inFlight)
+    {
+        orders_.clear();
+        for (int step = 0; step < 50; ++step) {
+            now_ += 100ms;
+            dispatch(swap::DemandReported {
+                {"node"},
+                {},
+                std::vector<ArtifactInFlight> {{{"t0"}, {kBusy, {}, {}}, inFlight},
+                                               {{"t1"}, {kVictim, {}, {}}, 2},
+                                               {{"t1"}, {kOther, {}, {}}, 2}}});
+        }
+        return orders_;
+    }
+
+    static inline const core::ModelId kBusy = modelOf(0);
+    static inline const core::ModelId kVictim = modelOf(2);
+    static inline const core::ModelId kOther = modelOf(6);
+
+private:
+    static TargetEntry targetOf(const std::string &name)
+    {
+        TargetEntry entry;
+        entry.target.value = name;
+        entry.service = kService;
+        entry.address = "10.0.0.1:1";
+        entry.startedAt = 1;
+        return entry;
+    }
+
+    void dispatch(const swap::Event &event)
+    {
+        for (const swap::Action &action : planner_.handle(event, now_)) {
+            if (const auto *order = std::get_if<swap::SendOrder>(&action)) {
+                orders_.push_back(*order);
+                dispatch(swap::OrderAnswered {order->target, order->order,
+                                              swap::OrderOutcome::Accepted});
+            } else if (const auto *request = std::get_if<swap::RequestTargetReport>(&action)) {
+                dispatch(swap::TargetReportReceived {
+                    request->target,
+                    TargetReport {1, 0, false, entries_.at(request->target).replicas, {}}});
+            }
+        }
+    }
+
+    SwapPlanner planner_;
+    TargetEntries entries_;
+    core::TimePoint now_ = core::TimePoint(1h);
+    std::vector<swap::SendOrder> orders_;
+};
+
+} // namespace
+
+// Guards against a model that gets no second replica, although most of its requests queue at the
+// only one, because the models on all other targets are in use.
+BOOST_AUTO_TEST_CASE(queuedRequestsAreWorthEvictingModelsInUse)
+{
+    OverloadedModel load(true);
+    BOOST_TEST(load.orders(11).empty());
+    const auto orders = load.orders(40);
+    BOOST_REQUIRE(!orders.empty());
+    BOOST_TEST(orders.front().target.value == "t1");
+}
+
+// Guards against the same if the only copies outside the weight store are on targets without room.
+BOOST_AUTO_TEST_CASE(queuedRequestsAreWorthALoadFromTheStore)
+{
+    OverloadedModel load(false);
+    BOOST_TEST(load.orders(11).empty());
+    const auto orders = load.orders(40);
+    BOOST_REQUIRE(!orders.empty());
+    BOOST_TEST(orders.front().target.value == "t1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
