Bound the platform calls of a fleet whose coordinator or platform fails

Cause: a node whose relayed state was older than 1.4 s read the platform with the delays of a small fleet: a watch of the configuration each 0.4 s, one of the targets each 0.45 s, and after failures a call each 0.4 s a list, 740 calls a second a list with 295 nodes. At its start each node listed the targets before a coordinator could send them.

Change: PlatformReadPace decides the delays from the number of nodes, so that the calls of the fleet do not grow with it; the coordinator's delays do not depend on it. Tasks take relayed state while they wait, where they slept through a backoff before. A process waits for a relayed list of targets for 4 ms a node before it reads the list. A version whose proof was relayed is read with a read that may be stale, at a tenth of the price; if that is older, the next read is current.

--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -69,8 +69,12 @@
     if (knownVersion_ != read.version || known_.has_value() != read.record.has_value())
         knownSince_ = now;
     known_ = read.record;
-    if (known_)
-        self_.nodes = std::max(self_.nodes, known_->nodes);
+    if (known_ && known_->nodes > self_.nodes) {
+        const bool isFirst = self_.nodes == 0;
+        self_.nodes = known_->nodes;
+        if (isFirst)
+            nextPollAt_ = std::min(nextPollAt_, now + pollInterval());
+    }
     knownVersion_ = read.record ? std::optional(read.version) : std::nullopt;
     if (chart_.state() == CoordinatorState::Verifying) {
         const bool isOwnTerm = known_ && isOwn(*known_) && known_->incarnation == self_.incarnation;
@@ -113,8 +117,9 @@
 core::Duration CoordinatorLease::pollInterval() const
 {
     // Relays pass the successor of a coordinator on to their children, so they poll more often.
+    const std::uint32_t nodes = self_.nodes == 0 ? kAssumedNodes : self_.nodes;
     const std::uint32_t pollers =
-        isRelay_ ? self_.nodes / static_cast<std::uint32_t>(ReportTree::kMaxFanOut) : self_.nodes;
+        isRelay_ ? nodes / static_cast<std::uint32_t>(ReportTree::kMaxFanOut) : nodes;
     return std::max(times_.pollInterval, times_.pollInterval * pollers / kSmallFleetNodes);
 }
 
--- a/packages/gateway/include/boragerack/gateway/ServingSource.h
+++ b/packages/gateway/include/boragerack/gateway/ServingSource.h
@@ -36,6 +36,11 @@
     friend bool operator==(const TargetsRead &, const TargetsRead &) = default;
 };
 
+enum class ReadMode {
+    Current, ///< Proves that the result was current when the call was sent.
+    MayBeStale, ///< Cheaper; the result may be seconds old.
+};
+
 /// Reads the configuration and the targets from the platform. Calls suspend the calling fiber.
 class ServingSource
 {
@@ -45,7 +50,7 @@
     ServingSource &operator=(const ServingSource &) = delete;
     virtual ~ServingSource() = default;
 
-    virtual core::Result<ConfigurationRead> readConfiguration() = 0;
+    virtual core::Result<ConfigurationRead> readConfiguration(ReadMode mode) = 0;
     /// Waits for a change after the revision. If there is none in time, the result has no
     /// configuration.
     virtual core::Result<ConfigurationRead> watchConfiguration(std::uint64_t afterRevision,
--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -1,8 +1,8 @@
 #include "ConfigurationTask.h"
 
-#include <boost/fiber/operations.hpp>
+#include <algorithm>
 
-#include "Backoff.h"
+#include "ReadDelay.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -24,11 +24,12 @@
 } // namespace
 
 ConfigurationTask::ConfigurationTask(
-    ServingSource &source, const core::Clock &clock,
+    ServingSource &source, const core::Clock &clock, core::RandomSource &random,
     std::shared_ptr<const decisions::FreshnessMonitor::Binding> chart,
     std::chrono::milliseconds revocation)
     : source_(source)
     , clock_(clock)
+    , random_(random)
     , freshness_(std::move(chart), {}, revocation - kSendMargin)
     , watchWait_(revocation / kProofsPerRevocation)
     , relayMaxAge_(
@@ -49,10 +50,10 @@
         fiber_.join();
 }
 
-void ConfigurationTask::start(Listener listener, IsReliedOn isReliedOn)
+void ConfigurationTask::start(Listener listener, const ReadPaceSource &pace)
 {
     listener_ = std::move(listener);
-    isReliedOn_ = std::move(isReliedOn);
+    pace_ = &pace;
     fiber_ = boost::fibers::fiber([this] { run(); });
 }
 
@@ -70,15 +71,13 @@
             // The platform may have discarded the change history by the next read, so it starts
             // over.
             revision_ = 0;
+            nextReadAt_ = {};
             recordProof(relayed_.version, relayed_.provenAt);
-            if (const auto proof =
-                    mailbox_.receiveUntil(std::chrono::steady_clock::now() + kRelayPollInterval))
-                handleRelayed(*proof);
-        } else {
+        } else if (clock_.now() >= nextReadAt_) {
             readOnce();
-            if (failures_ > 0)
-                boost::this_fiber::sleep_for(backoff(failures_));
+            scheduleNextRead();
         }
+        waitForRelay();
         const bool wasServing = freshness_.state() == decisions::FreshnessMonitor::State::Fresh;
         freshness_.handle(decisions::FreshnessMonitor::Tick(), clock_.now());
         if (wasServing && freshness_.state() != decisions::FreshnessMonitor::State::Fresh)
@@ -86,12 +85,49 @@
     }
 }
 
+void ConfigurationTask::scheduleNextRead()
+{
+    const decisions::PlatformReadPace pace = pace_->pace();
+    nextReadAt_ = clock_.now()
+        + (failures_ > 0 ? withJitter(pace.afterFailures(failures_), random_)
+                         : pace.afterSuccess());
+}
+
+void ConfigurationTask::waitForRelay()
+{
+    const core::Duration untilRead = nextReadAt_ - clock_.now();
+    if (!isRelayed() && untilRead <= core::Duration(0))
+        return;
+    const core::Duration wait =
+        isRelayed() ? kRelayPollInterval : std::min<core::Duration>(kRelayPollInterval, untilRead);
+    if (const auto proof = mailbox_.receiveUntil(std::chrono::steady_clock::now() + wait))
+        handleRelayed(*proof);
+}
+
 void ConfigurationTask::handleRelayed(const RelayedConfiguration &proof)
 {
     relayed_ = {proof.version, proof.provenAt, {}};
     const std::uint64_t version = table_ ? table_->configuration().version : 0;
-    if (proof.version > version && !proof.text.empty())
+    if (proof.version <= version)
+        return;
+    if (!proof.text.empty())
         adoptRelayed(proof);
+    else if (proof.version != readVersion_)
+        readRelayedVersion();
+}
+
+void ConfigurationTask::readRelayedVersion()
+{
+    // The relayed proof covers the version, so the text may come from a read that proves nothing. If
+    // that read returns an older version, the next one is current.
+    readVersion_ = relayed_.version;
+    nextReadAt_ = {};
+    const auto read = source_.readConfiguration(ReadMode::MayBeStale);
+    if (!core::isOk(read) || !core::valueOf(read).configuration
+        || core::valueOf(read).configuration->version < relayed_.version)
+        return;
+    text_ = core::valueOf(read).text;
+    adopt(*core::valueOf(read).configuration, relayed_.provenAt);
 }
 
 void ConfigurationTask::adoptRelayed(const RelayedConfiguration &proof)
@@ -120,7 +156,8 @@
 
 bool ConfigurationTask::isRelayed() const
 {
-    return table_ && relayed_.version == table_->configuration().version
+    return !pace_->isCoordinating() && table_
+        && relayed_.version == table_->configuration().version
         && clock_.now() - relayed_.provenAt < relayMaxAge_;
 }
 
@@ -128,8 +165,9 @@
 {
     const core::TimePoint sentAt = clock_.now();
     auto read = revision_ == 0
-        ? source_.readConfiguration()
-        : source_.watchConfiguration(revision_, isReliedOn_() ? watchWait_ / 2 : watchWait_);
+        ? source_.readConfiguration(ReadMode::Current)
+        : source_.watchConfiguration(revision_,
+                                     pace_->isCoordinating() ? watchWait_ / 2 : watchWait_);
     if (!core::isOk(read)) {
         handleReadFailure(core::errorOf(read));
     } else if (core::valueOf(read).isExpired) {
--- a/packages/gateway/src/ConfigurationTask.h
+++ b/packages/gateway/src/ConfigurationTask.h
@@ -6,7 +6,9 @@
 
 #include <boost/fiber/fiber.hpp>
 
+#include "ReadPaceSource.h"
 #include "boragerack/core/Clock.h"
+#include "boragerack/core/RandomSource.h"
 #include "boragerack/decisions/FreshnessMonitor.h"
 #include "boragerack/decisions/serving/RouteTable.h"
 #include "boragerack/gateway/ServingSource.h"
@@ -35,16 +37,14 @@
 
     /// `clock` must include time during which the machine is suspended. All references must outlive
     /// the task.
-    ConfigurationTask(ServingSource &source, const core::Clock &clock,
+    ConfigurationTask(ServingSource &source, const core::Clock &clock, core::RandomSource &random,
                       std::shared_ptr<const decisions::FreshnessMonitor::Binding> chart,
                       std::chrono::milliseconds revocation);
     ~ConfigurationTask();
 
-    /// Whether other nodes use the proofs of this node, which must then be more recent.
-    using IsReliedOn = std::function<bool()>;
-
-    /// `listener` is called with each new configuration, on the fiber of the task.
-    void start(Listener listener, IsReliedOn isReliedOn);
+    /// `listener` is called with each new configuration, on the fiber of the task. `pace` must
+    /// outlive the task.
+    void start(Listener listener, const ReadPaceSource &pace);
     void stop();
     /// Stops and waits until the task has ended.
     void shutDown();
@@ -68,6 +68,9 @@
 private:
     void run();
     void readOnce();
+    void readRelayedVersion();
+    void scheduleNextRead();
+    void waitForRelay();
     void handleRelayed(const RelayedConfiguration &proof);
     void adoptRelayed(const RelayedConfiguration &proof);
     void adopt(const decisions::ServingConfiguration &configuration, core::TimePoint provenAt);
@@ -78,17 +81,21 @@
 
     ServingSource &source_;
     const core::Clock &clock_;
+    core::RandomSource &random_;
     decisions::FreshnessMonitor freshness_;
     std::chrono::milliseconds watchWait_;
     std::chrono::milliseconds relayMaxAge_;
     Listener listener_;
-    IsReliedOn isReliedOn_;
+    const ReadPaceSource *pace_ = nullptr;
     RouteTablePointer table_;
     std::string text_;
     std::uint64_t revision_ = 0;
     std::uint64_t firstRevision_ = 0;
     runtime::Mailbox<RelayedConfiguration> mailbox_;
     RelayedConfiguration relayed_;
+    /// Relayed version whose text was read without proof.
+    std::uint64_t readVersion_ = 0;
+    core::TimePoint nextReadAt_ = {};
     std::uint32_t failures_ = 0;
     bool isRunning_ = true;
     boost::fibers::fiber fiber_;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -95,6 +95,27 @@
 
 } // namespace
 
+/// Reads as the coordinator of the fleet or as one of its nodes.
+class NodeReadPace final : public ReadPaceSource
+{
+public:
+    NodeReadPace(const CoordinatorTask &coordinator, const LeaseTask &lease)
+        : coordinator_(coordinator)
+        , lease_(lease)
+    {
+    }
+
+    bool isCoordinating() const override { return coordinator_.isCoordinating(); }
+    decisions::PlatformReadPace pace() const override
+    {
+        return {lease_.lease().peakNodeCount(), isCoordinating()};
+    }
+
+private:
+    const CoordinatorTask &coordinator_;
+    const LeaseTask &lease_;
+};
+
 struct Gateway::Parts
 {
     Parts(runtime::FiberRuntime &fiberRuntime, const config::GatewaySettings &gatewaySettings,
@@ -109,8 +130,8 @@
         , client(fibers.ioContext(), clientOptions())
         , source(dependencies.source, metrics)
         , store(dependencies.store, metrics)
-        , configuration(source, clock, charts.freshness, settings.maxRevocationDelay)
-        , targets(source, clock)
+        , configuration(source, clock, random, charts.freshness, settings.maxRevocationDelay)
+        , targets(source, clock, random)
         , lease(store, clock, charts.coordinator,
                 decisions::LeaseRecord {settings.instance,
                                         textOf(settings.peerListen),
@@ -135,6 +156,7 @@
         , directoryServer(fibers.ioContext(), addressHandler, {})
         , metricsServer(fibers.ioContext(), metricsHandler, {})
         , reportHandler(coordinator, reports)
+        , readPace(coordinator, lease)
     {
     }
 
@@ -168,6 +190,7 @@
     runtime::HttpServer directoryServer;
     runtime::HttpServer metricsServer;
     ReportHandler reportHandler;
+    NodeReadPace readPace;
     std::unique_ptr<peer::PeerNetwork> network;
     std::unique_ptr<peer::PeerServer> peerServer;
     bool isStopping = false;
@@ -201,7 +224,7 @@
                 runtime::logEvent(runtime::LogEvent::MessageDropped,
                                   "message=configuration_changed");
         },
-        [this] { return coordinator.isCoordinating(); });
+        readPace);
     targets.start(
         [this](const TargetTask::Update &update) {
             const bool isSent =
@@ -210,7 +233,7 @@
             if (!isSent)
                 runtime::logEvent(runtime::LogEvent::MessageDropped, "message=target_list_changed");
         },
-        [this] { return coordinator.isCoordinating(); });
+        readPace);
     peerFiber = boost::fibers::fiber([this] { connectPeers(); });
 }
 
--- a/packages/gateway/src/InstrumentedServingSource.cpp
+++ b/packages/gateway/src/InstrumentedServingSource.cpp
@@ -19,9 +19,9 @@
     return result;
 }
 
-core::Result<ConfigurationRead> InstrumentedServingSource::readConfiguration()
+core::Result<ConfigurationRead> InstrumentedServingSource::readConfiguration(ReadMode mode)
 {
-    return count("read_configuration", source_.readConfiguration());
+    return count("read_configuration", source_.readConfiguration(mode));
 }
 
 core::Result<ConfigurationRead>
--- a/packages/gateway/src/InstrumentedServingSource.h
+++ b/packages/gateway/src/InstrumentedServingSource.h
@@ -12,7 +12,7 @@
     /// Both references must outlive this object.
     InstrumentedServingSource(ServingSource &source, runtime::Metrics &metrics);
 
-    core::Result<ConfigurationRead> readConfiguration() override;
+    core::Result<ConfigurationRead> readConfiguration(ReadMode mode) override;
     core::Result<ConfigurationRead> watchConfiguration(std::uint64_t afterRevision,
                                                        std::chrono::milliseconds wait) override;
     core::Result<decisions::ServingConfiguration>
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "boragerack/decisions/DeficitRoundRobinPolicy.h"
+#include "boragerack/decisions/serving/FleetSize.h"
 #include "boragerack/decisions/serving/ReportPace.h"
 #include "boragerack/runtime/EventLog.h"
 
@@ -22,9 +23,6 @@
 /// If no coordinator has confirmed the members for this long, address answers contain only this
 /// node, because the others may have terminated.
 constexpr std::chrono::milliseconds kMembersMaxAge(3000);
-/// Number of nodes among which the limits of organisations are divided until a coordinator or its
-/// lease has reported it. It is large because all nodes may have restarted at the same time.
-constexpr std::uint32_t kAssumedNodes = 128;
 /// Without a coordinator, a request that waits for tokens is refused after this time.
 constexpr std::chrono::milliseconds kMaxTokenWait(250);
 
@@ -321,7 +319,7 @@
 
 std::uint32_t RoutingTask::nodeCount() const
 {
-    return peakNodes_ == 0 ? kAssumedNodes : peakNodes_;
+    return peakNodes_ == 0 ? decisions::kAssumedNodes : peakNodes_;
 }
 
 decisions::RetryBudget &RoutingTask::retryBudgetFor(const core::ServiceId &service)
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 
-#include <boost/fiber/operations.hpp>
-
-#include "Backoff.h"
+#include "ReadDelay.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -25,9 +23,10 @@
 
 } // namespace
 
-TargetTask::TargetTask(ServingSource &source, const core::Clock &clock)
+TargetTask::TargetTask(ServingSource &source, const core::Clock &clock, core::RandomSource &random)
     : source_(source)
     , clock_(clock)
+    , random_(random)
     , published_(std::make_shared<const decisions::TargetEntries>())
     , mailbox_(kMailboxCapacity)
 {
@@ -45,42 +44,62 @@
         fiber_.join();
 }
 
-void TargetTask::start(Listener listener, IsUrgent isUrgent)
+void TargetTask::start(Listener listener, const ReadPaceSource &pace)
 {
     listener_ = std::move(listener);
-    isUrgent_ = std::move(isUrgent);
+    pace_ = &pace;
+    startedAt_ = clock_.now();
     fiber_ = boost::fibers::fiber([this] { run(); });
 }
 
 void TargetTask::run()
 {
     while (isRunning_) {
-        bool isChanged = false;
-        while (const auto relayed = mailbox_.tryReceive())
-            isChanged = handleRelayed(*relayed) || isChanged;
-        if (isChanged)
-            publish(true, false);
-        if (clock_.now() - relayedAt_ < kRelayMaxAge && !isUrgent_()) {
+        handleMessages();
+        const core::TimePoint now = clock_.now();
+        if (isRelayed()) {
             // The platform may have discarded the change history by the next read, so it starts
             // over.
             revision_ = 0;
-            if (const auto relayed =
-                    mailbox_.receiveUntil(std::chrono::steady_clock::now() + kRelayPollInterval);
-                relayed && handleRelayed(*relayed))
-                publish(true, false);
-            continue;
+        } else if (now >= nextReadAt_ && now >= startedAt_ + pace_->pace().startDelay()) {
+            const bool isWholeList = revision_ == 0;
+            const bool isNew = readOnce();
+            if (failures_ == 0)
+                publish(isNew || isWholeList, true);
+            nextReadAt_ = clock_.now() + readDelay();
         }
-        const bool isWholeList = revision_ == 0;
-        const bool isNew = readOnce();
-        if (failures_ == 0)
-            publish(isNew || isWholeList, true);
-        if (failures_ > 0)
-            boost::this_fiber::sleep_for(backoff(failures_));
-        else
-            boost::this_fiber::sleep_for(isUrgent_() ? kUrgentReadDelay : kReadDelay);
+        const core::Duration wait =
+            nextReadAt_ > now && !isRelayed()
+                ? std::min<core::Duration>(kRelayPollInterval, nextReadAt_ - now)
+                : kRelayPollInterval;
+        if (const auto relayed = mailbox_.receiveUntil(std::chrono::steady_clock::now() + wait);
+            relayed && handleRelayed(*relayed))
+            publish(true, false);
     }
 }
 
+void TargetTask::handleMessages()
+{
+    bool isChanged = false;
+    while (const auto relayed = mailbox_.tryReceive())
+        isChanged = handleRelayed(*relayed) || isChanged;
+    if (isChanged)
+        publish(true, false);
+}
+
+bool TargetTask::isRelayed() const
+{
+    return clock_.now() - relayedAt_ < kRelayMaxAge && !pace_->isCoordinating();
+}
+
+core::Duration TargetTask::readDelay() const
+{
+    const decisions::PlatformReadPace pace = pace_->pace();
+    if (failures_ > 0)
+        return withJitter(pace.afterFailures(failures_), random_);
+    return std::max(pace_->isCoordinating() ? kUrgentReadDelay : kReadDelay, pace.afterSuccess());
+}
+
 bool TargetTask::handleRelayed(const RelayedTargets &relayed)
 {
     relayedAt_ = std::max(relayedAt_, relayed.readAt);
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -7,7 +7,9 @@
 
 #include <boost/fiber/fiber.hpp>
 
+#include "ReadPaceSource.h"
 #include "boragerack/core/Clock.h"
+#include "boragerack/core/RandomSource.h"
 #include "boragerack/decisions/serving/TargetDirectory.h"
 #include "boragerack/gateway/ServingSource.h"
 #include "boragerack/runtime/Mailbox.h"
@@ -37,13 +39,11 @@
         std::optional<std::vector<decisions::TargetEntry>> entries;
         core::TimePoint readAt = {};
     };
-    /// Whether the node needs changes immediately; otherwise they are read in batches.
-    using IsUrgent = std::function<bool()>;
-
-    TargetTask(ServingSource &source, const core::Clock &clock);
+    TargetTask(ServingSource &source, const core::Clock &clock, core::RandomSource &random);
     ~TargetTask();
 
-    void start(Listener listener, IsUrgent isUrgent);
+    /// `pace` must outlive the task.
+    void start(Listener listener, const ReadPaceSource &pace);
     void stop() { isRunning_ = false; }
     /// Stops and waits until the task has ended.
     void shutDown();
@@ -54,20 +54,26 @@
 
 private:
     void run();
+    void handleMessages();
+    bool isRelayed() const;
+    core::Duration readDelay() const;
     bool readOnce();
     bool handleRelayed(const RelayedTargets &relayed);
     void publish(bool isChanged, bool hasReplicas);
 
     ServingSource &source_;
     const core::Clock &clock_;
+    core::RandomSource &random_;
     decisions::TargetDirectory directory_;
     Listener listener_;
-    IsUrgent isUrgent_;
+    const ReadPaceSource *pace_ = nullptr;
     TargetEntriesPointer published_;
     std::uint64_t revision_ = 0;
     runtime::Mailbox<RelayedTargets> mailbox_;
     core::TimePoint relayedAt_ = {};
     core::TimePoint readAt_ = {};
+    core::TimePoint startedAt_ = {};
+    core::TimePoint nextReadAt_ = {};
     std::uint32_t failures_ = 0;
     bool isRunning_ = true;
     boost::fibers::fiber fiber_;
