--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -248,10 +248,14 @@
     grantTokens(report, answer);
     if (report.member.instance != self_)
         answer.relay = term_->tree.report(report);
-    if (!answer.relay) {
+    const auto interval = decisions::reportInterval(term_->tree.directCount());
+    if (answer.relay) {
+        // The node needs the state soon, but must not be redirected in a tight loop.
+        answer.reportAfter = interval / 2;
+    } else {
         answer.change = term_->state.changesSince(report.known);
         answer.loads = term_->state.loads();
-        answer.reportAfter = decisions::reportInterval(term_->tree.directCount());
+        answer.reportAfter = interval;
     }
     // Sending the configuration to each node of a large fleet would overload the coordinator.
     const bool sendsConfiguration =
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -37,6 +37,15 @@
     runtime::ReplyChannel<decisions::CoordinationAnswer> reply;
 };
 
+/// Other nodes are tried after a failure, and the next report is the retry.
+std::optional<decisions::CoordinationAnswer>
+toAnswer(core::Result<decisions::CoordinationAnswer> result)
+{
+    if (!core::isOk(result))
+        return std::nullopt;
+    return core::takeValue(std::move(result));
+}
+
 bool isFromCoordinator(const std::optional<decisions::CoordinationAnswer> &answer)
 {
     return answer
@@ -177,12 +186,15 @@
 ReportTask::Answer ReportTask::reportToRelay(const decisions::CoordinationReport &report)
 {
     const decisions::FleetMember relay = *relay_;
-    Answer answer = reportToPeer(relay.instance, relay.peerAddress, report, kRelayTimeout);
-    if (answer && answer->standing != decisions::CoordinatorStanding::Absent)
-        return answer;
+    PeerAnswer answer = reportToPeer(relay.instance, relay.peerAddress, report, kRelayTimeout);
+    if (core::isOk(answer)
+        && core::valueOf(answer).standing != decisions::CoordinatorStanding::Absent)
+        return core::takeValue(std::move(answer));
     runtime::logEvent(runtime::LogEvent::RelayLost,
-                      "relay=" + relay.instance.value
-                          + " reason=" + (answer ? "does_not_relay" : "no_answer"));
+                      "relay=" + relay.instance.value + " error=\""
+                          + (core::isOk(answer) ? "the node does not relay"
+                                                : core::errorOf(answer).message)
+                          + "\"");
     setRelay(std::nullopt);
     unresponsiveRelay_ = relay.instance;
     decisions::CoordinationReport direct = report;
@@ -197,7 +209,7 @@
         return std::nullopt;
     const decisions::LeaseRecord known = *holder;
     delayFirstReport(known);
-    return reportToPeer(known.holder, known.peerAddress, report, kAnswerTimeout);
+    return toAnswer(reportToPeer(known.holder, known.peerAddress, report, kAnswerTimeout));
 }
 
 void ReportTask::delayFirstReport(const decisions::LeaseRecord &holder)
@@ -214,20 +226,25 @@
         self_.instance, kSpreadPerNode * static_cast<int>(senders), holder.incarnation));
 }
 
-ReportTask::Answer ReportTask::reportToPeer(const core::InstanceId &instance,
-                                            const std::string &address,
-                                            const decisions::CoordinationReport &report,
-                                            std::chrono::milliseconds timeout)
+ReportTask::PeerAnswer ReportTask::reportToPeer(const core::InstanceId &instance,
+                                                const std::string &address,
+                                                const decisions::CoordinationReport &report,
+                                                std::chrono::milliseconds timeout)
 {
     if (!network_)
-        return std::nullopt;
+        return core::makeNotRunError(core::ErrorCode::PlatformUnavailable,
+                                     "the fleet secret has not been read");
     network_->updatePeer(instance, address);
     auto answer = network_->call(instance, report, std::chrono::steady_clock::now() + timeout);
     if (!core::isOk(answer))
-        return std::nullopt;
-    if (auto *body = std::get_if<decisions::CoordinationAnswer>(&core::valueOf(answer).body))
-        return std::move(*body);
-    return std::nullopt;
+        return core::errorOf(answer);
+    const peer::MessageBody &body = core::valueOf(answer).body;
+    if (const auto *coordination = std::get_if<decisions::CoordinationAnswer>(&body))
+        return *coordination;
+    if (const auto *error = std::get_if<core::Error>(&body))
+        return *error;
+    return core::makeNotRunError(core::ErrorCode::ProtocolViolation,
+                                 "the reply to a report is no coordination answer");
 }
 
 std::optional<decisions::FleetMember> ReportTask::nextMember()
@@ -252,7 +269,8 @@
     const auto member = nextMember();
     if (!member)
         return std::nullopt;
-    Answer answer = reportToPeer(member->instance, member->peerAddress, report, kOtherNodeTimeout);
+    Answer answer = toAnswer(
+        reportToPeer(member->instance, member->peerAddress, report, kOtherNodeTimeout));
     if (answer && answer->holder
         && !lease_.trySend(LeaseTask::HolderReported {*answer->holder}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=holder_reported");
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -42,6 +42,7 @@
 
 private:
     using Answer = std::optional<decisions::CoordinationAnswer>;
+    using PeerAnswer = core::Result<decisions::CoordinationAnswer>;
 
     void run();
     void on(OwnReport &message);
@@ -53,9 +54,9 @@
     Answer reportToCoordinator(const decisions::CoordinationReport &report);
     Answer reportToRelay(const decisions::CoordinationReport &report);
     Answer reportLocally(const decisions::CoordinationReport &report);
-    Answer reportToPeer(const core::InstanceId &instance, const std::string &address,
-                        const decisions::CoordinationReport &report,
-                        std::chrono::milliseconds timeout);
+    PeerAnswer reportToPeer(const core::InstanceId &instance, const std::string &address,
+                            const decisions::CoordinationReport &report,
+                            std::chrono::milliseconds timeout);
     /// Sends the report to one other node, in round-robin order, to learn who is the coordinator.
     /// Used only if the platform is unavailable; otherwise the lease there names the holder.
     Answer reportToOtherNode(const decisions::CoordinationReport &report);
