Relay the target list of an idle platform before it is too old

Cause: before traffic no target writes, and the coordinator's watch of the targets waited up to 1.5 s.

Change: the coordinator's watch ends after 0.4 s.

--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -11,6 +11,9 @@
 
 /// Maximum duration of a watch; heartbeats of the targets usually end it much earlier.
 constexpr std::chrono::milliseconds kWatchWait(1500);
+/// The duration on the coordinator. Its list is relayed with the age of the last answer, which must
+/// stay below the maximum age while no target writes.
+constexpr std::chrono::milliseconds kUrgentWatchWait(400);
 /// Delay between reads, which limits the calls to the platform because targets write continuously.
 /// The departure of a target must be known within two seconds; this delay takes about a quarter.
 constexpr std::chrono::milliseconds kReadDelay(450);
@@ -116,8 +119,9 @@
 
 bool TargetTask::readOnce()
 {
+    const auto wait = pace_->isCoordinating() ? kUrgentWatchWait : kWatchWait;
     const auto read =
-        revision_ == 0 ? source_.listTargets() : source_.watchTargets(revision_, kWatchWait);
+        revision_ == 0 ? source_.listTargets() : source_.watchTargets(revision_, wait);
     const core::TimePoint now = clock_.now();
     if (!core::isOk(read)) {
         if (failures_++ == 0)
