--- a/bench/SwapPlannerBench.cpp
+++ b/bench/SwapPlannerBench.cpp
@@ -194,7 +194,8 @@
             ++demand.waiting;
             ++demand.arrived;
         }
-        swap::DemandReported event {{"node-" + std::to_string(node)}, {}, std::vector<ArtifactInFlight>()};
+        swap::DemandReported event {
+            {"node-" + std::to_string(node)}, {}, std::vector<ArtifactInFlight>()};
         for (const auto &[artifact, demand] : demands)
             event.demands.push_back(demand);
         for (const auto &[key, count] : uses)
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -126,8 +126,8 @@
     friend bool operator==(const ChildReport &, const ChildReport &) = default;
 };
 
-/// Sent by each node to the coordinator, or to a relay that adds it to its own report, several times
-/// a second.
+/// Sent by each node to the coordinator, or to a relay that adds it to its own report, several
+/// times a second.
 struct CoordinationReport
 {
     FleetMember member;
--- a/packages/decisions/include/boragerack/decisions/serving/FleetSize.h
+++ b/packages/decisions/include/boragerack/decisions/serving/FleetSize.h
@@ -10,8 +10,8 @@
 /// on 0.09 cores cannot keep up at these rates.
 constexpr std::uint32_t kSmallFleetNodes = 16;
 
-/// Number of nodes assumed until a coordinator or its lease has reported one. It is large because all
-/// nodes may have restarted at the same time.
+/// Number of nodes assumed until a coordinator or its lease has reported one. It is large because
+/// all nodes may have restarted at the same time.
 constexpr std::uint32_t kAssumedNodes = 128;
 
 constexpr bool isLargeFleet(std::size_t nodes)
--- a/packages/decisions/include/boragerack/decisions/serving/FleetState.h
+++ b/packages/decisions/include/boragerack/decisions/serving/FleetState.h
@@ -9,8 +9,8 @@
 
 namespace boragerack::decisions {
 
-/// State of the fleet that the coordinator distributes: members, targets, placements and loads. Each
-/// node keeps a copy, which it updates with changes and from which it can answer other nodes.
+/// State of the fleet that the coordinator distributes: members, targets, placements and loads.
+/// Each node keeps a copy, which it updates with changes and from which it can answer other nodes.
 class FleetState
 {
 public:
--- a/packages/decisions/include/boragerack/decisions/serving/ListChange.h
+++ b/packages/decisions/include/boragerack/decisions/serving/ListChange.h
@@ -6,7 +6,8 @@
 namespace boragerack::decisions {
 
 /// Difference between two versions of a list.
-template <typename Key, typename Value> struct ListChange
+template<typename Key, typename Value>
+struct ListChange
 {
     /// Version of the list after the change.
     std::uint64_t version = 0;
--- a/packages/decisions/include/boragerack/decisions/serving/PlatformReadPace.h
+++ b/packages/decisions/include/boragerack/decisions/serving/PlatformReadPace.h
@@ -15,8 +15,8 @@
     static constexpr std::chrono::milliseconds kMaxReadDelay {1400};
     static constexpr std::chrono::milliseconds kMaxRetryDelay {4000};
 
-    /// `nodes` is the number of nodes, zero if unknown. Other nodes use what a coordinator reads, and
-    /// there is one of them, so its delays do not depend on the number of nodes.
+    /// `nodes` is the number of nodes, zero if unknown. Other nodes use what a coordinator reads,
+    /// and there is one of them, so its delays do not depend on the number of nodes.
     PlatformReadPace(std::uint32_t nodes, bool isCoordinator);
 
     /// Time for which a process waits for a relayed list after its start before it reads the list.
--- a/packages/decisions/include/boragerack/decisions/serving/ReportTree.h
+++ b/packages/decisions/include/boragerack/decisions/serving/ReportTree.h
@@ -20,8 +20,8 @@
     /// Maximum number of nodes that report directly while a relay has room, and maximum number of
     /// children of a relay. Two levels reach the square of this number of nodes.
     static constexpr std::size_t kMaxFanOut = 24;
-    /// A relay that did not answer some node gets no children for this long, because other nodes may
-    /// not reach it either.
+    /// A relay that did not answer some node gets no children for this long, because other nodes
+    /// may not reach it either.
     static constexpr std::chrono::milliseconds kUnresponsivePeriod {5000};
 
     /// Handles a direct report. Returns the relay through which the node has to report from now on;
--- a/packages/decisions/include/boragerack/decisions/serving/VersionedList.h
+++ b/packages/decisions/include/boragerack/decisions/serving/VersionedList.h
@@ -12,7 +12,8 @@
 
 /// A list whose changes can be sent to nodes that know an earlier version. A receiver that applies
 /// changes can itself answer other nodes, with the version numbers of the first sender.
-template <typename Key, typename Value, Key Value::*KeyMember> class VersionedList
+template<typename Key, typename Value, Key Value::*KeyMember>
+class VersionedList
 {
 public:
     using Change = ListChange<Key, Value>;
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -242,7 +242,7 @@
         ordersFrom_ = knownSince_ + times_.orderTimeout + times_.orderHandover + times_.margin;
         const bool isYoung = now - *startedAt_ < times_.youngProcessAge;
         return now >= knownSince_ + times_.acquireDelay
-                   + (isYoung ? std::chrono::milliseconds(0) : times_.olderProcessDelay);
+            + (isYoung ? std::chrono::milliseconds(0) : times_.olderProcessDelay);
     }
     const core::TimePoint lapsesAt = lastRenewalBefore() + known_->validity + times_.margin;
     ordersFrom_ = lapsesAt + times_.orderHandover;
--- a/packages/decisions/src/serving/ReportTree.cpp
+++ b/packages/decisions/src/serving/ReportTree.cpp
@@ -18,8 +18,7 @@
 
 } // namespace
 
-std::optional<FleetMember> ReportTree::report(const CoordinationReport &report,
-                                              core::TimePoint now)
+std::optional<FleetMember> ReportTree::report(const CoordinationReport &report, core::TimePoint now)
 {
     const core::InstanceId &node = report.member.instance;
     if (const auto relay = direct_.find(report.unresponsiveRelay); relay != direct_.end())
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -31,8 +31,8 @@
 /// A model with a higher eviction cost is not evicted: it is worth more than a single request.
 constexpr double kMaxVictimCost = 1500;
 
-/// Highest eviction cost that an additional replica is worth: idle models yield to it, and others if
-/// requests queue at the existing replicas.
+/// Highest eviction cost that an additional replica is worth: idle models yield to it, and others
+/// if requests queue at the existing replicas.
 double maxVictimCost(std::uint32_t queued)
 {
     return std::min(kMaxVictimCost, kRecencyCost + kCostPerRequest * queued);
--- a/packages/decisions/tests/serving/FleetStateTest.cpp
+++ b/packages/decisions/tests/serving/FleetStateTest.cpp
@@ -50,7 +50,8 @@
                 targets.erase(position);
             state.setTargets(targets);
         }
-        state.updatePlacements(++placementVersion,
+        ++placementVersion;
+        state.updatePlacements(placementVersion,
                                {{targetOf(number).target, placementVersion, {}}});
     }
 };
@@ -118,8 +119,8 @@
     BOOST_TEST(isSameContent(copy, source));
 }
 
-// Guards against loads that are attributed to the wrong targets, because the sender's list of targets
-// differs from the receiver's.
+// Guards against loads that are attributed to the wrong targets, because the sender's list of
+// targets differs from the receiver's.
 BOOST_AUTO_TEST_CASE(loadsOfAnotherTargetListAreIgnored)
 {
     FleetState source(1);
--- a/packages/decisions/tests/serving/ReportTreeTest.cpp
+++ b/packages/decisions/tests/serving/ReportTreeTest.cpp
@@ -77,8 +77,8 @@
     }
 }
 
-// Guards against nodes that are redirected to relays which none of them reaches, over and over, until
-// the coordinator has no time for its lease.
+// Guards against nodes that are redirected to relays which none of them reaches, over and over,
+// until the coordinator has no time for its lease.
 BOOST_AUTO_TEST_CASE(unresponsiveRelayGetsNoOtherChildren)
 {
     ReportTree tree;
--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -118,8 +118,8 @@
 
 void ConfigurationTask::readRelayedVersion()
 {
-    // The relayed proof covers the version, so the text may come from a read that proves nothing. If
-    // that read returns an older version, the next one is current.
+    // The relayed proof covers the version, so the text may come from a read that proves nothing.
+    // If that read returns an older version, the next one is current.
     readVersion_ = relayed_.version;
     nextReadAt_ = {};
     const auto read = source_.readConfiguration(ReadMode::MayBeStale);
@@ -156,8 +156,7 @@
 
 bool ConfigurationTask::isRelayed() const
 {
-    return !pace_->isCoordinating() && table_
-        && relayed_.version == table_->configuration().version
+    return !pace_->isCoordinating() && table_ && relayed_.version == table_->configuration().version
         && clock_.now() - relayed_.provenAt < relayMaxAge_;
 }
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -44,8 +44,8 @@
 /// Time between the end of draining and the forced termination of the process.
 constexpr std::chrono::milliseconds kStopMargin(700);
 constexpr double kThousandths = 1000;
-/// A node with a smaller share of a processor takes the lease only if no larger one does, because the
-/// coordinator receives the reports of the whole fleet.
+/// A node with a smaller share of a processor takes the lease only if no larger one does, because
+/// the coordinator receives the reports of the whole fleet.
 constexpr double kMinCoordinatorShare = 0.2;
 constexpr std::chrono::milliseconds kSmallNodeDelay(800);
 /// Number of low bits of the incarnation that are random; the store's revision is above them.
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -190,11 +190,11 @@
     if (core::isOk(answer)
         && core::valueOf(answer).standing != decisions::CoordinatorStanding::Absent)
         return core::takeValue(std::move(answer));
-    runtime::logEvent(runtime::LogEvent::RelayLost,
-                      "relay=" + relay.instance.value + " error=\""
-                          + (core::isOk(answer) ? "the node does not relay"
-                                                : core::errorOf(answer).message)
-                          + "\"");
+    runtime::logEvent(
+        runtime::LogEvent::RelayLost,
+        "relay=" + relay.instance.value + " error=\""
+            + (core::isOk(answer) ? "the node does not relay" : core::errorOf(answer).message)
+            + "\"");
     setRelay(std::nullopt);
     unresponsiveRelay_ = relay.instance;
     decisions::CoordinationReport direct = report;
@@ -217,11 +217,9 @@
     if (std::exchange(lastHolderIncarnation_, holder.incarnation) == holder.incarnation)
         return;
     // Relays are few and need not wait for the nodes that have no relay.
-    const std::size_t senders =
-        aggregator_.childCount() > 0
-            ? std::min<std::size_t>(lease_.lease().peakNodeCount(),
-                                    decisions::ReportTree::kMaxFanOut)
-            : lease_.lease().peakNodeCount();
+    const std::size_t senders = aggregator_.childCount() > 0
+        ? std::min<std::size_t>(lease_.lease().peakNodeCount(), decisions::ReportTree::kMaxFanOut)
+        : lease_.lease().peakNodeCount();
     boost::this_fiber::sleep_for(core::staggerOf(
         self_.instance, kSpreadPerNode * static_cast<int>(senders), holder.incarnation));
 }
@@ -269,10 +267,9 @@
     const auto member = nextMember();
     if (!member)
         return std::nullopt;
-    Answer answer = toAnswer(
-        reportToPeer(member->instance, member->peerAddress, report, kOtherNodeTimeout));
-    if (answer && answer->holder
-        && !lease_.trySend(LeaseTask::HolderReported {*answer->holder}))
+    Answer answer =
+        toAnswer(reportToPeer(member->instance, member->peerAddress, report, kOtherNodeTimeout));
+    if (answer && answer->holder && !lease_.trySend(LeaseTask::HolderReported {*answer->holder}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=holder_reported");
     if (!answer || answer->standing != decisions::CoordinatorStanding::Holding)
         return std::nullopt;
@@ -375,9 +372,8 @@
     result.lease = answer->lease;
     result.quarantined = answer->quarantined;
     result.reportAfter = decisions::reportInterval(aggregator_.childCount());
-    const auto grant =
-        std::ranges::find(answer->childGrants, report.member.instance,
-                          &decisions::ChildGrant::instance);
+    const auto grant = std::ranges::find(answer->childGrants, report.member.instance,
+                                         &decisions::ChildGrant::instance);
     if (grant != answer->childGrants.end())
         result.granted = grant->granted;
     const RouteTablePointer table = configuration_.table();
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -295,10 +295,8 @@
 void RoutingTask::report()
 {
     const core::TimePoint now = clock_.now();
-    const bool isDue =
-        now >= nextReport_
-        || (hasUrgentReport_
-            && now - lastReport_ >= decisions::urgentReportGap(reportInterval_));
+    const bool isDue = now >= nextReport_
+        || (hasUrgentReport_ && now - lastReport_ >= decisions::urgentReportGap(reportInterval_));
     if (isReporting_ || !isDue)
         return;
     isReporting_ = true;
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -71,10 +71,9 @@
                 publish(isNew || isWholeList, true);
             nextReadAt_ = clock_.now() + readDelay();
         }
-        const core::Duration wait =
-            nextReadAt_ > now && !isRelayed()
-                ? std::min<core::Duration>(kRelayPollInterval, nextReadAt_ - now)
-                : kRelayPollInterval;
+        const core::Duration wait = nextReadAt_ > now && !isRelayed()
+            ? std::min<core::Duration>(kRelayPollInterval, nextReadAt_ - now)
+            : kRelayPollInterval;
         if (const auto relayed = mailbox_.receiveUntil(std::chrono::steady_clock::now() + wait);
             relayed && handleRelayed(*relayed))
             publish(true, false);
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -312,7 +312,7 @@
     return amounts;
 }
 
-template <typename Key, typename Value, typename WireChange>
+template<typename Key, typename Value, typename WireChange>
 void read(const WireChange &in, decisions::ListChange<Key, Value> &change)
 {
     change.version = in.version();
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -147,7 +147,8 @@
     out.set_started_at(entry.startedAt);
 }
 
-template <typename Change, typename WireChange> void write(const Change &change, WireChange &out)
+template<typename Change, typename WireChange>
+void write(const Change &change, WireChange &out)
 {
     out.set_version(change.version);
     out.set_complete(change.isComplete);
--- a/packages/runtime/tests/EndlessResponseTest.cpp
+++ b/packages/runtime/tests/EndlessResponseTest.cpp
@@ -83,8 +83,8 @@
 
 BOOST_AUTO_TEST_SUITE(EndlessResponseTest)
 
-// Guards against a target whose answer never ends and fills the memory of the node, holds the request
-// until its deadline, or is taken for an answer.
+// Guards against a target whose answer never ends and fills the memory of the node, holds the
+// request until its deadline, or is taken for an answer.
 BOOST_AUTO_TEST_CASE(endlessResponsesFailWithBoundedMemory)
 {
     const std::vector<EndlessResponse> responses {
@@ -126,8 +126,9 @@
 // Guards against bytes after a complete answer that are read as the answer to the next request.
 BOOST_AUTO_TEST_CASE(connectionWithExcessBytesIsNotReused)
 {
-    EndlessServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\n"
-                                                                          "Content-Length: 1\r\n\r\nx");
+    EndlessServer server("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                         "HTTP/1.1 200 OK\r\n"
+                         "Content-Length: 1\r\n\r\nx");
     FiberRuntime fibers;
     HttpClient client(fibers.ioContext(), HttpClientOptions());
     const auto deadline = std::chrono::steady_clock::now() + 10s;
@@ -150,8 +151,8 @@
                          "x");
     FiberRuntime fibers;
     HttpClient client(fibers.ioContext(), HttpClientOptions());
-    const auto result = client.call(server.address(), {"GET", "/", {}, {}},
-                                    std::chrono::steady_clock::now() + 10s);
+    const auto result =
+        client.call(server.address(), {"GET", "/", {}, {}}, std::chrono::steady_clock::now() + 10s);
     BOOST_REQUIRE(core::isOk(result));
     BOOST_TEST(core::valueOf(result).status == 200U);
     BOOST_TEST(core::valueOf(result).body == "ok");
