--- a/packages/decisions/tests/serving/FleetStateTest.cpp
+++ b/packages/decisions/tests/serving/FleetStateTest.cpp
@@ -51,8 +51,7 @@
             state.setTargets(targets);
         }
         ++placementVersion;
-        state.updatePlacements(placementVersion,
-                               {{targetOf(number).target, placementVersion, {}}});
+        state.updatePlacements(placementVersion, {{targetOf(number).target, placementVersion, {}}});
     }
 };
 
