Read the platform at once when a node becomes the coordinator

PlatformReadPace gave the node a delay of 0.64 s before it became the coordinator, and the tasks kept that delay afterwards; after failures it could be six seconds.

Ruled out: load (it failed on an otherwise idle machine as well).

Change: the configuration and target tasks compute the time of the next read from the present role of the node.

--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -71,11 +71,12 @@
             // The platform may have discarded the change history by the next read, so it starts
             // over.
             revision_ = 0;
-            nextReadAt_ = {};
+            readAt_ = {};
             recordProof(relayed_.version, relayed_.provenAt);
-        } else if (clock_.now() >= nextReadAt_) {
+        } else if (clock_.now() >= nextReadAt()) {
             readOnce();
-            scheduleNextRead();
+            readAt_ = clock_.now();
+            retryDelay_ = withJitter(pace_->pace().afterFailures(failures_), random_);
         }
         waitForRelay();
         const bool wasServing = freshness_.state() == decisions::FreshnessMonitor::State::Fresh;
@@ -85,17 +86,17 @@
     }
 }
 
-void ConfigurationTask::scheduleNextRead()
+core::TimePoint ConfigurationTask::nextReadAt() const
 {
     const decisions::PlatformReadPace pace = pace_->pace();
-    nextReadAt_ = clock_.now()
-        + (failures_ > 0 ? withJitter(pace.afterFailures(failures_), random_)
-                         : pace.afterSuccess());
+    if (failures_ == 0)
+        return readAt_ + pace.afterSuccess();
+    return readAt_ + std::min(retryDelay_, 2 * pace.afterFailures(failures_));
 }
 
 void ConfigurationTask::waitForRelay()
 {
-    const core::Duration untilRead = nextReadAt_ - clock_.now();
+    const core::Duration untilRead = nextReadAt() - clock_.now();
     if (!isRelayed() && untilRead <= core::Duration(0))
         return;
     const core::Duration wait =
@@ -121,7 +122,7 @@
     // The relayed proof covers the version, so the text may come from a read that proves nothing.
     // If that read returns an older version, the next one is current.
     readVersion_ = relayed_.version;
-    nextReadAt_ = {};
+    readAt_ = {};
     const auto read = source_.readConfiguration(ReadMode::MayBeStale);
     if (!core::isOk(read) || !core::valueOf(read).configuration
         || core::valueOf(read).configuration->version < relayed_.version)
--- a/packages/gateway/src/ConfigurationTask.h
+++ b/packages/gateway/src/ConfigurationTask.h
@@ -69,7 +69,8 @@
     void run();
     void readOnce();
     void readRelayedVersion();
-    void scheduleNextRead();
+    /// Depends on the role of the node, which may become the coordinator while it waits.
+    core::TimePoint nextReadAt() const;
     void waitForRelay();
     void handleRelayed(const RelayedConfiguration &proof);
     void adoptRelayed(const RelayedConfiguration &proof);
@@ -95,7 +96,10 @@
     RelayedConfiguration relayed_;
     /// Relayed version whose text was read without proof.
     std::uint64_t readVersion_ = 0;
-    core::TimePoint nextReadAt_ = {};
+    /// When the last read ended; the epoch if the next one is due.
+    core::TimePoint readAt_ = {};
+    /// Delay with jitter after the last failure.
+    std::chrono::milliseconds retryDelay_ = {};
     std::uint32_t failures_ = 0;
     bool isRunning_ = true;
     boost::fibers::fiber fiber_;
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -64,15 +64,17 @@
             // The platform may have discarded the change history by the next read, so it starts
             // over.
             revision_ = 0;
-        } else if (now >= nextReadAt_ && now >= startedAt_ + pace_->pace().startDelay()) {
+        } else if (now >= nextReadAt() && now >= startedAt_ + pace_->pace().startDelay()) {
             const bool isWholeList = revision_ == 0;
             const bool isNew = readOnce();
             if (failures_ == 0)
                 publish(isNew || isWholeList, true);
-            nextReadAt_ = clock_.now() + readDelay();
+            lastReadAt_ = clock_.now();
+            retryDelay_ = withJitter(pace_->pace().afterFailures(failures_), random_);
         }
-        const core::Duration wait = nextReadAt_ > now && !isRelayed()
-            ? std::min<core::Duration>(kRelayPollInterval, nextReadAt_ - now)
+        const core::Duration untilRead = nextReadAt() - clock_.now();
+        const core::Duration wait = untilRead > core::Duration(0) && !isRelayed()
+            ? std::min<core::Duration>(kRelayPollInterval, untilRead)
             : kRelayPollInterval;
         if (const auto relayed = mailbox_.receiveUntil(std::chrono::steady_clock::now() + wait);
             relayed && handleRelayed(*relayed))
@@ -94,12 +96,13 @@
     return clock_.now() - relayedAt_ < kRelayMaxAge && !pace_->isCoordinating();
 }
 
-core::Duration TargetTask::readDelay() const
+core::TimePoint TargetTask::nextReadAt() const
 {
     const decisions::PlatformReadPace pace = pace_->pace();
     if (failures_ > 0)
-        return withJitter(pace.afterFailures(failures_), random_);
-    return std::max(pace_->isCoordinating() ? kUrgentReadDelay : kReadDelay, pace.afterSuccess());
+        return lastReadAt_ + std::min(retryDelay_, 2 * pace.afterFailures(failures_));
+    return lastReadAt_
+        + std::max(pace_->isCoordinating() ? kUrgentReadDelay : kReadDelay, pace.afterSuccess());
 }
 
 bool TargetTask::handleRelayed(const RelayedTargets &relayed)
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -56,7 +56,8 @@
     void run();
     void handleMessages();
     bool isRelayed() const;
-    core::Duration readDelay() const;
+    /// Depends on the role of the node, which may become the coordinator while it waits.
+    core::TimePoint nextReadAt() const;
     bool readOnce();
     bool handleRelayed(const RelayedTargets &relayed);
     void publish(bool isChanged, bool hasReplicas);
@@ -73,7 +74,10 @@
     core::TimePoint relayedAt_ = {};
     core::TimePoint readAt_ = {};
     core::TimePoint startedAt_ = {};
-    core::TimePoint nextReadAt_ = {};
+    /// When the last read ended.
+    core::TimePoint lastReadAt_ = {};
+    /// Delay with jitter after the last failure.
+    std::chrono::milliseconds retryDelay_ = {};
     std::uint32_t failures_ = 0;
     bool isRunning_ = true;
     boost::fibers::fiber fiber_;
