--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -87,7 +87,7 @@
 struct NodesCounted
 {
     std::uint32_t nodes = 0;
-    /// Other nodes report through this one and learn the coordinator from it.
+    /// Other nodes report through this one and follow the coordinator that it names.
     bool isRelay = false;
     friend bool operator==(const NodesCounted &, const NodesCounted &) = default;
 };
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -172,7 +172,7 @@
         answer = reportToRelay(report);
     else
         answer = reportToCoordinator(report);
-    // A coordinator without a valid lease learns its successor from the other nodes. Other nodes
+    // A coordinator without a valid lease finds its successor through other nodes. Other nodes
     // wait for it, because they all lose the platform at the same time.
     const bool needsOtherNode = !answer
         || answer->standing == decisions::CoordinatorStanding::Absent
