Log retries, sends and the source of the target list

Added: sends in the request's line and boragerack_sends_total; RetryRefused (1406) and three gauges with the requests, retries and limit of the window; TargetLeaving (1306, never written before) with the source and age of the list; TargetListSourceChanged (1307); MessageDropped for relayed state. No decision changes.

--- a/packages/decisions/include/boragerack/decisions/serving/RetryBudget.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RetryBudget.h
@@ -19,6 +19,16 @@
     friend bool operator==(const RetryLimits &, const RetryLimits &) = default;
 };
 
+/// Counts of the current window on this node.
+struct RetryUsage
+{
+    std::uint32_t requests = 0;
+    std::uint32_t retries = 0;
+    double allowed = 0;
+
+    friend bool operator==(const RetryUsage &, const RetryUsage &) = default;
+};
+
 /// This node's share of the retries that the fleet may send to one service. Each node stays within
 /// its share in every window, so the fleet stays within the limit without messages between nodes.
 class RetryBudget
@@ -32,6 +42,7 @@
     void countRequest(core::TimePoint now);
     /// Consumes one retry; false if none is available.
     bool take(core::TimePoint now);
+    RetryUsage usage(core::TimePoint now);
 
 private:
     /// Counts of one part of the window.
--- a/packages/decisions/src/serving/RetryBudget.cpp
+++ b/packages/decisions/src/serving/RetryBudget.cpp
@@ -38,20 +38,27 @@
 bool RetryBudget::take(core::TimePoint now)
 {
     Slice &current = sliceAt(now);
-    double allowed = 0;
-    double sent = 0;
+    const RetryUsage used = usage(now);
+    if (used.retries + 1 > used.allowed)
+        return false;
+    ++current.retries;
+    return true;
+}
+
+RetryUsage RetryBudget::usage(core::TimePoint now)
+{
+    sliceAt(now);
+    RetryUsage usage;
     for (const Slice &slice : slices_) {
-        allowed += limits_.ratio * kUsedRatioFraction * slice.requests;
-        sent += slice.retries;
+        usage.requests += slice.requests;
+        usage.retries += slice.retries;
     }
+    usage.allowed = limits_.ratio * kUsedRatioFraction * usage.requests;
     const bool isFirstWindow = now - startedAt_ < limits_.window;
     if (nodes_ > 0)
-        allowed +=
+        usage.allowed +=
             limits_.slack * (isFirstWindow ? kFirstWindowSlackFraction : kSlackFraction) / nodes_;
-    if (sent + 1 > allowed)
-        return false;
-    ++current.retries;
-    return true;
+    return usage;
 }
 
 RetryBudget::Slice &RetryBudget::sliceAt(core::TimePoint now)
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -239,15 +239,19 @@
 
 void Gateway::Parts::relayToTasks(RoutingTask::Relay relay)
 {
-    const bool isSent = configuration.trySend(ConfigurationTask::RelayedConfiguration {
-                            relay.configurationVersion, relay.configurationProvenAt,
-                            std::move(relay.configuration)})
-        && targets.trySend(
-            TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt});
     // A send fails if the mailbox is closed, or full because the task is waiting for the platform.
     // The next relayed state replaces a lost one, and TargetTask reads the target list from the
     // platform if none arrives.
-    static_cast<void>(isSent);
+    if (!configuration.trySend(ConfigurationTask::RelayedConfiguration {
+            relay.configurationVersion, relay.configurationProvenAt,
+            std::move(relay.configuration)}))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=relayed_configuration");
+    const bool hasList = relay.targets.has_value();
+    if (!targets.trySend(
+            TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt}))
+        runtime::logEvent(runtime::LogEvent::MessageDropped,
+                          std::string("message=relayed_targets changed=")
+                              + (hasList ? "yes" : "no"));
 }
 
 void Gateway::Parts::connectPeers()
--- a/packages/gateway/src/GatewayRequestHandler.cpp
+++ b/packages/gateway/src/GatewayRequestHandler.cpp
@@ -156,6 +156,7 @@
             + " organisation=" + admitted.organisation.value
             + (admitted.decoded.artifact ? " model=" + admitted.decoded.artifact->model.value : "")
             + " target=" + outcome.target.value + " attempts=" + std::to_string(outcome.attempts)
+            + " sends=" + std::to_string(outcome.sends)
             + " status=" + std::to_string(outcome.status)
             + " verdict=" + std::string(verdictOf(outcome)) + " reason=" + std::string(reason)
             + " waited_ms=" + std::to_string(outcome.waited.count())
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -5,6 +5,7 @@
 #include <boost/fiber/operations.hpp>
 
 #include "boragerack/runtime/EventLog.h"
+#include "boragerack/runtime/Metrics.h"
 
 namespace boragerack::gateway {
 
@@ -227,6 +228,11 @@
 void RequestExecution::perform(const attempt::SendRequest &action)
 {
     received_ = action.resumeOffset;
+    dependencies_.metrics.add(
+        "boragerack_sends_total",
+        runtime::makeLabels({{"service", admitted_.service.value},
+                             {"kind", outcome_.sends == 0 ? "first" : "retry"}}));
+    ++outcome_.sends;
     if (std::ranges::find(tried_, grant_->target) == tried_.end())
         tried_.push_back(grant_->target);
     TargetCall call;
--- a/packages/gateway/src/RequestExecution.h
+++ b/packages/gateway/src/RequestExecution.h
@@ -52,7 +52,10 @@
     core::Verdict verdict = core::Verdict::NotRun;
     std::optional<core::Error> error;
     unsigned status = 0;
+    /// Targets that were selected, including those to which no connection opened.
     std::uint32_t attempts = 0;
+    /// Times that the request was written to a target.
+    std::uint32_t sends = 0;
     core::TargetId target;
     std::chrono::milliseconds waited = {};
     bool isCallerGone = false;
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -146,7 +146,20 @@
 
 void RoutingTask::on(RetryRequest &message)
 {
-    const bool isAllowed = retryBudgetFor(message.service).take(clock_.now());
+    const core::TimePoint now = clock_.now();
+    decisions::RetryBudget &budget = retryBudgetFor(message.service);
+    const bool isAllowed = budget.take(now);
+    const decisions::RetryUsage usage = budget.usage(now);
+    const std::string labels = runtime::makeLabels({{"service", message.service.value}});
+    metrics_.set("boragerack_retry_budget_requests", labels, usage.requests);
+    metrics_.set("boragerack_retry_budget_used", labels, usage.retries);
+    metrics_.set("boragerack_retry_budget_limit", labels, static_cast<std::int64_t>(usage.allowed));
+    if (!isAllowed)
+        runtime::logRequestEvent(
+            runtime::LogEvent::RetryRefused,
+            "service=" + message.service.value + " requests=" + std::to_string(usage.requests)
+                + " retries=" + std::to_string(usage.retries) + " limit="
+                + std::to_string(usage.allowed) + " nodes=" + std::to_string(peakNodes_));
     metrics_.add("boragerack_retries_total",
                  runtime::makeLabels(
                      {{"service", message.service.value}, {"allowed", isAllowed ? "yes" : "no"}}));
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -1,6 +1,8 @@
 #include "TargetTask.h"
 
 #include <algorithm>
+#include <string>
+#include <utility>
 
 #include "ReadDelay.h"
 #include "boragerack/runtime/EventLog.h"
@@ -24,6 +26,13 @@
 constexpr std::chrono::milliseconds kRelayPollInterval(100);
 constexpr std::size_t kMailboxCapacity = 16;
 
+std::string ageText(core::TimePoint now, core::TimePoint contentAt)
+{
+    if (contentAt == core::TimePoint())
+        return "unknown";
+    return std::to_string(std::chrono::floor<std::chrono::milliseconds>(now - contentAt).count());
+}
+
 } // namespace
 
 TargetTask::TargetTask(ServingSource &source, const core::Clock &clock, core::RandomSource &random)
@@ -59,6 +68,7 @@
 {
     while (isRunning_) {
         handleMessages();
+        logSource(isRelayed());
         const core::TimePoint now = clock_.now();
         if (isRelayed()) {
             // The platform may have discarded the change history by the next read, so it starts
@@ -114,11 +124,39 @@
 
 void TargetTask::publish(bool isChanged, bool hasReplicas)
 {
-    if (isChanged)
+    if (isChanged) {
+        logDepartures(directory_.entries(), hasReplicas);
         published_ = std::make_shared<const decisions::TargetEntries>(directory_.entries());
+    }
     listener_({published_, hasReplicas, readAt_});
 }
 
+void TargetTask::logSource(bool isRelayed)
+{
+    if (std::exchange(isUsingRelay_, isRelayed) == isRelayed)
+        return;
+    const core::TimePoint contentAt = isRelayed ? relayedAt_ : readAt_;
+    runtime::logEvent(runtime::LogEvent::TargetListSourceChanged,
+                      std::string("source=") + (isRelayed ? "coordinator" : "platform")
+                          + " age_ms=" + ageText(clock_.now(), contentAt));
+}
+
+void TargetTask::logDepartures(const decisions::TargetEntries &next, bool hasReplicas) const
+{
+    const core::TimePoint contentAt = hasReplicas ? readAt_ : relayedAt_;
+    const std::string details = std::string(" source=") + (hasReplicas ? "platform" : "coordinator")
+        + " age_ms=" + ageText(clock_.now(), contentAt);
+    for (const auto &[target, entry] : *published_) {
+        const auto position = next.find(target);
+        if (position == next.end())
+            runtime::logEvent(runtime::LogEvent::TargetLeaving,
+                              "target=" + target.value + " change=removed" + details);
+        else if (position->second.isLeaving && !entry.isLeaving)
+            runtime::logEvent(runtime::LogEvent::TargetLeaving,
+                              "target=" + target.value + " change=announced" + details);
+    }
+}
+
 bool TargetTask::readOnce()
 {
     const auto wait = pace_->isCoordinating() ? kUrgentWatchWait : kWatchWait;
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -61,6 +61,8 @@
     bool readOnce();
     bool handleRelayed(const RelayedTargets &relayed);
     void publish(bool isChanged, bool hasReplicas);
+    void logSource(bool isRelayed);
+    void logDepartures(const decisions::TargetEntries &next, bool hasReplicas) const;
 
     ServingSource &source_;
     const core::Clock &clock_;
@@ -79,6 +81,7 @@
     /// Delay with jitter after the last failure.
     std::chrono::milliseconds retryDelay_ = {};
     std::uint32_t failures_ = 0;
+    bool isUsingRelay_ = false;
     bool isRunning_ = true;
     boost::fibers::fiber fiber_;
 };
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -64,6 +64,8 @@
         return {Severity::Warning, "target lost"};
     case LogEvent::TargetLeaving:
         return {Severity::Info, "target is leaving"};
+    case LogEvent::TargetListSourceChanged:
+        return {Severity::Info, "target list comes from another source"};
     case LogEvent::RequestFailed:
         return {Severity::Warning, "request failed"};
     case LogEvent::RequestQuarantined:
@@ -74,6 +76,8 @@
         return {Severity::Info, "request served"};
     case LogEvent::RequestRefused:
         return {Severity::Info, "request refused"};
+    case LogEvent::RetryRefused:
+        return {Severity::Info, "retry refused"};
     case LogEvent::PeerConnected:
         return {Severity::Info, "peer connected"};
     case LogEvent::PeerLost:
