--- /dev/null
+++ b/packages/gateway/tests/TargetTaskTest.cpp
@@ -0,0 +1,150 @@
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <boost/fiber/operations.hpp>
+
+#include "ReadPaceSource.h"
+#include "TargetTask.h"
+#include "boragerack/core/Clock.h"
+#include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/runtime/FiberRuntime.h"
+
+namespace boragerack::gateway::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+std::vector<decisions::TargetEntry> entriesOf(const std::vector<std::string> &names)
+{
+    std::vector<decisions::TargetEntry> entries;
+    for (const std::string &name : names) {
+        decisions::TargetEntry entry;
+        entry.target.value = name;
+        entry.startedAt = 1;
+        entries.push_back(std::move(entry));
+    }
+    return entries;
+}
+
+/// A platform whose answers leave at once but are received late, as on a node that is short of
+/// processor time.
+class DelayedSource final : public ServingSource
+{
+public:
+    core::Result<ConfigurationRead> readConfiguration(ReadMode) override
+    {
+        return ConfigurationRead();
+    }
+    core::Result<ConfigurationRead> watchConfiguration(std::uint64_t,
+                                                       std::chrono::milliseconds) override
+    {
+        return ConfigurationRead();
+    }
+    core::Result<decisions::ServingConfiguration>
+    parseConfiguration(std::string_view) const override
+    {
+        return decisions::ServingConfiguration();
+    }
+    core::Result<TargetsRead> listTargets() override
+    {
+        TargetsRead read;
+        read.revision = 1;
+        read.events.emplace_back(decisions::targets::Listed {entriesOf(names)});
+        answeredAt = clock.now();
+        boost::this_fiber::sleep_for(delay);
+        return read;
+    }
+    core::Result<TargetsRead> watchTargets(std::uint64_t, std::chrono::milliseconds) override
+    {
+        answeredAt = clock.now();
+        boost::this_fiber::sleep_for(delay);
+        return TargetsRead {1, {}, false};
+    }
+
+    core::MonotonicClock clock;
+    std::vector<std::string> names;
+    std::chrono::milliseconds delay = 50ms;
+    core::TimePoint answeredAt = {};
+};
+
+class FixedPace final : public ReadPaceSource
+{
+public:
+    explicit FixedPace(bool isCoordinating)
+        : isCoordinating_(isCoordinating)
+    {
+    }
+    bool isCoordinating() const override { return isCoordinating_; }
+    decisions::PlatformReadPace pace() const override { return {1, isCoordinating_}; }
+
+private:
+    bool isCoordinating_;
+};
+
+struct TaskFixture
+{
+    /// Starts the task and waits for the first list.
+    void start(bool isCoordinating)
+    {
+        pace = std::make_unique<FixedPace>(isCoordinating);
+        task.start(
+            [this](const TargetTask::Update &update) {
+                last = update;
+                answeredAt = source.answeredAt;
+            },
+            *pace);
+        for (int i = 0; i < 500 && !last.entries; ++i)
+            boost::this_fiber::sleep_for(10ms);
+        BOOST_REQUIRE(last.entries);
+    }
+
+    bool has(const std::string &name) const { return last.entries->contains({name}); }
+
+    runtime::FiberRuntime fibers;
+    core::SeededRandomSource random {1};
+    DelayedSource source;
+    std::unique_ptr<FixedPace> pace;
+    TargetTask::Update last;
+    /// When the platform answered the read of the last update.
+    core::TimePoint answeredAt = {};
+    TargetTask task {source, source.clock, random};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TargetTaskTest, TaskFixture)
+
+// Guards against a list that counts as current because its answer was handled late.
+BOOST_AUTO_TEST_CASE(ageOfAListIncludesTheTimeToReceiveIt)
+{
+    source.names = {"a"};
+    source.delay = 300ms;
+    start(true);
+    BOOST_TEST((last.readAt <= answeredAt));
+    last = {};
+    for (int i = 0; i < 200 && !last.entries; ++i)
+        boost::this_fiber::sleep_for(10ms);
+    BOOST_REQUIRE(last.entries);
+    BOOST_TEST((last.readAt <= answeredAt));
+}
+
+// Guards against requests to a target that left, after a coordinator relays a list that is older
+// than the node's own.
+BOOST_AUTO_TEST_CASE(olderRelayedListDoesNotBringBackARemovedTarget)
+{
+    source.names = {"b"};
+    start(false);
+    BOOST_TEST(!has("a"));
+    BOOST_REQUIRE(task.trySend({entriesOf({"a", "b"}), source.clock.now() - 5s}));
+    boost::this_fiber::sleep_for(300ms);
+    BOOST_TEST(!has("a"));
+    BOOST_TEST(has("b"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace boragerack::gateway::testing
