Do not count a request again when a connection fails before it is sent

Cause: RequestExecution took a selection of a target as the first one as long as the request had not been sent. A request whose connection failed was counted as another request by the retry budget, which raised its limit, and took its tokens from the organisation's limit again. The decision is now that of AttemptController: ChooseTarget says whether a target was chosen before (admission happens once) and whether the request was sent before (only then is it a retry).

Evidence: before, the budgets of the six nodes held 2,338 requests for 1,566 of callers.

--- a/packages/decisions/include/boragerack/decisions/AttemptController.h
+++ b/packages/decisions/include/boragerack/decisions/AttemptController.h
@@ -72,6 +72,7 @@
     core::Verdict verdictBeforeAttempt_ = core::Verdict::NotRun;
     std::uint32_t attemptNumber_ = 0;
     std::uint32_t refusals_ = 0;
+    bool wasSent_ = false;
     core::TargetId target_;
     std::vector<core::TargetId> failedTargets_;
     /// Numbers of the attempts during which the target crashed.
--- a/packages/decisions/include/boragerack/decisions/AttemptMessages.h
+++ b/packages/decisions/include/boragerack/decisions/AttemptMessages.h
@@ -130,6 +130,11 @@
 struct ChooseTarget
 {
     std::vector<core::TargetId> avoid;
+    /// No target has been chosen for the request before. Admission, such as counting the request
+    /// and taking its tokens, belongs to this choice only.
+    bool isFirst = true;
+    /// The request has been sent before, so sending it again is a retry.
+    bool isRetry = false;
     friend bool operator==(const ChooseTarget &, const ChooseTarget &) = default;
 };
 
--- a/packages/decisions/src/AttemptController.cpp
+++ b/packages/decisions/src/AttemptController.cpp
@@ -210,6 +210,7 @@
         verdict_ = std::max(verdict_, core::Verdict::MayHaveRun);
         break;
     case AttemptChartAction::SendRequest:
+        wasSent_ = true;
         actions.emplace_back(attempt::SendRequest {current(), target_, nextOffset_});
         break;
     case AttemptChartAction::CloseConnection:
@@ -234,7 +235,7 @@
         actions.emplace_back(attempt::ReleaseConnection {current()});
         break;
     case AttemptChartAction::ChooseTarget:
-        actions.emplace_back(attempt::ChooseTarget {failedTargets_});
+        actions.emplace_back(attempt::ChooseTarget {failedTargets_, false, wasSent_});
         break;
     case AttemptChartAction::ReportSuccess:
         actions.emplace_back(attempt::Finish {verdict_, std::nullopt, attemptNumber_});
--- a/packages/decisions/tests/serving/AttemptRefusalTest.cpp
+++ b/packages/decisions/tests/serving/AttemptRefusalTest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include "ActionLookup.h"
 #include "RequestCharts.h"
 #include "boragerack/decisions/AttemptController.h"
 
@@ -42,6 +43,22 @@
     BOOST_TEST((request.verdict() == core::Verdict::MayHaveRun));
 }
 
+// Guards against a request that is counted and charged again, or needs a permit for a retry,
+// because a connection failed before it was sent.
+BOOST_AUTO_TEST_CASE(onlySentRequestsAreRetried)
+{
+    AttemptController request = makeAttempt(true);
+    request.handle(attempt::Dispatch {{"a"}}, kNow);
+    const auto unsent = request.handle(attempt::ConnectionLost {request.current(), false}, kNow);
+    BOOST_TEST((findAction<attempt::ChooseTarget>(unsent)
+                == attempt::ChooseTarget {{{"a"}}, false, false}));
+    request.handle(attempt::Dispatch {{"b"}}, kNow);
+    request.handle(attempt::Connected {request.current()}, kNow);
+    const auto rejected = request.handle(attempt::TargetRefused {request.current()}, kNow);
+    BOOST_TEST((findAction<attempt::ChooseTarget>(rejected)
+                == attempt::ChooseTarget {{{"a"}, {"b"}}, false, true}));
+}
+
 // Guards against a refusal that is reported as "may have run" although the target proves that the
 // request did not run, and against "not run" where a refusal is no proof.
 BOOST_AUTO_TEST_CASE(refusalGivesTheVerdictBack)
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -166,22 +166,21 @@
         fire(attempt::Cancel {core::ErrorCode::ConnectionFailed});
         return;
     }
-    const bool isRetry = !tried_.empty();
     const bool isExhausted = tried_.size() >= std::max(1U, admitted_.route.maxAttempts);
     // The request may not be sent to another target, and this target does not accept it.
-    if (isRetry && ((isExhausted && wasMisdirected_) || !isRetryPermitted())) {
+    if (action.isRetry && ((isExhausted && wasMisdirected_) || !isRetryPermitted())) {
         fire(attempt::DispatchFailed {core::ErrorCode::NoReadyReplica, kRetryAfter});
         return;
     }
-    if (isRetry && isExhausted)
+    if (isExhausted)
         boost::this_fiber::sleep_for(kRefusalPause);
 
     reply_ = {};
     RouteRequest routeRequest;
     routeRequest.request = admitted_.number;
     routeRequest.organisation = admitted_.organisation;
-    routeRequest.tokens = isRetry ? 0 : admitted_.tokens;
-    routeRequest.isFirst = !isRetry;
+    routeRequest.tokens = action.isFirst ? admitted_.tokens : 0;
+    routeRequest.isFirst = action.isFirst;
     routeRequest.deadline = admitted_.deadline;
     routeRequest.reply = reply_;
     routeRequest.requirements.service = admitted_.service;
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -31,9 +31,9 @@
     std::uint64_t request = 0;
     decisions::RouteRequirements requirements;
     core::OrganisationId organisation;
-    /// Tokens to take from the organisation's limit; zero for further attempts.
+    /// Tokens to take from the organisation's limit; zero after the first selection.
     std::int64_t tokens = 0;
-    /// Further attempts keep the queue position of the first one.
+    /// Only the first selection of a target counts as a request and waits in the request queue.
     bool isFirst = true;
     core::TimePoint deadline = {};
     RouteReply reply;
