Count a retry in the window in which it is sent

Callers saw nothing of it; targets could get the retries of two windows in one. Cause: the retry budget counted a retry when it was permitted, and the request then waited for a target, up to its deadline.

Change: a retry is reserved with the selection of its target (RouteRequest::isRetry) and counted immediately before the first byte is written (SendPermissionRequest); a reservation counts against the limit until it is sent or its request ends. If the limit has fallen by then the retry is not sent. A request without a retry left is now rejected before the pause between two sends to one target, not after it. The separate RetryRequest message is gone.

RetryBudgetTest has two new cases; takeAll there uses reserve and commit in place of take and checks as much as before.

--- a/packages/decisions/include/boragerack/decisions/serving/RetryBudget.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RetryBudget.h
@@ -31,6 +31,7 @@
 
 /// This node's share of the retries that the fleet may send to one service. Each node stays within
 /// its share in every window, so the fleet stays within the limit without messages between nodes.
+/// A retry counts in the window in which it is sent, which may be seconds after its reservation.
 class RetryBudget
 {
 public:
@@ -40,8 +41,13 @@
     /// coordinator no longer receives reports from still send retries.
     void setNodes(std::uint32_t nodes);
     void countRequest(core::TimePoint now);
-    /// Consumes one retry; false if none is available.
-    bool take(core::TimePoint now);
+    /// Reserves a retry whose target has yet to be found; false if none is available.
+    bool reserve(core::TimePoint now);
+    /// Counts a reserved retry that is sent now. False if the limit has decreased in the meantime
+    /// and the retry must not be sent. The reservation ends in both cases.
+    bool commit(core::TimePoint now);
+    /// Ends the reservation of a retry that is not sent.
+    void release();
     RetryUsage usage(core::TimePoint now);
 
 private:
@@ -60,6 +66,7 @@
     /// Zero until set; no slack is available until then.
     std::uint32_t nodes_ = 0;
     std::deque<Slice> slices_;
+    std::uint32_t reserved_ = 0;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/src/serving/RetryBudget.cpp
+++ b/packages/decisions/src/serving/RetryBudget.cpp
@@ -1,6 +1,7 @@
 #include "boragerack/decisions/serving/RetryBudget.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace boragerack::decisions {
 
@@ -35,16 +36,31 @@
     ++sliceAt(now).requests;
 }
 
-bool RetryBudget::take(core::TimePoint now)
+bool RetryBudget::reserve(core::TimePoint now)
 {
-    Slice &current = sliceAt(now);
+    const RetryUsage used = usage(now);
+    if (used.retries + reserved_ + 1 > used.allowed)
+        return false;
+    ++reserved_;
+    return true;
+}
+
+bool RetryBudget::commit(core::TimePoint now)
+{
+    release();
     const RetryUsage used = usage(now);
     if (used.retries + 1 > used.allowed)
         return false;
-    ++current.retries;
+    ++sliceAt(now).retries;
     return true;
 }
 
+void RetryBudget::release()
+{
+    assert(reserved_ > 0);
+    --reserved_;
+}
+
 RetryUsage RetryBudget::usage(core::TimePoint now)
 {
     sliceAt(now);
--- a/packages/decisions/tests/serving/RetryBudgetTest.cpp
+++ b/packages/decisions/tests/serving/RetryBudgetTest.cpp
@@ -16,7 +16,7 @@
 int takeAll(RetryBudget &budget, core::TimePoint now)
 {
     int taken = 0;
-    while (budget.take(now))
+    while (budget.reserve(now) && budget.commit(now))
         ++taken;
     return taken;
 }
@@ -59,6 +59,48 @@
     BOOST_TEST(takeAll(budget, now + 11s) == 0);
 }
 
+// Guards against retries of two windows that are sent in one, because those of the first waited for
+// a target.
+BOOST_AUTO_TEST_CASE(retriesCountWhenTheyAreSent)
+{
+    constexpr int kRequests = 100;
+    for (const bool hasNewRequests : {true, false}) {
+        core::TimePoint now = core::TimePoint() + 1h;
+        RetryBudget budget({0.2, 0, 10s}, now);
+        int waiting = 0;
+        for (int i = 0; i < kRequests; ++i)
+            budget.countRequest(now);
+        while (budget.reserve(now))
+            ++waiting;
+        BOOST_TEST(waiting > 0);
+        now += 11s;
+        for (int i = 0; hasNewRequests && i < kRequests; ++i)
+            budget.countRequest(now);
+        while (budget.reserve(now))
+            ++waiting;
+        int sent = 0;
+        for (; waiting > 0; --waiting)
+            sent += budget.commit(now) ? 1 : 0;
+        BOOST_TEST((sent > 0) == hasNewRequests);
+        BOOST_TEST(sent <= 0.2 * kRequests);
+    }
+}
+
+// Guards against a reservation that is lost when its request ends without a retry.
+BOOST_AUTO_TEST_CASE(releasedReservationIsAvailableAgain)
+{
+    const core::TimePoint now = core::TimePoint() + 1h;
+    RetryBudget budget({1, 0, 10s}, now);
+    budget.countRequest(now);
+    budget.countRequest(now);
+    BOOST_TEST(budget.reserve(now));
+    BOOST_TEST(!budget.reserve(now));
+    budget.release();
+    BOOST_TEST(budget.reserve(now));
+    BOOST_TEST(budget.commit(now));
+    BOOST_TEST(!budget.reserve(now));
+}
+
 // Guards against a fleet that exceeds its limit because most nodes restart at the same time, each
 // with a new share of the slack.
 BOOST_AUTO_TEST_CASE(restartedNodesKeepToTheLimit)
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -138,12 +138,13 @@
     return organisation && organisation->organisation == admitted_.organisation;
 }
 
-bool RequestExecution::isRetryPermitted()
+decisions::SendPermission RequestExecution::requestSendPermission()
 {
-    RetryRequest retryRequest {admitted_.service, {}};
-    if (!dependencies_.routing.trySend(retryRequest))
-        return false;
-    return retryRequest.reply.waitUntil(toSteady(admitted_.deadline)).value_or(false);
+    const SendPermissionRequest message {admitted_.number, {}};
+    if (!dependencies_.routing.trySend(message))
+        return decisions::SendPermission::TargetLeft;
+    return message.reply.waitUntil(toSteady(admitted_.deadline))
+        .value_or(decisions::SendPermission::TargetLeft);
 }
 
 std::optional<core::Result<RouteGrant>> RequestExecution::waitForRoute(const RouteReply &reply)
@@ -168,19 +169,17 @@
     }
     const bool isExhausted = tried_.size() >= std::max(1U, admitted_.route.maxAttempts);
     // The request may not be sent to another target, and this target does not accept it.
-    if (action.isRetry && ((isExhausted && wasMisdirected_) || !isRetryPermitted())) {
+    if (isExhausted && wasMisdirected_) {
         fire(attempt::DispatchFailed {core::ErrorCode::NoReadyReplica, kRetryAfter});
         return;
     }
-    if (isExhausted)
-        boost::this_fiber::sleep_for(kRefusalPause);
-
     reply_ = {};
     RouteRequest routeRequest;
     routeRequest.request = admitted_.number;
     routeRequest.organisation = admitted_.organisation;
     routeRequest.tokens = action.isFirst ? admitted_.tokens : 0;
     routeRequest.isFirst = action.isFirst;
+    routeRequest.isRetry = action.isRetry;
     routeRequest.deadline = admitted_.deadline;
     routeRequest.reply = reply_;
     routeRequest.requirements.service = admitted_.service;
@@ -204,6 +203,8 @@
     } else if (!answer) {
         fire(attempt::TimerFired());
     } else if (core::isOk(*answer)) {
+        if (isExhausted)
+            boost::this_fiber::sleep_for(kRefusalPause);
         grant_ = core::valueOf(*answer);
         fire(attempt::Dispatch {grant_->target});
     } else {
--- a/packages/gateway/src/RequestExecution.h
+++ b/packages/gateway/src/RequestExecution.h
@@ -94,7 +94,7 @@
     void onExchange(const runtime::HttpCompleted &event);
     void onExchange(const core::Error &event);
 
-    bool isRetryPermitted();
+    decisions::SendPermission requestSendPermission();
     bool mayStillRun() const;
     std::optional<core::Result<RouteGrant>> waitForRoute(const RouteReply &reply);
     void failAttempt();
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -42,7 +42,23 @@
         fire(attempt::Cancel {core::ErrorCode::Isolated});
         return;
     }
-    fire(attempt::Connected {attemptId()});
+    const decisions::SendPermission permission = requestSendPermission();
+    if (outcome_.isCallerGone) {
+        fire(attempt::Cancel {core::ErrorCode::ConnectionFailed});
+        return;
+    }
+    switch (permission) {
+    case decisions::SendPermission::Granted:
+        fire(attempt::Connected {attemptId()});
+        break;
+    case decisions::SendPermission::TargetLeft:
+        endRoute(decisions::AttemptOutcome::Abandoned);
+        fire(attempt::ConnectionLost {attemptId(), false});
+        break;
+    case decisions::SendPermission::NoRetryBudget:
+        fire(attempt::Cancel {core::ErrorCode::NoReadyReplica});
+        break;
+    }
 }
 
 void RequestExecution::onExchange(const runtime::HttpResponseHead &event)
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -9,6 +9,7 @@
 #include "boragerack/core/Result.h"
 #include "boragerack/decisions/serving/CoordinationMessages.h"
 #include "boragerack/decisions/serving/RequestRouter.h"
+#include "boragerack/decisions/serving/SendPermission.h"
 #include "boragerack/runtime/ReplyChannel.h"
 
 namespace boragerack::gateway {
@@ -35,6 +36,8 @@
     std::int64_t tokens = 0;
     /// Only the first selection of a target counts as a request and waits in the request queue.
     bool isFirst = true;
+    /// The request has been sent before, so it needs a retry of the service's budget.
+    bool isRetry = false;
     core::TimePoint deadline = {};
     RouteReply reply;
 };
@@ -54,11 +57,12 @@
     std::int64_t tokens = 0;
 };
 
-/// Requests permission to retry a request to a service.
-struct RetryRequest
+/// Asks, immediately before the request is written, whether it may still be sent to the target that
+/// was selected for it.
+struct SendPermissionRequest
 {
-    core::ServiceId service;
-    runtime::ReplyChannel<bool> reply;
+    std::uint64_t request = 0;
+    runtime::ReplyChannel<decisions::SendPermission> reply;
 };
 
 struct RequestCrashReported
@@ -99,8 +103,9 @@
 {
 };
 
-using RoutingMessage = std::variant<RouteRequest, RouteRequestEnded, TokensReturned, RetryRequest,
-                                    RequestCrashReported, TargetListChanged, ConfigurationChanged,
-                                    ReportAnswered, StopAnnounced, StopRouting>;
+using RoutingMessage =
+    std::variant<RouteRequest, RouteRequestEnded, TokensReturned, SendPermissionRequest,
+                 RequestCrashReported, TargetListChanged, ConfigurationChanged, ReportAnswered,
+                 StopAnnounced, StopRouting>;
 
 } // namespace boragerack::gateway
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -86,6 +86,11 @@
 
 void RoutingTask::on(RouteRequest &message)
 {
+    if (message.isRetry && !reserveRetry(message)) {
+        message.reply.set(core::makeNotRunError(core::ErrorCode::NoReadyReplica,
+                                                "the retry budget of the service is used up"));
+        return;
+    }
     const RouteRequest &pendingRequest =
         pending_.emplace(message.request, std::move(message)).first->second;
     if (!pendingRequest.isFirst) {
@@ -121,6 +126,7 @@
 
 void RoutingTask::on(RouteRequestEnded &message)
 {
+    releaseRetry(message.request);
     if (const auto grant = grants_.find(message.request); grant != grants_.end()) {
         route(decisions::routing::Ended {grant->second.target, grant->second.service,
                                          grant->second.artifact, message.outcome,
@@ -144,26 +150,59 @@
     tokenLimiter_.giveBack(message.organisation, message.tokens);
 }
 
-void RoutingTask::on(RetryRequest &message)
+void RoutingTask::on(SendPermissionRequest &message)
 {
-    const core::TimePoint now = clock_.now();
-    decisions::RetryBudget &budget = retryBudgetFor(message.service);
-    const bool isAllowed = budget.take(now);
-    const decisions::RetryUsage usage = budget.usage(now);
-    const std::string labels = runtime::makeLabels({{"service", message.service.value}});
+    message.reply.set(commitRetry(message.request) ? decisions::SendPermission::Granted
+                                                   : decisions::SendPermission::NoRetryBudget);
+}
+
+bool RoutingTask::reserveRetry(const RouteRequest &pendingRequest)
+{
+    const core::ServiceId &service = pendingRequest.requirements.service;
+    const bool isAllowed = retryBudgetFor(service).reserve(clock_.now());
+    if (isAllowed)
+        reservedRetries_[pendingRequest.request] = service;
+    countRetry(service, isAllowed);
+    return isAllowed;
+}
+
+bool RoutingTask::commitRetry(std::uint64_t request)
+{
+    const auto position = reservedRetries_.find(request);
+    if (position == reservedRetries_.end())
+        return true;
+    const core::ServiceId service = position->second;
+    reservedRetries_.erase(position);
+    const bool isAllowed = retryBudgetFor(service).commit(clock_.now());
+    if (!isAllowed)
+        countRetry(service, false);
+    return isAllowed;
+}
+
+void RoutingTask::releaseRetry(std::uint64_t request)
+{
+    if (const auto position = reservedRetries_.find(request); position != reservedRetries_.end()) {
+        retryBudgetFor(position->second).release();
+        reservedRetries_.erase(position);
+    }
+}
+
+void RoutingTask::countRetry(const core::ServiceId &service, bool isAllowed)
+{
+    const decisions::RetryUsage usage = retryBudgetFor(service).usage(clock_.now());
+    const std::string labels = runtime::makeLabels({{"service", service.value}});
     metrics_.set("boragerack_retry_budget_requests", labels, usage.requests);
     metrics_.set("boragerack_retry_budget_used", labels, usage.retries);
     metrics_.set("boragerack_retry_budget_limit", labels, static_cast<std::int64_t>(usage.allowed));
     if (!isAllowed)
         runtime::logRequestEvent(
             runtime::LogEvent::RetryRefused,
-            "service=" + message.service.value + " requests=" + std::to_string(usage.requests)
-                + " retries=" + std::to_string(usage.retries) + " limit="
-                + std::to_string(usage.allowed) + " nodes=" + std::to_string(peakNodes_));
-    metrics_.add("boragerack_retries_total",
-                 runtime::makeLabels(
-                     {{"service", message.service.value}, {"allowed", isAllowed ? "yes" : "no"}}));
-    message.reply.set(isAllowed);
+            "service=" + service.value + " requests=" + std::to_string(usage.requests) + " retries="
+                + std::to_string(usage.retries) + " limit=" + std::to_string(usage.allowed)
+                + " nodes=" + std::to_string(peakNodes_));
+    metrics_.add(
+        "boragerack_retries_total",
+        runtime::makeLabels({{"service", service.value}, {"allowed", isAllowed ? "yes" : "no"}}));
 }
 
 void RoutingTask::on(RequestCrashReported &message)
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -74,7 +74,7 @@
     void on(RouteRequest &message);
     void on(RouteRequestEnded &message);
     void on(TokensReturned &message);
-    void on(RetryRequest &message);
+    void on(SendPermissionRequest &message);
     void on(RequestCrashReported &message);
     void on(TargetListChanged &message);
     void on(ConfigurationChanged &message);
@@ -98,6 +98,11 @@
     void handleCoordinatorTimeout();
     void setNodes(std::size_t nodes);
     decisions::RetryBudget &retryBudgetFor(const core::ServiceId &service);
+    bool reserveRetry(const RouteRequest &pendingRequest);
+    /// True if the request is no retry, or its reserved retry may be sent now.
+    bool commitRetry(std::uint64_t request);
+    void releaseRetry(std::uint64_t request);
+    void countRetry(const core::ServiceId &service, bool isAllowed);
     void tick();
     void report();
     std::uint32_t nodeCount() const;
@@ -115,6 +120,8 @@
     /// are live.
     std::uint32_t peakNodes_ = 0;
     std::map<core::ServiceId, decisions::RetryBudget> retries_;
+    /// Requests whose next send is a retry that has been reserved.
+    std::map<std::uint64_t, core::ServiceId> reservedRetries_;
     SendReport sendReport_;
     OnRelay onRelay_;
     runtime::Mailbox<RoutingMessage> mailbox_;
