Take the start of a call as the time of a target list's content

Callers saw nothing of it; leaving targets got requests up to 3.1 s after they had announced it, where 2 s are allowed. First of two causes: TargetTask took the time at which an answer was handled as the time of its content. On a coordinator that runs 5 to 20 times slower, an answer of 11.4 s was handled at 14.3 s and relayed with an age of 20 ms, so that no node read the list itself. The age now counts from the start of the call, and an expired history, which carries no content, no longer refreshes it. The coordinator's watch waits 200 ms in place of 400 ms, so that the age of an idle platform's list, which now includes the wait, stays below the 1.4 s after which nodes read it themselves.

TargetTaskTest/ageOfAListIncludesTheTimeToReceiveIt failed before and passes.

--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -101,7 +101,7 @@
     runtime::Mailbox<CoordinatorMessage> mailbox_;
     /// Null until this node has read the list from the platform.
     TargetEntriesPointer entries_;
-    /// When the platform returned these entries.
+    /// Time up to which the entries include all changes.
     core::TimePoint targetsReadAt_ = {};
     RouteTablePointer table_;
     const runtime::Published<FleetView> *fleet_ = nullptr;
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -13,9 +13,9 @@
 
 /// Maximum duration of a watch; heartbeats of the targets usually end it much earlier.
 constexpr std::chrono::milliseconds kWatchWait(1500);
-/// The duration on the coordinator. Its list is relayed with the age of the last answer, which must
-/// stay below the maximum age while no target writes.
-constexpr std::chrono::milliseconds kUrgentWatchWait(400);
+/// The duration on the coordinator. Its list is relayed with the age of the last answered call, which
+/// must stay below the maximum age while no target writes.
+constexpr std::chrono::milliseconds kUrgentWatchWait(200);
 /// Delay between reads, which limits the calls to the platform because targets write continuously.
 /// The departure of a target must be known within two seconds; this delay takes about a quarter.
 constexpr std::chrono::milliseconds kReadDelay(450);
@@ -160,6 +160,7 @@
 bool TargetTask::readOnce()
 {
     const auto wait = pace_->isCoordinating() ? kUrgentWatchWait : kWatchWait;
+    const core::TimePoint sentAt = clock_.now();
     const auto read =
         revision_ == 0 ? source_.listTargets() : source_.watchTargets(revision_, wait);
     const core::TimePoint now = clock_.now();
@@ -175,7 +176,6 @@
         runtime::logEvent(runtime::LogEvent::PlatformAvailable,
                           "list=targets failures=" + std::to_string(failures_));
     failures_ = 0;
-    readAt_ = now;
     const TargetsRead &targets = core::valueOf(read);
     if (targets.isExpired) {
         runtime::logEvent(runtime::LogEvent::PlatformHistoryLost,
@@ -183,6 +183,9 @@
         revision_ = 0;
         return false;
     }
+    // The answer includes the changes up to this time. When it was handled says nothing about its
+    // content on a node that is short of processor time.
+    readAt_ = sentAt;
     revision_ = targets.revision;
     bool isChanged = directory_.handle(decisions::targets::Tick(), now);
     for (const decisions::targets::Event &event : targets.events)
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -27,7 +27,7 @@
         TargetEntriesPointer entries;
         /// Whether the entries list the replicas of the targets.
         bool hasReplicas = true;
-        /// When the platform returned these entries.
+        /// Time up to which the entries include all changes.
         core::TimePoint readAt = {};
     };
     /// Called for each change, and for each platform response without a change.
