Use a relayed target list only if it is newer than the node's own

Callers saw nothing of it; leaving targets got requests up to 3.1 s after they had announced it, where 2 s are allowed. Second of the causes: a node that had removed a target by its own read applied the list that the coordinator relayed next, whatever its age, and used the target again. TargetDirectory now holds the time up to which its entries include all changes and ignores a relayed list that is not newer; the list is kept, because later confirmations refer to it. A node that has a newer list than the relayed one still spares its own reads while the relay is current.

TargetDirectoryTest has new cases for it.

--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -31,6 +31,23 @@
     friend bool operator==(const Removed &, const Removed &) = default;
 };
 
+/// The events so far are those of a read of the platform. They include all changes up to the time
+/// at which the call was sent; when its answer was handled says nothing about its content.
+struct Confirmed
+{
+    core::TimePoint contentAt = {};
+    friend bool operator==(const Confirmed &, const Confirmed &) = default;
+};
+
+/// A list that another node read, or its confirmation if the list has not changed since the
+/// previous one. It includes all changes up to `contentAt`.
+struct Relayed
+{
+    std::optional<std::vector<TargetEntry>> entries;
+    core::TimePoint contentAt = {};
+    friend bool operator==(const Relayed &, const Relayed &) = default;
+};
+
 /// A call to the platform failed.
 struct PlatformFailed
 {
@@ -42,12 +59,13 @@
     friend bool operator==(const Tick &, const Tick &) = default;
 };
 
-using Event = std::variant<Listed, Updated, Removed, PlatformFailed, Tick>;
+using Event = std::variant<Listed, Updated, Removed, Confirmed, Relayed, PlatformFailed, Tick>;
 
 } // namespace targets
 
 /// Targets that may be used. An entry that is removed during or shortly after a platform outage may
-/// have lapsed although its target is live, so it remains usable for at least `kLapseGrace`.
+/// have lapsed although its target is live, so it remains usable for at least `kLapseGrace`. A
+/// relayed list is used only if it is more recent than what this node has read itself.
 class TargetDirectory
 {
 public:
@@ -59,12 +77,22 @@
     bool handle(const targets::Event &event, core::TimePoint now);
 
     const TargetEntries &entries() const { return entries_; }
+    /// Time up to which the entries include all changes.
+    core::TimePoint contentAt() const { return contentAt_; }
+    /// Whether the entries are those of a relayed list.
+    bool isRelayed() const { return isRelayed_; }
 
 private:
+    bool replace(const std::vector<TargetEntry> &entries, core::TimePoint now);
+    bool relay(const targets::Relayed &event, core::TimePoint now);
     bool remove(const core::TargetId &target, core::TimePoint now);
     bool hadRecentOutage(core::TimePoint now) const;
 
     TargetEntries entries_;
+    core::TimePoint contentAt_ = {};
+    bool isRelayed_ = false;
+    /// The last relayed list, which later confirmations refer to, even if it is not in use.
+    std::optional<std::vector<TargetEntry>> relayedEntries_;
     std::map<core::TargetId, core::TimePoint> lapsing_;
     std::optional<core::TimePoint> platformFailedAt_;
 };
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -1,6 +1,8 @@
 #include "boragerack/decisions/serving/TargetDirectory.h"
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace boragerack::decisions {
 
@@ -14,22 +16,15 @@
 
 bool TargetDirectory::handle(const targets::Event &event, core::TimePoint now)
 {
-    if (const auto *listed = std::get_if<targets::Listed>(&event)) {
-        bool isChanged = false;
-        std::set<core::TargetId> present;
-        for (const TargetEntry &entry : listed->entries) {
-            present.insert(entry.target);
-            isChanged = handle(targets::Updated {entry}, now) || isChanged;
-        }
-        std::vector<core::TargetId> missing;
-        for (const auto &[target, entry] : entries_) {
-            if (!present.contains(target))
-                missing.push_back(target);
-        }
-        for (const core::TargetId &target : missing)
-            isChanged = remove(target, now) || isChanged;
-        return isChanged;
+    if (const auto *listed = std::get_if<targets::Listed>(&event))
+        return replace(listed->entries, now);
+    if (const auto *confirmed = std::get_if<targets::Confirmed>(&event)) {
+        contentAt_ = std::max(contentAt_, confirmed->contentAt);
+        isRelayed_ = false;
+        return false;
     }
+    if (const auto *relayed = std::get_if<targets::Relayed>(&event))
+        return relay(*relayed, now);
     if (const auto *updated = std::get_if<targets::Updated>(&event)) {
         lapsing_.erase(updated->entry.target);
         TargetEntry &entry = entries_[updated->entry.target];
@@ -60,6 +55,35 @@
     return isChanged;
 }
 
+bool TargetDirectory::replace(const std::vector<TargetEntry> &entries, core::TimePoint now)
+{
+    bool isChanged = false;
+    std::set<core::TargetId> present;
+    for (const TargetEntry &entry : entries) {
+        present.insert(entry.target);
+        isChanged = handle(targets::Updated {entry}, now) || isChanged;
+    }
+    std::vector<core::TargetId> missing;
+    for (const auto &[target, entry] : entries_) {
+        if (!present.contains(target))
+            missing.push_back(target);
+    }
+    for (const core::TargetId &target : missing)
+        isChanged = remove(target, now) || isChanged;
+    return isChanged;
+}
+
+bool TargetDirectory::relay(const targets::Relayed &event, core::TimePoint now)
+{
+    if (event.entries)
+        relayedEntries_ = event.entries;
+    if (!relayedEntries_ || event.contentAt <= contentAt_)
+        return false;
+    contentAt_ = event.contentAt;
+    const bool wasRelayed = std::exchange(isRelayed_, true);
+    return (event.entries || !wasRelayed) && replace(*relayedEntries_, now);
+}
+
 bool TargetDirectory::remove(const core::TargetId &target, core::TimePoint now)
 {
     const auto position = entries_.find(target);
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -58,6 +58,45 @@
     BOOST_TEST(!directory.entries().at({"a"}).isLeaving);
 }
 
+// Guards against a target that left and becomes usable again through a relayed list that is older
+// than the node's own.
+BOOST_AUTO_TEST_CASE(olderRelayedListIsNotUsed)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("b")}}, kNow);
+    directory.handle(targets::Confirmed {kNow}, kNow + 3s);
+    const std::vector<TargetEntry> relayed {entryOf("a"), entryOf("b")};
+    BOOST_TEST(!directory.handle(targets::Relayed {relayed, kNow - 1s}, kNow + 3s));
+    BOOST_TEST(directory.entries().size() == 1U);
+    BOOST_TEST(!directory.isRelayed());
+    BOOST_TEST((directory.contentAt() == kNow));
+}
+
+// Guards against a list that is lost because it was older than the node's own when it arrived, and
+// was confirmed later without being sent again.
+BOOST_AUTO_TEST_CASE(confirmedRelayedListIsUsed)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("b")}}, kNow);
+    directory.handle(targets::Confirmed {kNow}, kNow);
+    const std::vector<TargetEntry> relayed {entryOf("a"), entryOf("b")};
+    directory.handle(targets::Relayed {relayed, kNow - 1s}, kNow);
+    BOOST_TEST(directory.handle(targets::Relayed {std::nullopt, kNow + 1s}, kNow + 1s));
+    BOOST_TEST(directory.entries().size() == 2U);
+    BOOST_TEST(directory.isRelayed());
+    BOOST_TEST((directory.contentAt() == kNow + 1s));
+}
+
+// Guards against a confirmation that counts although its list has never arrived.
+BOOST_AUTO_TEST_CASE(confirmationWithoutAListIsNoContent)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("b")}}, kNow);
+    directory.handle(targets::Confirmed {kNow}, kNow);
+    directory.handle(targets::Relayed {std::nullopt, kNow + 5s}, kNow + 5s);
+    BOOST_TEST((directory.contentAt() == kNow));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -219,7 +219,7 @@
     const auto provenAt = configuration_.provenAt();
     const RouteTablePointer table = configuration_.table();
     return {table ? table->configuration().version : 0, provenAt ? ageOf(*provenAt) : kUnknown,
-            term_->state.versions().targets > 0 ? ageOf(targetsReadAt_) : kUnknown};
+            term_->state.versions().targets > 0 ? ageOf(targetsContentAt_) : kUnknown};
 }
 
 void CoordinatorTask::plan(const swap::Event &event)
@@ -317,7 +317,7 @@
 void CoordinatorTask::on(CoordinatorTargetsChanged &message)
 {
     const TargetTask::Update &update = message.update;
-    targetsReadAt_ = update.readAt;
+    targetsContentAt_ = update.contentAt;
     // Entries relayed by another coordinator do not list the replicas of the targets.
     const TargetEntriesPointer entries = update.hasReplicas ? update.entries : nullptr;
     if (entries == entries_)
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -102,7 +102,7 @@
     /// Null until this node has read the list from the platform.
     TargetEntriesPointer entries_;
     /// Time up to which the entries include all changes.
-    core::TimePoint targetsReadAt_ = {};
+    core::TimePoint targetsContentAt_ = {};
     RouteTablePointer table_;
     const runtime::Published<FleetView> *fleet_ = nullptr;
     /// When the lease and the members are next checked.
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -70,11 +70,7 @@
         handleMessages();
         logSource(isRelayed());
         const core::TimePoint now = clock_.now();
-        if (isRelayed()) {
-            // The platform may have discarded the change history by the next read, so it starts
-            // over.
-            revision_ = 0;
-        } else if (now >= nextReadAt() && now >= startedAt_ + pace_->pace().startDelay()) {
+        if (!isRelayed() && now >= nextReadAt() && now >= startedAt_ + pace_->pace().startDelay()) {
             const bool isWholeList = revision_ == 0;
             const bool isNew = readOnce();
             if (failures_ == 0)
@@ -103,7 +99,10 @@
 
 bool TargetTask::isRelayed() const
 {
-    return clock_.now() - relayedAt_ < kRelayMaxAge && !pace_->isCoordinating();
+    // A list that this node has read may be more recent than the relayed one, which then serves as
+    // its successor.
+    const core::TimePoint oldest = clock_.now() - kRelayMaxAge;
+    return relayedAt_ > oldest && directory_.contentAt() > oldest && !pace_->isCoordinating();
 }
 
 core::TimePoint TargetTask::nextReadAt() const
@@ -117,9 +116,13 @@
 
 bool TargetTask::handleRelayed(const RelayedTargets &relayed)
 {
-    relayedAt_ = std::max(relayedAt_, relayed.readAt);
-    return relayed.entries
-        && directory_.handle(decisions::targets::Listed {*relayed.entries}, clock_.now());
+    relayedAt_ = std::max(relayedAt_, relayed.contentAt);
+    const bool isChanged = directory_.handle(
+        decisions::targets::Relayed {relayed.entries, relayed.contentAt}, clock_.now());
+    // The changes since the last own read do not apply to a relayed list.
+    if (directory_.isRelayed())
+        revision_ = 0;
+    return isChanged;
 }
 
 void TargetTask::publish(bool isChanged, bool hasReplicas)
@@ -128,24 +131,22 @@
         logDepartures(directory_.entries(), hasReplicas);
         published_ = std::make_shared<const decisions::TargetEntries>(directory_.entries());
     }
-    listener_({published_, hasReplicas, readAt_});
+    listener_({published_, hasReplicas, directory_.contentAt()});
 }
 
 void TargetTask::logSource(bool isRelayed)
 {
     if (std::exchange(isUsingRelay_, isRelayed) == isRelayed)
         return;
-    const core::TimePoint contentAt = isRelayed ? relayedAt_ : readAt_;
     runtime::logEvent(runtime::LogEvent::TargetListSourceChanged,
                       std::string("source=") + (isRelayed ? "coordinator" : "platform")
-                          + " age_ms=" + ageText(clock_.now(), contentAt));
+                          + " age_ms=" + ageText(clock_.now(), directory_.contentAt()));
 }
 
 void TargetTask::logDepartures(const decisions::TargetEntries &next, bool hasReplicas) const
 {
-    const core::TimePoint contentAt = hasReplicas ? readAt_ : relayedAt_;
     const std::string details = std::string(" source=") + (hasReplicas ? "platform" : "coordinator")
-        + " age_ms=" + ageText(clock_.now(), contentAt);
+        + " age_ms=" + ageText(clock_.now(), directory_.contentAt());
     for (const auto &[target, entry] : *published_) {
         const auto position = next.find(target);
         if (position == next.end())
@@ -169,7 +170,7 @@
             runtime::logEvent(runtime::LogEvent::PlatformUnavailable,
                               "list=targets error=\"" + core::errorOf(read).message + "\"");
         directory_.handle(decisions::targets::PlatformFailed(), now);
-        // Changes may have been missed, so readAt_ stays unchanged and run() publishes nothing.
+        // Changes may have been missed, so run() publishes nothing.
         return false;
     }
     if (failures_ > 0)
@@ -183,13 +184,11 @@
         revision_ = 0;
         return false;
     }
-    // The answer includes the changes up to this time. When it was handled says nothing about its
-    // content on a node that is short of processor time.
-    readAt_ = sentAt;
     revision_ = targets.revision;
     bool isChanged = directory_.handle(decisions::targets::Tick(), now);
     for (const decisions::targets::Event &event : targets.events)
         isChanged = directory_.handle(event, now) || isChanged;
+    directory_.handle(decisions::targets::Confirmed {sentAt}, now);
     return isChanged;
 }
 
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -28,7 +28,7 @@
         /// Whether the entries list the replicas of the targets.
         bool hasReplicas = true;
         /// Time up to which the entries include all changes.
-        core::TimePoint readAt = {};
+        core::TimePoint contentAt = {};
     };
     /// Called for each change, and for each platform response without a change.
     using Listener = std::function<void(const Update &)>;
@@ -37,7 +37,8 @@
     struct RelayedTargets
     {
         std::optional<std::vector<decisions::TargetEntry>> entries;
-        core::TimePoint readAt = {};
+        /// Time up to which the list includes all changes.
+        core::TimePoint contentAt = {};
     };
     TargetTask(ServingSource &source, const core::Clock &clock, core::RandomSource &random);
     ~TargetTask();
@@ -73,8 +74,8 @@
     TargetEntriesPointer published_;
     std::uint64_t revision_ = 0;
     runtime::Mailbox<RelayedTargets> mailbox_;
+    /// Time up to which the last relayed list includes all changes.
     core::TimePoint relayedAt_ = {};
-    core::TimePoint readAt_ = {};
     core::TimePoint startedAt_ = {};
     /// When the last read ended.
     core::TimePoint lastReadAt_ = {};
--- a/packages/gateway/tests/TargetTaskTest.cpp
+++ b/packages/gateway/tests/TargetTaskTest.cpp
@@ -124,12 +124,12 @@
     source.names = {"a"};
     source.delay = 300ms;
     start(true);
-    BOOST_TEST((last.readAt <= answeredAt));
+    BOOST_TEST((last.contentAt <= answeredAt));
     last = {};
     for (int i = 0; i < 200 && !last.entries; ++i)
         boost::this_fiber::sleep_for(10ms);
     BOOST_REQUIRE(last.entries);
-    BOOST_TEST((last.readAt <= answeredAt));
+    BOOST_TEST((last.contentAt <= answeredAt));
 }
 
 // Guards against requests to a target that left, after a coordinator relays a list that is older
