Do not distribute targets that the coordinator keeps after its own failed calls

Callers saw nothing of it; leaving targets got requests up to 3.4 s after they had announced it, where 2 s are allowed. Third of the causes: a node keeps an entry that is missing from the list within 3 s of a failed call for 1.7 s, since it may have lapsed in an outage of the platform. A coordinator that was only slow kept such entries and relayed them as current, and nodes that had read their removal with success used the targets again. The failed calls of one node say nothing about what another one has read. Kept entries are now marked (TargetEntry::isUnconfirmed) and FleetState does not distribute them; each node decides by its own failed calls whether to keep an entry. In an outage of the platform the relayed list ages, all nodes read for themselves after 1.4 s, and so have failed calls of their own.

Ruled out: a list with a too low age (the age was right, the content was not what the platform had said).

--- a/packages/decisions/include/boragerack/decisions/serving/FleetState.h
+++ b/packages/decisions/include/boragerack/decisions/serving/FleetState.h
@@ -21,6 +21,8 @@
     std::size_t memberCount() const { return members_.size(); }
 
     void setMembers(const std::vector<FleetMember> &members);
+    /// Unconfirmed targets are not distributed, because only failed calls of this node are a reason
+    /// to keep them.
     void setTargets(const std::vector<TargetEntry> &targets);
     /// Adds placements of the given version; the others are unchanged.
     void updatePlacements(std::uint64_t version, const std::vector<TargetPlacement> &placements);
--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -64,8 +64,9 @@
 } // namespace targets
 
 /// Targets that may be used. An entry that is removed during or shortly after a platform outage may
-/// have lapsed although its target is live, so it remains usable for at least `kLapseGrace`. A
-/// relayed list is used only if it is more recent than what this node has read itself.
+/// have lapsed although its target is live, so it remains usable for at least `kLapseGrace`, marked
+/// as unconfirmed. A relayed list is used only if it is more recent than what this node has read
+/// itself.
 class TargetDirectory
 {
 public:
--- a/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
@@ -32,6 +32,8 @@
     core::DataCentreId dataCentre;
     std::uint32_t slots = 1;
     bool isLeaving = false;
+    /// The platform no longer lists the target, but may have dropped it in an outage.
+    bool isUnconfirmed = false;
     /// Milliseconds since the Unix epoch at which the process started; changes at a restart under
     /// the same identifier.
     std::uint64_t startedAt = 0;
--- a/packages/decisions/src/serving/FleetState.cpp
+++ b/packages/decisions/src/serving/FleetState.cpp
@@ -1,5 +1,7 @@
 #include "boragerack/decisions/serving/FleetState.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 
 namespace boragerack::decisions {
@@ -24,7 +26,10 @@
 
 void FleetState::setTargets(const std::vector<TargetEntry> &targets)
 {
-    targets_.replace(targets);
+    std::vector<TargetEntry> confirmed;
+    std::ranges::copy_if(targets, std::back_inserter(confirmed),
+                         [](const TargetEntry &entry) { return !entry.isUnconfirmed; });
+    targets_.replace(confirmed);
     updateVersions();
 }
 
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -92,7 +92,7 @@
     // A target that announced its stop has left, regardless of the platform's state.
     if (hadRecentOutage(now) && !position->second.isLeaving) {
         lapsing_.emplace(target, now + kLapseGrace);
-        return false;
+        return !std::exchange(position->second.isUnconfirmed, true);
     }
     entries_.erase(position);
     lapsing_.erase(target);
--- a/packages/decisions/tests/serving/FleetStateTest.cpp
+++ b/packages/decisions/tests/serving/FleetStateTest.cpp
@@ -150,6 +150,20 @@
     BOOST_TEST(isSameContent(copy, successor));
 }
 
+// Guards against nodes that use a target again, which they removed, because the coordinator keeps
+// it after failed calls of its own.
+BOOST_AUTO_TEST_CASE(unconfirmedTargetsAreNotDistributed)
+{
+    FleetState state {1};
+    TargetEntry kept = targetOf(1);
+    kept.isUnconfirmed = true;
+    state.setTargets({kept, targetOf(2)});
+    const auto update = state.updateSince({});
+    BOOST_REQUIRE(update.targets.has_value());
+    BOOST_REQUIRE(update.targets->size() == 1U);
+    BOOST_TEST((update.targets->front() == targetOf(2)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -46,6 +46,20 @@
     BOOST_TEST(directory.entries().contains({"b"}));
 }
 
+// Guards against a coordinator whose own calls failed and which relays targets that have left.
+BOOST_AUTO_TEST_CASE(keptEntryIsUnconfirmedUntilThePlatformListsItAgain)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("a"), entryOf("b")}}, kNow);
+    directory.handle(targets::PlatformFailed(), kNow + 5s);
+    BOOST_TEST(directory.handle(targets::Listed {{entryOf("b")}}, kNow + 6s));
+    BOOST_TEST(directory.entries().at({"a"}).isUnconfirmed);
+    BOOST_TEST(!directory.entries().at({"b"}).isUnconfirmed);
+    BOOST_TEST(!directory.handle(targets::Listed {{entryOf("b")}}, kNow + 6s));
+    BOOST_TEST(directory.handle(targets::Updated {entryOf("a")}, kNow + 7s));
+    BOOST_TEST(!directory.entries().at({"a"}).isUnconfirmed);
+}
+
 // Guards against a leaving target that becomes usable again through an older entry, and against a
 // restarted one that remains unusable.
 BOOST_AUTO_TEST_CASE(leavingIsNotTakenBack)
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -186,6 +186,7 @@
                           .dataCentre = entry.dataCentre,
                           .slots = entry.slots,
                           .isLeaving = entry.isLeaving,
+                          .isUnconfirmed = entry.isUnconfirmed,
                           .startedAt = entry.startedAt});
     term_->state.setTargets(listed);
 }
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -155,6 +155,9 @@
         else if (position->second.isLeaving && !entry.isLeaving)
             runtime::logEvent(runtime::LogEvent::TargetLeaving,
                               "target=" + target.value + " change=announced" + details);
+        else if (position->second.isUnconfirmed && !entry.isUnconfirmed)
+            runtime::logEvent(runtime::LogEvent::TargetLeaving,
+                              "target=" + target.value + " change=unconfirmed" + details);
     }
 }
 
