Check that a target has not left immediately before a request is sent

Callers saw nothing of it. A request's target is chosen before its connection is opened, which takes seconds on a busy node or to a target whose listen queue is full, and nothing looked at the list again: SendPermission::TargetLeft was never given. RoutingTask now asks RequestRouter::maySend, before a reserved retry is counted; the attempt then ends as a connection that did not open, so the request is not marked as possibly run. The own interface had the same fault and asks its routing task (ConfirmTarget) at the same point.

--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -132,6 +132,8 @@
     /// Requests that arrived since the last call, and those that wait now, by artifact.
     std::vector<ArtifactDemand> takeDemands(core::TimePoint now);
     std::vector<ArtifactInFlight> uses() const;
+    /// False if the target, which was chosen earlier, leaves or has left.
+    bool maySend(const core::TargetId &target) const;
     /// True if a request started to wait since the last call.
     bool takeNewlyWaiting();
 
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -252,6 +252,12 @@
     return result;
 }
 
+bool RequestRouter::maySend(const core::TargetId &target) const
+{
+    const auto position = entries_->find(target);
+    return position != entries_->end() && !position->second.isLeaving;
+}
+
 bool RequestRouter::takeNewlyWaiting()
 {
     return std::exchange(hasNewlyWaiting_, false);
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -152,8 +152,12 @@
 
 void RoutingTask::on(SendPermissionRequest &message)
 {
-    message.reply.set(commitRetry(message.request) ? decisions::SendPermission::Granted
-                                                   : decisions::SendPermission::NoRetryBudget);
+    const auto grant = grants_.find(message.request);
+    if (grant == grants_.end() || !router_.maySend(grant->second.target))
+        message.reply.set(decisions::SendPermission::TargetLeft);
+    else
+        message.reply.set(commitRetry(message.request) ? decisions::SendPermission::Granted
+                                                       : decisions::SendPermission::NoRetryBudget);
 }
 
 bool RoutingTask::reserveRetry(const RouteRequest &pendingRequest)
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -245,10 +245,23 @@
 
 void RequestForwarder::onExchange(const runtime::HttpConnected &)
 {
+    if (requestSendPermission() == decisions::SendPermission::TargetLeft) {
+        fire(attempt::ConnectionLost {connectionAttempt_, false});
+        return;
+    }
     fireConnection(connection::Opened());
     fire(attempt::Connected {connectionAttempt_});
 }
 
+decisions::SendPermission RequestForwarder::requestSendPermission()
+{
+    const ConfirmTarget message {route_->target, {}};
+    if (!routing_.trySend(message))
+        return decisions::SendPermission::TargetLeft;
+    return message.reply.waitUntil(job_.plan.deadline)
+        .value_or(decisions::SendPermission::TargetLeft);
+}
+
 bool RequestForwarder::isDeclined(unsigned status) const
 {
     if (status == kTooManyRequests || status == kServiceUnavailable)
--- a/packages/node/src/RequestForwarder.h
+++ b/packages/node/src/RequestForwarder.h
@@ -87,6 +87,7 @@
     void onExchange(const core::Error &event);
     void addChunks(std::vector<ResponseChunk> chunks);
     bool isDeclined(unsigned status) const;
+    decisions::SendPermission requestSendPermission();
     void releaseRoute();
 
     const ChartSet &charts_;
--- a/packages/node/src/RoutingTask.cpp
+++ b/packages/node/src/RoutingTask.cpp
@@ -77,6 +77,11 @@
     }
 }
 
+void RoutingTask::on(const ConfirmTarget &message)
+{
+    message.reply.set(sendPermission(*table_.get(), message.target));
+}
+
 std::vector<decisions::ReplicaCandidate>
 RoutingTask::makeReplicas(const Destination &destination) const
 {
--- a/packages/node/src/RoutingTask.h
+++ b/packages/node/src/RoutingTask.h
@@ -39,6 +39,14 @@
     runtime::ReplyChannel<core::Result<SelectedTarget>> reply;
 };
 
+/// Asks, immediately before the request is written, whether its target has left since it was
+/// selected.
+struct ConfirmTarget
+{
+    core::TargetId target;
+    runtime::ReplyChannel<decisions::SendPermission> reply;
+};
+
 /// An attempt on a target has ended. Sent exactly once for each selected target.
 struct TargetReleased
 {
@@ -77,8 +85,8 @@
 };
 
 using RoutingMessage =
-    std::variant<SelectTarget, TargetReleased, TargetUnreachable, ReplicaNotLoaded, CancelAttempt,
-                 ColdStartFinished, StopRouting>;
+    std::variant<SelectTarget, ConfirmTarget, TargetReleased, TargetUnreachable, ReplicaNotLoaded,
+                 CancelAttempt, ColdStartFinished, StopRouting>;
 
 /// Selects targets for attempts. Owns the counts of requests in flight and the health state of
 /// targets.
@@ -103,6 +111,7 @@
 
     void run();
     void on(const SelectTarget &message);
+    void on(const ConfirmTarget &message);
     void on(const TargetReleased &message);
     void on(const TargetUnreachable &message);
     void on(const ReplicaNotLoaded &message);
--- a/packages/node/src/TargetTable.cpp
+++ b/packages/node/src/TargetTable.cpp
@@ -13,4 +13,13 @@
     return found;
 }
 
+decisions::SendPermission sendPermission(const TargetTable &table, const core::TargetId &target)
+{
+    const auto position = table.targets.find(target);
+    return position != table.targets.end()
+            && position->second.state != platform::InstanceState::Leaving
+        ? decisions::SendPermission::Granted
+        : decisions::SendPermission::TargetLeft;
+}
+
 } // namespace boragerack::node
--- a/packages/node/src/TargetTable.h
+++ b/packages/node/src/TargetTable.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/serving/SendPermission.h"
 #include "boragerack/platform/PlatformTypes.h"
 
 namespace boragerack::node {
@@ -21,4 +22,7 @@
 std::vector<core::TargetId> findServiceTargets(const TargetTable &table,
                                                const core::ServiceId &service);
 
+/// Whether a request may still be sent to a target that was selected earlier.
+decisions::SendPermission sendPermission(const TargetTable &table, const core::TargetId &target);
+
 } // namespace boragerack::node
