Send a target list again that was lost between tasks

Callers saw nothing of it. Two places treated a list as delivered although the receiver's mailbox was full: RoutingTask reported a relayed list as known to the coordinator, which then only confirmed it, so that the node used an older list with a current age; and TargetTask did not repeat a list that the routing task had refused, so that a removed target stayed in use until the list changed again. Both now learn whether the list was accepted and send or request it again.

RoutingTaskTest/lostRelayedListIsRequestedAgain and TargetTaskTest/listThatWasNotAcceptedIsSentAgain failed before and pass.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -161,7 +161,7 @@
     }
 
     void startTasks();
-    void relayToTasks(RoutingTask::Relay relay);
+    bool relayToTasks(RoutingTask::Relay relay);
     void connectPeers();
 
     runtime::FiberRuntime &fibers;
@@ -207,7 +207,7 @@
             if (!reports.trySend(OwnReport {std::move(report)}))
                 runtime::logEvent(runtime::LogEvent::MessageDropped, "message=report");
         },
-        [this](RoutingTask::Relay relay) { relayToTasks(std::move(relay)); });
+        [this](RoutingTask::Relay relay) { return relayToTasks(std::move(relay)); });
     reports.start();
     coordinator.start(routing.fleet());
     lifecycle.start([this] {
@@ -232,26 +232,29 @@
                 && coordinator.trySend(CoordinatorTargetsChanged {update});
             if (!isSent)
                 runtime::logEvent(runtime::LogEvent::MessageDropped, "message=target_list_changed");
+            return isSent;
         },
         readPace);
     peerFiber = boost::fibers::fiber([this] { connectPeers(); });
 }
 
-void Gateway::Parts::relayToTasks(RoutingTask::Relay relay)
+bool Gateway::Parts::relayToTasks(RoutingTask::Relay relay)
 {
     // A send fails if the mailbox is closed, or full because the task is waiting for the platform.
-    // The next relayed state replaces a lost one, and TargetTask reads the target list from the
-    // platform if none arrives.
+    // The next relayed state replaces a lost one; a lost list of targets has to be sent again,
+    // because later states only confirm it.
     if (!configuration.trySend(ConfigurationTask::RelayedConfiguration {
             relay.configurationVersion, relay.configurationProvenAt,
             std::move(relay.configuration)}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=relayed_configuration");
     const bool hasList = relay.targets.has_value();
-    if (!targets.trySend(
-            TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt}))
+    const bool isAccepted = targets.trySend(
+        TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt});
+    if (!isAccepted)
         runtime::logEvent(runtime::LogEvent::MessageDropped,
                           std::string("message=relayed_targets changed=")
                               + (hasList ? "yes" : "no"));
+    return isAccepted;
 }
 
 void Gateway::Parts::connectPeers()
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -308,8 +308,7 @@
                  answer.configuration, message.reportedAt - answer.platformReadStatus.targetsAge,
                  std::nullopt};
     relay.targets = message.update.targets;
-    onRelay_(std::move(relay));
-    return true;
+    return onRelay_(std::move(relay));
 }
 
 void RoutingTask::setNodes(std::size_t nodes)
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -39,7 +39,8 @@
         core::TimePoint targetsReadAt = {};
         std::optional<std::vector<decisions::TargetEntry>> targets;
     };
-    using OnRelay = std::function<void(Relay)>;
+    /// False if the target list was not accepted; it is then requested again.
+    using OnRelay = std::function<bool(Relay)>;
 
     /// Limits of one node for retries, active requests and waiting requests.
     struct Limits
@@ -92,7 +93,8 @@
     void serveTokenQueue(bool refuseReported);
     void updateWaitingTokens();
     void adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
-    /// Passes on what the coordinator has read. False if it is not valid for this node.
+    /// Passes on what the coordinator has read. False if it is not valid for this node or was not
+    /// accepted.
     bool relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
     void applyUpdate(const decisions::FleetUpdate &update);
     void handleCoordinatorTimeout();
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -68,6 +68,8 @@
 {
     while (isRunning_) {
         handleMessages();
+        if (!isAccepted_)
+            notifyListener();
         logSource(isRelayed());
         const core::TimePoint now = clock_.now();
         if (!isRelayed() && now >= nextReadAt() && now >= startedAt_ + pace_->pace().startDelay()) {
@@ -131,7 +133,13 @@
         logDepartures(directory_.entries(), hasReplicas);
         published_ = std::make_shared<const decisions::TargetEntries>(directory_.entries());
     }
-    listener_({published_, hasReplicas, directory_.contentAt()});
+    hasReplicas_ = hasReplicas;
+    notifyListener();
+}
+
+void TargetTask::notifyListener()
+{
+    isAccepted_ = listener_({published_, hasReplicas_, directory_.contentAt()});
 }
 
 void TargetTask::logSource(bool isRelayed)
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -30,8 +30,9 @@
         /// Time up to which the entries include all changes.
         core::TimePoint contentAt = {};
     };
-    /// Called for each change, and for each platform response without a change.
-    using Listener = std::function<void(const Update &)>;
+    /// Called for each change, and for each platform response without a change. False if the update
+    /// was not accepted; it is then sent again.
+    using Listener = std::function<bool(const Update &)>;
 
     /// A list read by the coordinator; no entries if unchanged since its previous message.
     struct RelayedTargets
@@ -62,6 +63,7 @@
     bool readOnce();
     bool handleRelayed(const RelayedTargets &relayed);
     void publish(bool isChanged, bool hasReplicas);
+    void notifyListener();
     void logSource(bool isRelayed);
     void logDepartures(const decisions::TargetEntries &next, bool hasReplicas) const;
 
@@ -72,6 +74,8 @@
     Listener listener_;
     const ReadPaceSource *pace_ = nullptr;
     TargetEntriesPointer published_;
+    bool hasReplicas_ = true;
+    bool isAccepted_ = true;
     std::uint64_t revision_ = 0;
     runtime::Mailbox<RelayedTargets> mailbox_;
     /// Time up to which the last relayed list includes all changes.
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -32,7 +32,28 @@
 {
     RoutingFixture()
     {
-        task.start([](const decisions::CoordinationReport &) {}, [](RoutingTask::Relay) {});
+        task.start(
+            [this](decisions::CoordinationReport report) {
+                lastKnown = report.known;
+                ++reports;
+            },
+            [this](RoutingTask::Relay) { return isRelayAccepted; });
+    }
+
+    /// Waits for the next report and answers it with this version of the target list.
+    void answerReport(std::uint64_t targetsVersion)
+    {
+        const int before = reports;
+        for (int i = 0; i < 200 && reports == before; ++i)
+            boost::this_fiber::sleep_for(10ms);
+        BOOST_REQUIRE(reports > before);
+        decisions::CoordinationAnswer answer;
+        answer.standing = decisions::CoordinatorStanding::Holding;
+        ReportAnswered message;
+        message.answer = answer;
+        message.update.versions = {.term = 1, .members = 1, .targets = targetsVersion};
+        message.reportedAt = clock.now();
+        BOOST_REQUIRE(task.trySend(std::move(message)));
     }
 
     void setTargets(const std::vector<decisions::TargetEntry> &list)
@@ -64,6 +85,9 @@
         return *permission;
     }
 
+    decisions::FleetVersions lastKnown;
+    int reports = 0;
+    bool isRelayAccepted = true;
     runtime::FiberRuntime fibers;
     core::MonotonicClock clock;
     core::SeededRandomSource random {1};
@@ -94,6 +118,19 @@
     BOOST_TEST((requestPermission(2) == decisions::SendPermission::Granted));
 }
 
+// Guards against a relayed list that was lost between tasks and is then confirmed as current.
+BOOST_AUTO_TEST_CASE(lostRelayedListIsRequestedAgain)
+{
+    isRelayAccepted = false;
+    answerReport(5);
+    answerReport(5);
+    BOOST_TEST(lastKnown.targets == 0U);
+    isRelayAccepted = true;
+    answerReport(5);
+    answerReport(5);
+    BOOST_TEST(lastKnown.targets == 5U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::gateway::testing
--- a/packages/gateway/tests/TargetTaskTest.cpp
+++ b/packages/gateway/tests/TargetTaskTest.cpp
@@ -93,8 +93,11 @@
         pace = std::make_unique<FixedPace>(isCoordinating);
         task.start(
             [this](const TargetTask::Update &update) {
+                if (isListenerBusy)
+                    return false;
                 last = update;
                 answeredAt = source.answeredAt;
+                return true;
             },
             *pace);
         for (int i = 0; i < 500 && !last.entries; ++i)
@@ -108,6 +111,7 @@
     core::SeededRandomSource random {1};
     DelayedSource source;
     std::unique_ptr<FixedPace> pace;
+    bool isListenerBusy = false;
     TargetTask::Update last;
     /// When the platform answered the read of the last update.
     core::TimePoint answeredAt = {};
@@ -145,6 +149,19 @@
     BOOST_TEST(has("b"));
 }
 
+// Guards against requests to a removed target because the receiver's mailbox was full at its
+// removal and no later read changes the list.
+BOOST_AUTO_TEST_CASE(listThatWasNotAcceptedIsSentAgain)
+{
+    start(false);
+    isListenerBusy = true;
+    BOOST_REQUIRE(task.trySend({entriesOf({"a"}), source.clock.now() + 1h}));
+    boost::this_fiber::sleep_for(300ms);
+    isListenerBusy = false;
+    boost::this_fiber::sleep_for(300ms);
+    BOOST_TEST(has("a"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::gateway::testing
