--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -4,8 +4,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
-#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -15,20 +15,21 @@
 #include "boragerack/core/Error.h"
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/AttemptId.h"
+#include "boragerack/decisions/CrashSuspect.h"
 
 namespace boragerack::decisions {
 
-/// Digest of the content of a request as a target receives it. It includes the organisation, so
-/// that one organisation cannot cause the requests of another to be refused.
-core::Digest makeFingerprint(const core::OrganisationId &organisation, std::string_view route,
-                             std::string_view body);
-
 struct QuarantineLimits
 {
     std::uint32_t maxCrashes = 2;
     /// How long a fingerprint is refused, and how long a single crash counts.
     std::chrono::milliseconds duration = std::chrono::minutes(10);
     std::size_t maxEntries = 4096;
+    /// Number of different targets that must be among those that crashed. More than one if a crash
+    /// cannot be told from a connection that a faulty target closed.
+    std::uint32_t minTargets = 1;
+    /// Time in which all nodes report a crash, before a part of a prompt is refused.
+    std::chrono::milliseconds reportDelay = std::chrono::milliseconds(150);
 
     friend bool operator==(const QuarantineLimits &, const QuarantineLimits &) = default;
 };
@@ -42,10 +43,25 @@
 {
     core::Digest fingerprint;
     AttemptId attempt;
+    core::Digest origin = {};
+    std::uint32_t minOrigins = 1;
+    /// The process that crashed; a target that started again is another one.
+    std::string target = {};
+    /// Times from the send of the request and from the crash until the report.
+    std::chrono::milliseconds sentAge = {};
+    std::chrono::milliseconds crashAge = {};
     friend bool operator==(const CrashReport &, const CrashReport &) = default;
 };
 
-/// The node that owns the fingerprint refuses it for the remaining time.
+/// A target answered a request with this fingerprint completely.
+struct Completed
+{
+    core::Digest fingerprint;
+    friend bool operator==(const Completed &, const Completed &) = default;
+};
+
+/// The node that owns the fingerprint refuses it for the remaining time, or no longer if that is
+/// zero.
 struct Notice
 {
     core::Digest fingerprint;
@@ -53,7 +69,13 @@
     friend bool operator==(const Notice &, const Notice &) = default;
 };
 
-using Event = std::variant<CrashReport, Notice>;
+/// Decides on parts of prompts whose crashes have been reported by all nodes in the meantime.
+struct Tick
+{
+    friend bool operator==(const Tick &, const Tick &) = default;
+};
+
+using Event = std::variant<CrashReport, Completed, Notice, Tick>;
 
 // Actions.
 
@@ -69,7 +91,11 @@
 
 } // namespace quarantine
 
-/// Counts target crashes per fingerprint and refuses requests that caused `maxCrashes` of them.
+/// Counts target crashes per fingerprint and refuses requests that caused `maxCrashes` of them. A
+/// crash counts only if its request was sent after the previous one, since requests that run when
+/// many targets crash at once are not the cause; a complete answer starts the count again. Of the
+/// parts of prompts that were in progress on the targets that crashed, the one that explains the
+/// most crashes is refused, and its crashes no longer count for others.
 class Quarantine
 {
 public:
@@ -83,24 +109,55 @@
     /// Returns the error for a refused fingerprint; nullopt if the request may run.
     std::optional<core::Error> check(const core::Digest &fingerprint, core::TimePoint now) const;
 
+    /// All fingerprints that are refused.
+    std::vector<quarantine::Notice> refusals(core::TimePoint now) const;
+
     std::size_t size() const { return entries_.size(); }
 
 private:
+    struct Crash
+    {
+        AttemptId attempt;
+        std::string target;
+    };
+
     struct Entry
     {
-        std::vector<AttemptId> crashes;
+        /// Crashes that count.
+        std::vector<Crash> crashes;
+        core::TimePoint lastCrashAt;
+        /// When there were enough crashes for a refusal.
+        std::optional<core::TimePoint> enoughAt;
+        std::set<core::Digest> origins;
+        std::uint32_t minOrigins = 1;
+        /// All targets that crashed, also at the same time.
+        std::set<std::string> targets;
+        std::optional<core::TimePoint> completedAt;
         bool isRefused = false;
         core::TimePoint expiresAt;
     };
+    using Entries = std::unordered_map<core::Digest, Entry>;
+    using Actions = std::vector<Action>;
 
     std::vector<Action> on(const quarantine::CrashReport &event, core::TimePoint now);
+    std::vector<Action> on(const quarantine::Completed &event, core::TimePoint now);
     std::vector<Action> on(const quarantine::Notice &event, core::TimePoint now);
+    std::vector<Action> on(const quarantine::Tick &event, core::TimePoint now);
+    bool hasEnoughCrashes(const Entry &entry) const;
+    /// Whether another suspect explains all crashes of the entry and more.
+    bool isExplainedByOther(const Entry &entry) const;
+    void refuse(Entries::iterator position, core::TimePoint now, Actions &actions);
+    /// Removes the crashes of these targets from all entries but the one that explains them.
+    void removeExplained(const core::Digest &cause, const std::set<std::string> &targets,
+                         Actions &actions);
 
     Entry &findOrAdd(const core::Digest &fingerprint, core::TimePoint now);
     void evictIfFull(core::TimePoint now);
 
     QuarantineLimits limits_;
-    std::unordered_map<core::Digest, Entry> entries_;
+    Entries entries_;
+    /// Targets whose crash is explained by a refused suspect, with the end of the refusal.
+    std::unordered_map<std::string, core::TimePoint> explained_;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -9,6 +9,7 @@
 #include "boragerack/core/Digest.h"
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/Quarantine.h"
 #include "boragerack/decisions/serving/LeaseRecord.h"
 #include "boragerack/decisions/serving/ListChange.h"
 #include "boragerack/decisions/serving/TargetEntry.h"
@@ -81,15 +82,6 @@
     friend auto operator<=>(const ConfirmedRenewal &, const ConfirmedRenewal &) = default;
 };
 
-/// Reports that a target crashed while it executed a request.
-struct RequestCrash
-{
-    core::Digest fingerprint;
-    std::string attempt;
-
-    friend bool operator==(const RequestCrash &, const RequestCrash &) = default;
-};
-
 /// A node as callers and other nodes see it.
 struct FleetMember
 {
@@ -141,7 +133,11 @@
     /// Requests in flight of the node and of its children; empty if not reported this time.
     std::optional<std::vector<ArtifactInFlight>> uses;
     std::vector<TokenRequest> wanted;
-    std::vector<RequestCrash> crashes;
+    std::vector<quarantine::CrashReport> crashes;
+    /// Fingerprints of reported crashes whose requests were answered completely since.
+    std::vector<quarantine::Completed> completed;
+    /// Fingerprints that a previous coordinator refused; empty if this one has them.
+    std::vector<quarantine::Notice> refusals;
     /// Nodes that report through this one and reported since its last report.
     std::vector<ChildReport> children;
     /// The relay that did not answer the node; empty if none.
@@ -236,7 +232,7 @@
     std::optional<TargetLoads> loads;
     std::vector<TokenAmount> granted;
     std::vector<ChildGrant> childGrants;
-    std::vector<core::Digest> quarantined;
+    std::vector<quarantine::Notice> quarantined;
     /// The configuration as stored by the platform. Empty unless the report has an older version;
     /// in a large fleet also empty unless the node cannot read from the platform.
     std::string configuration;
--- a/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
+++ b/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
@@ -44,7 +44,9 @@
 
     core::InstanceId self_;
     std::map<core::InstanceId, Source> sources_;
-    std::vector<RequestCrash> crashes_;
+    std::vector<quarantine::CrashReport> crashes_;
+    std::vector<quarantine::Completed> completed_;
+    std::vector<quarantine::Notice> refusals_;
     bool isUrgent_ = false;
 };
 
--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -110,6 +110,8 @@
     std::uint64_t request = 0;
     core::TargetId target;
     std::string address;
+    /// When the target's process started.
+    std::uint64_t startedAt = 0;
     friend bool operator==(const Granted &, const Granted &) = default;
 };
 
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -3,17 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-namespace boragerack::decisions {
+#include "boragerack/decisions/CrashAttribution.h"
 
-core::Digest makeFingerprint(const core::OrganisationId &organisation, std::string_view route,
-                             std::string_view body)
-{
-    // Length prefixes distinguish ("a", "bc") from ("ab", "c").
-    std::string text;
-    for (const std::string_view part : {std::string_view(organisation.value), route})
-        text.append(std::to_string(part.size())).append(":").append(part);
-    return core::makeDigest(text.append(body));
-}
+namespace boragerack::decisions {
 
 Quarantine::Quarantine(QuarantineLimits limits)
     : limits_(limits)
@@ -42,18 +34,128 @@
                                                core::TimePoint now)
 {
     Entry &entry = findOrAdd(event.fingerprint, now);
-    if (entry.isRefused || std::ranges::find(entry.crashes, event.attempt) != entry.crashes.end())
+    Actions actions;
+    if (entry.isRefused) {
+        removeExplained(event.fingerprint, {event.target}, actions);
+        return actions;
+    }
+    const core::TimePoint crashedAt = now - event.crashAge;
+    const bool wasCompleted =
+        entry.completedAt && crashedAt - *entry.completedAt < CrashAttribution::kCompletionValidity;
+    if (wasCompleted || explained_.contains(event.target)
+        || std::ranges::find(entry.crashes, event.attempt, &Crash::attempt) != entry.crashes.end())
         return {};
-    entry.crashes.push_back(event.attempt);
     entry.expiresAt = now + limits_.duration;
-    if (entry.crashes.size() < limits_.maxCrashes)
+    entry.minOrigins = event.minOrigins;
+    entry.origins.insert(event.origin);
+    entry.targets.insert(event.target);
+    if (entry.crashes.empty() || now - event.sentAge >= entry.lastCrashAt) {
+        entry.crashes.push_back({event.attempt, event.target});
+        entry.lastCrashAt = crashedAt;
+    }
+    // Whether a part is the cause can be decided once all nodes have reported the crash.
+    const bool isPart = event.minOrigins > 1;
+    if (!hasEnoughCrashes(entry))
         return {};
+    if (!entry.enoughAt)
+        entry.enoughAt = now;
+    if (!isPart)
+        refuse(entries_.find(event.fingerprint), now, actions);
+    return actions;
+}
+
+std::vector<Quarantine::Action> Quarantine::on(const quarantine::Tick &, core::TimePoint now)
+{
+    Actions actions;
+    while (true) {
+        auto best = entries_.end();
+        for (auto position = entries_.begin(); position != entries_.end(); ++position) {
+            const Entry &entry = position->second;
+            if (!entry.isRefused && entry.minOrigins > 1 && hasEnoughCrashes(entry)
+                && entry.enoughAt && now - *entry.enoughAt >= limits_.reportDelay
+                && !isExplainedByOther(entry)
+                && (best == entries_.end()
+                    || std::pair(entry.targets.size(), entry.origins.size())
+                        > std::pair(best->second.targets.size(), best->second.origins.size())))
+                best = position;
+        }
+        if (best == entries_.end())
+            return actions;
+        refuse(best, now, actions);
+    }
+}
+
+bool Quarantine::hasEnoughCrashes(const Entry &entry) const
+{
+    return entry.crashes.size() >= limits_.maxCrashes && entry.origins.size() >= entry.minOrigins
+        && entry.targets.size() >= limits_.minTargets;
+}
+
+bool Quarantine::isExplainedByOther(const Entry &entry) const
+{
+    return std::ranges::any_of(entries_, [&](const auto &item) {
+        const std::set<std::string> &targets = item.second.targets;
+        return item.second.minOrigins > 1 && item.second.origins.size() >= item.second.minOrigins
+            && targets.size() > entry.targets.size()
+            && std::ranges::includes(targets, entry.targets);
+    });
+}
+
+void Quarantine::refuse(Entries::iterator position, core::TimePoint now, Actions &actions)
+{
+    Entry &entry = position->second;
     entry.isRefused = true;
-    return {quarantine::Announce {event.fingerprint, limits_.duration}};
+    actions.push_back(quarantine::Announce {position->first, limits_.duration});
+    if (entry.minOrigins == 1)
+        return;
+    std::erase_if(explained_, [&](const auto &item) { return item.second <= now; });
+    removeExplained(position->first, entry.targets, actions);
+}
+
+void Quarantine::removeExplained(const core::Digest &cause, const std::set<std::string> &targets,
+                                 Actions &actions)
+{
+    const Entry &explanation = entries_.at(cause);
+    if (explanation.minOrigins == 1)
+        return;
+    for (const std::string &target : targets)
+        explained_[target] = explanation.expiresAt;
+    for (auto &[fingerprint, entry] : entries_) {
+        // The same part may be a suspect for all organisations as well.
+        if (fingerprint == cause || std::ranges::includes(entry.targets, explanation.targets))
+            continue;
+        std::erase_if(entry.crashes,
+                      [&](const Crash &crash) { return targets.contains(crash.target); });
+        std::erase_if(entry.targets,
+                      [&](const std::string &target) { return targets.contains(target); });
+        // A refusal that another node announced has no crashes here.
+        const bool wasCounted = entry.isRefused && !entry.origins.empty();
+        if (wasCounted && !hasEnoughCrashes(entry)) {
+            entry.isRefused = false;
+            actions.push_back(quarantine::Announce {fingerprint, std::chrono::milliseconds(0)});
+        }
+    }
+}
+
+std::vector<Quarantine::Action> Quarantine::on(const quarantine::Completed &event,
+                                               core::TimePoint now)
+{
+    const auto position = entries_.find(event.fingerprint);
+    if (position == entries_.end())
+        return {};
+    const bool wasRefused = position->second.isRefused;
+    position->second = {.completedAt = now, .expiresAt = now + limits_.duration};
+    if (!wasRefused)
+        return {};
+    return {quarantine::Announce {event.fingerprint, std::chrono::milliseconds(0)}};
 }
 
 std::vector<Quarantine::Action> Quarantine::on(const quarantine::Notice &event, core::TimePoint now)
 {
+    if (event.remaining.count() == 0) {
+        entries_.erase(event.fingerprint);
+        return {};
+    }
     Entry &entry = findOrAdd(event.fingerprint, now);
     entry.isRefused = true;
     // A notice with a longer time than the limit allows must not extend the refusal.
@@ -61,6 +163,17 @@
     return {};
 }
 
+std::vector<quarantine::Notice> Quarantine::refusals(core::TimePoint now) const
+{
+    std::vector<quarantine::Notice> refusals;
+    for (const auto &[fingerprint, entry] : entries_) {
+        if (entry.isRefused && entry.expiresAt > now)
+            refusals.push_back(
+                {fingerprint, std::chrono::ceil<std::chrono::milliseconds>(entry.expiresAt - now)});
+    }
+    return refusals;
+}
+
 Quarantine::Entry &Quarantine::findOrAdd(const core::Digest &fingerprint, core::TimePoint now)
 {
     if (const auto position = entries_.find(fingerprint); position != entries_.end()) {
@@ -69,7 +182,7 @@
         entries_.erase(position);
     }
     evictIfFull(now);
-    return entries_.emplace(fingerprint, Entry {{}, false, now}).first->second;
+    return entries_.emplace(fingerprint, Entry {.expiresAt = now}).first->second;
 }
 
 void Quarantine::evictIfFull(core::TimePoint now)
--- a/packages/decisions/src/serving/ReportAggregator.cpp
+++ b/packages/decisions/src/serving/ReportAggregator.cpp
@@ -7,9 +7,15 @@
 
 namespace {
 
+template<class Record>
+void append(std::vector<Record> &records, const std::vector<Record> &added)
+{
+    records.insert(records.end(), added.begin(), added.end());
+}
+
 bool hasWaitingRequests(const CoordinationReport &report)
 {
-    return report.isStopping || !report.crashes.empty()
+    return report.isStopping || !report.crashes.empty() || !report.refusals.empty()
         || std::ranges::any_of(report.demands,
                                [](const ArtifactDemand &demand) { return demand.waiting > 0; })
         || std::ranges::any_of(report.wanted,
@@ -40,8 +46,9 @@
         demand.waiting = 0;
         source.last.demands.push_back(std::move(demand));
     }
-    crashes_.insert(crashes_.end(), report.crashes.begin(), report.crashes.end());
-    source.last.crashes.clear();
+    append(crashes_, std::exchange(source.last.crashes, {}));
+    append(completed_, std::exchange(source.last.completed, {}));
+    append(refusals_, std::exchange(source.last.refusals, {}));
     isUrgent_ = isUrgent_ || hasWaitingRequests(report);
 }
 
@@ -54,6 +61,8 @@
     mergeDemands(now, merged);
     mergeUses(merged);
     merged.crashes = std::exchange(crashes_, {});
+    merged.completed = std::exchange(completed_, {});
+    merged.refusals = std::exchange(refusals_, {});
     for (auto &[instance, source] : sources_) {
         CoordinationReport &last = source.last;
         if (instance == self_) {
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -133,7 +133,7 @@
     ++outstanding_[entry.target];
     if (demand.artifact)
         ++uses_[Key(entry.target, *demand.artifact)];
-    actions.push_back({request, entry.target, entry.address});
+    actions.push_back({request, entry.target, entry.address, entry.startedAt});
 }
 
 bool RequestRouter::serves(const TargetEntry &entry, const Artifact &artifact) const
--- a/packages/decisions/tests/QuarantineTest.cpp
+++ b/packages/decisions/tests/QuarantineTest.cpp
@@ -137,6 +137,107 @@
     BOOST_TEST(quarantine.check(crashing, kStart + 5min).has_value());
 }
 
+// Guards against the refusal of requests that were in progress when many targets crashed at once,
+// which no request caused.
+BOOST_AUTO_TEST_CASE(crashesAtTheSameTimeCountOnce)
+{
+    Quarantine quarantine;
+    const auto fingerprint = makeTestFingerprint("x");
+    for (int i = 0; i < 10; ++i) {
+        const quarantine::CrashReport report {.fingerprint = fingerprint,
+                                              .attempt = {"r" + std::to_string(i), 1},
+                                              .sentAge = 200ms + i * 1ms};
+        BOOST_TEST(quarantine.handle(report, kStart + i * 1ms).empty());
+    }
+    BOOST_TEST(!quarantine.check(fingerprint, kStart + 1s).has_value());
+    // A request that was sent after the crash of the others counts.
+    const quarantine::CrashReport next {
+        .fingerprint = fingerprint, .attempt = {"s", 1}, .sentAge = 200ms};
+    BOOST_TEST(quarantine.handle(next, kStart + 1s).size() == 1U);
+}
+
+// Guards against the refusal of a fingerprint whose requests are answered, and against one that
+// stays refused although they are.
+BOOST_AUTO_TEST_CASE(completeAnswerEndsTheSuspicion)
+{
+    Quarantine quarantine;
+    const auto fingerprint = makeTestFingerprint("x");
+    quarantine.handle(quarantine::CrashReport {fingerprint, {"r", 1}}, kStart);
+    quarantine.handle(quarantine::Completed {fingerprint}, kStart + 1s);
+    BOOST_TEST(
+        quarantine.handle(quarantine::CrashReport {fingerprint, {"r", 2}}, kStart + 2s).empty());
+    BOOST_TEST(
+        quarantine.handle(quarantine::CrashReport {fingerprint, {"r", 3}}, kStart + 10s).empty());
+    BOOST_TEST(
+        quarantine.handle(quarantine::CrashReport {fingerprint, {"r", 4}}, kStart + 11s).size()
+        == 1U);
+    BOOST_TEST(quarantine.check(fingerprint, kStart + 12s).has_value());
+    const auto actions = quarantine.handle(quarantine::Completed {fingerprint}, kStart + 12s);
+    BOOST_TEST_REQUIRE(actions.size() == 1U);
+    BOOST_TEST((std::get<quarantine::Announce>(actions.front()).remaining == 0ms));
+    BOOST_TEST(!quarantine.check(fingerprint, kStart + 12s).has_value());
+}
+
+// Guards against the refusal of a part because of one faulty target, or of one request that is sent
+// again and again.
+BOOST_AUTO_TEST_CASE(crashesOfOneTargetOrOneOriginAreNotEnough)
+{
+    Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+    const auto fingerprint = makeTestFingerprint("part");
+    const auto first = makeTestFingerprint("first");
+    const auto report = [&](int number, const core::Digest &origin, const std::string &target) {
+        const quarantine::CrashReport crash {
+            fingerprint, {"r" + std::to_string(number), 1}, origin, 2, target, 0ms, 0ms};
+        quarantine.handle(crash, kStart + number * 1s);
+        return quarantine.handle(quarantine::Tick(), kStart + number * 1s + 250ms).size();
+    };
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(report(i, first, "t1") == 0U);
+    BOOST_TEST(report(4, makeTestFingerprint("second"), "t1") == 0U);
+    BOOST_TEST(report(5, first, "t2") == 1U);
+    BOOST_TEST((quarantine.refusals(kStart + 6s)
+                == std::vector<quarantine::Notice> {{fingerprint, 10min - 1s}}));
+}
+
+// Guards against the refusal of parts that were in progress beside the cause, because their
+// requests were sent again together with it.
+BOOST_AUTO_TEST_CASE(partThatExplainsAllCrashesIsRefusedAlone)
+{
+    Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+    const auto cause = makeTestFingerprint("cause");
+    const auto beside = makeTestFingerprint("beside");
+    const auto request = makeTestFingerprint("request");
+    const auto crash = [&](const core::Digest &suspect, int number, std::uint32_t minOrigins) {
+        const std::string name = std::to_string(number);
+        const auto now = kStart + number * 100ms;
+        quarantine.handle(quarantine::CrashReport {suspect,
+                                                   {"r" + name, 1},
+                                                   makeTestFingerprint("origin" + name),
+                                                   minOrigins,
+                                                   "t" + name,
+                                                   10ms,
+                                                   0ms},
+                          now);
+        return quarantine.handle(quarantine::Tick(), now);
+    };
+    for (int i = 0; i < 4; ++i) {
+        if (i > 0) {
+            crash(beside, i, 2);
+            crash(request, i, 1);
+        }
+        crash(cause, i, 2);
+    }
+    BOOST_TEST(quarantine.check(request, kStart + 500ms).has_value());
+    const auto actions = quarantine.handle(quarantine::Tick(), kStart + 600ms);
+    BOOST_TEST(actions.size() == 2U);
+    BOOST_TEST(quarantine.check(cause, kStart + 600ms).has_value());
+    BOOST_TEST(!quarantine.check(beside, kStart + 600ms).has_value());
+    BOOST_TEST(!quarantine.check(request, kStart + 600ms).has_value());
+    // Reports of the last crash that arrive late do not count either.
+    crash(beside, 3, 2);
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 2s).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/decisions/tests/serving/ReportAggregatorTest.cpp
+++ b/packages/decisions/tests/serving/ReportAggregatorTest.cpp
@@ -103,7 +103,7 @@
     const core::TimePoint now(1h);
     ReportAggregator aggregator(kSelf);
     CoordinationReport child = reportOf("a");
-    child.crashes.push_back({core::makeDigest("request"), "attempt"});
+    child.crashes.push_back({core::makeDigest("request"), {"attempt", 1}});
     aggregator.add(child, now);
     BOOST_TEST(aggregator.take(now).crashes.size() == 1U);
     BOOST_TEST(aggregator.take(now).crashes.empty());
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -22,8 +22,8 @@
 constexpr std::chrono::milliseconds kOrderTimeout = decisions::LeaseTimes().orderTimeout;
 /// Interval at which the sums of requests in flight are computed for the answers.
 constexpr std::chrono::milliseconds kLoadsInterval(50);
-/// Number of target crashes after which a request is refused on all nodes.
-constexpr std::uint32_t kCrashesToQuarantine = 3;
+/// When a request, or a part of a prompt, is refused on all nodes.
+constexpr decisions::QuarantineLimits kQuarantineLimits {.maxCrashes = 3, .minTargets = 2};
 
 std::string describe(const decisions::Artifact &artifact)
 {
@@ -113,19 +113,17 @@
     if ((term_ ? term_->fence : 0) != fence) {
         term_.reset();
         if (fence != 0) {
-            term_ = std::make_unique<Term>(
-                Term {fence,
-                      decisions::SwapPlanner(chart_),
-                      decisions::FleetTokenLimiter(quotaTolerance_),
-                      {},
-                      decisions::Quarantine({.maxCrashes = kCrashesToQuarantine}),
-                      {},
-                      false,
-                      decisions::FleetState(fence),
-                      0,
-                      0,
-                      {},
-                      {}});
+            term_ = std::make_unique<Term>(Term {fence,
+                                                 decisions::SwapPlanner(chart_),
+                                                 decisions::FleetTokenLimiter(quotaTolerance_),
+                                                 {},
+                                                 decisions::Quarantine(kQuarantineLimits),
+                                                 false,
+                                                 decisions::FleetState(fence),
+                                                 0,
+                                                 0,
+                                                 {},
+                                                 {}});
             term_->members.seed(knownNodes(), clock_.now());
             applyConfiguration();
             applyTargets();
@@ -245,7 +243,7 @@
                                          : decisions::CoordinatorStanding::Lapsed;
     answer.platformReadStatus = makePlatformReadStatus();
     answer.lease = lease_.lease().confirmedRenewal(now);
-    answer.quarantined = {term_->quarantined.begin(), term_->quarantined.end()};
+    answer.quarantined = term_->quarantine.refusals(now);
     grantTokens(report, answer);
     if (report.member.instance != self_)
         answer.relay = term_->tree.report(report, now);
@@ -276,17 +274,27 @@
         term_->members.report(child.member, child.isStopping, now);
         children.push_back(child.member.instance);
     }
-    for (const decisions::RequestCrash &crash : report.crashes) {
-        const auto actions = term_->quarantine.handle(
-            decisions::quarantine::CrashReport {crash.fingerprint, {crash.attempt, 1}}, now);
-        if (!actions.empty() && term_->quarantined.insert(crash.fingerprint).second)
-            runtime::logEvent(runtime::LogEvent::RequestQuarantined,
-                              "fingerprint=" + core::toHex(crash.fingerprint).substr(0, 16));
-    }
+    for (const decisions::quarantine::Notice &notice : report.refusals)
+        term_->quarantine.handle(notice, now);
+    for (const decisions::quarantine::Completed &completed : report.completed)
+        logRefusals(term_->quarantine.handle(completed, now));
+    for (const decisions::quarantine::CrashReport &crash : report.crashes)
+        logRefusals(term_->quarantine.handle(crash, now));
+    logRefusals(term_->quarantine.handle(decisions::quarantine::Tick(), now));
     plan(swap::DemandReported {report.member.instance, report.demands, report.uses,
                                std::move(children)});
 }
 
+void CoordinatorTask::logRefusals(const std::vector<decisions::Quarantine::Action> &actions) const
+{
+    for (const decisions::Quarantine::Action &action : actions) {
+        const auto &announce = std::get<decisions::quarantine::Announce>(action);
+        runtime::logEvent(runtime::LogEvent::RequestQuarantined,
+                          "fingerprint=" + core::toHex(announce.fingerprint).substr(0, 16)
+                              + " remaining_ms=" + std::to_string(announce.remaining.count()));
+    }
+}
+
 void CoordinatorTask::grantTokens(const decisions::CoordinationReport &report,
                                   decisions::CoordinationAnswer &answer)
 {
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -57,7 +57,6 @@
         decisions::FleetTokenLimiter tokenLimiter;
         decisions::MembershipTracker members;
         decisions::Quarantine quarantine;
-        std::set<core::Digest> quarantined;
         bool mayOrder = false;
         /// State that the answers distribute, and the versions of its sources.
         decisions::FleetState state;
@@ -76,6 +75,7 @@
     void on(StopCoordinating &message);
 
     void recordReport(const decisions::CoordinationReport &report);
+    void logRefusals(const std::vector<decisions::Quarantine::Action> &actions) const;
     void grantTokens(const decisions::CoordinationReport &report,
                      decisions::CoordinationAnswer &answer);
     void updateState();
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -248,8 +248,8 @@
             std::move(relay.configuration)}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=relayed_configuration");
     const bool hasList = relay.targets.has_value();
-    const bool isAccepted = targets.trySend(
-        TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt});
+    const bool isAccepted =
+        targets.trySend(TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt});
     if (!isAccepted)
         runtime::logEvent(runtime::LogEvent::MessageDropped,
                           std::string("message=relayed_targets changed=")
--- a/packages/gateway/src/GatewayRequestHandler.cpp
+++ b/packages/gateway/src/GatewayRequestHandler.cpp
@@ -4,7 +4,6 @@
 
 #include "LifecycleTask.h"
 #include "boragerack/core/RendezvousHash.h"
-#include "boragerack/decisions/Quarantine.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -99,12 +98,11 @@
             : 1;
     }
     const auto fleet = dependencies_.routing.fleet().get();
-    if (!fleet->quarantined.empty()
-        && fleet->quarantined.contains(
-            decisions::makeFingerprint(admitted.organisation, request.target, request.body)))
-        return core::makeNotRunError(core::ErrorCode::Quarantined,
-                                     "several targets ended while they ran this request",
-                                     kDefaultTimeout);
+    if (!fleet->quarantined.empty()) {
+        if (const auto refusal =
+                findQuarantine(*fleet, makeCrashSuspects(admitted), dependencies_.clock.now()))
+            return *refusal;
+    }
     admitted.service =
         decisions::chooseService(route, core::stableHash(admitted.decoded.callerAttemptId));
     // Only model engines support urgency and artifacts.
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -50,6 +50,30 @@
 
 } // namespace
 
+std::vector<decisions::CrashSuspect> makeCrashSuspects(const AdmittedRequest &admitted)
+{
+    decisions::RequestContent content {
+        admitted.organisation, admitted.request.target, admitted.request.body, {}};
+    // The last part belongs to the request alone.
+    const std::vector<PromptPart> &prompt = admitted.decoded.prompt;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        content.sharedParts.push_back(std::to_string(prompt[i].id));
+    return decisions::makeCrashSuspects(content);
+}
+
+std::optional<core::Error> findQuarantine(const FleetView &fleet,
+                                          const std::vector<decisions::CrashSuspect> &suspects,
+                                          core::TimePoint now)
+{
+    const auto refusal = fleet.findRefusal(suspects, now);
+    if (!refusal)
+        return std::nullopt;
+    return core::makeNotRunError(core::ErrorCode::Quarantined,
+                                 "several targets ended while they ran such a request, fingerprint "
+                                     + core::toHex(refusal->fingerprint).substr(0, 16),
+                                 refusal->remaining);
+}
+
 RequestExecution::RequestExecution(const RequestDependencies &dependencies,
                                    AdmittedRequest admitted, runtime::HttpResponder &responder)
     : dependencies_(dependencies)
@@ -138,6 +162,21 @@
     return organisation && organisation->organisation == admitted_.organisation;
 }
 
+const std::vector<decisions::CrashSuspect> &RequestExecution::suspects() const
+{
+    if (suspects_.empty())
+        suspects_ = makeCrashSuspects(admitted_);
+    return suspects_;
+}
+
+std::optional<core::Error> RequestExecution::findQuarantine() const
+{
+    const auto fleet = dependencies_.routing.fleet().get();
+    if (fleet->quarantined.empty())
+        return std::nullopt;
+    return gateway::findQuarantine(*fleet, suspects(), dependencies_.clock.now());
+}
+
 decisions::SendPermission RequestExecution::requestSendPermission()
 {
     const SendPermissionRequest message {admitted_.number, {}};
@@ -154,6 +193,8 @@
         const core::TimePoint wakeAt = std::min(limit, dependencies_.clock.now() + kCheckInterval);
         if (auto answer = reply.waitUntil(toSteady(wakeAt)))
             return answer;
+        if (const auto refusal = findQuarantine())
+            return *refusal;
         if (dependencies_.lifecycle.mustRefuseWaiting())
             return core::makeNotRunError(core::ErrorCode::Draining, "the node is stopping",
                                          kRetryAfter);
@@ -167,6 +208,10 @@
         fire(attempt::Cancel {core::ErrorCode::ConnectionFailed});
         return;
     }
+    if (const auto refusal = findQuarantine()) {
+        fire(attempt::DispatchFailed {refusal->code, refusal->retryAfter});
+        return;
+    }
     const bool isExhausted = tried_.size() >= std::max(1U, admitted_.route.maxAttempts);
     // The request may not be sent to another target, and this target does not accept it.
     if (isExhausted && wasMisdirected_) {
@@ -233,6 +278,7 @@
         runtime::makeLabels({{"service", admitted_.service.value},
                              {"kind", outcome_.sends == 0 ? "first" : "retry"}}));
     ++outcome_.sends;
+    sentAt_ = dependencies_.clock.now();
     if (std::ranges::find(tried_, grant_->target) == tried_.end())
         tried_.push_back(grant_->target);
     TargetCall call;
@@ -277,7 +323,7 @@
 
 void RequestExecution::perform(const attempt::ReleaseConnection &)
 {
-    endRoute(decisions::AttemptOutcome::Succeeded);
+    endRoute(decisions::AttemptOutcome::Succeeded, false, true);
     exchange_.reset();
 }
 
@@ -310,11 +356,14 @@
     responder_.send(refusal);
 }
 
-void RequestExecution::endRoute(decisions::AttemptOutcome outcome, bool isMissing)
+void RequestExecution::endRoute(decisions::AttemptOutcome outcome, bool isMissing, bool isHarmless)
 {
     if (!std::exchange(isRouteOpen_, false))
         return;
-    if (!dependencies_.routing.trySend(RouteRequestEnded {admitted_.number, outcome, isMissing}))
+    RouteRequestEnded message {admitted_.number, outcome, isMissing, {}};
+    if (isHarmless)
+        message.harmless = suspects();
+    if (!dependencies_.routing.trySend(std::move(message)))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=route_ended");
 }
 
--- a/packages/gateway/src/RequestExecution.h
+++ b/packages/gateway/src/RequestExecution.h
@@ -46,6 +46,13 @@
     core::TimePoint deadline;
 };
 
+/// What may be the cause if a target crashes under the request.
+std::vector<decisions::CrashSuspect> makeCrashSuspects(const AdmittedRequest &admitted);
+/// The refusal of a request with one of the suspects; nullopt if it may be sent.
+std::optional<core::Error> findQuarantine(const FleetView &fleet,
+                                          const std::vector<decisions::CrashSuspect> &suspects,
+                                          core::TimePoint now);
+
 /// The result of a request.
 struct RequestOutcome
 {
@@ -96,12 +103,17 @@
 
     decisions::SendPermission requestSendPermission();
     bool mayStillRun() const;
+    /// The refusal, if the request or a part of its prompt has crashed targets.
+    std::optional<core::Error> findQuarantine() const;
+    const std::vector<decisions::CrashSuspect> &suspects() const;
+    void reportCrash();
     std::optional<core::Result<RouteGrant>> waitForRoute(const RouteReply &reply);
     void failAttempt();
     void forwardEvents(std::string_view bytes);
     void forwardEvent(std::string event);
     void forwardCompleteBody();
-    void endRoute(decisions::AttemptOutcome outcome, bool isMissing = false);
+    void endRoute(decisions::AttemptOutcome outcome, bool isMissing = false,
+                  bool isHarmless = false);
     void onCallerGone();
     core::TimePoint toSteady(core::TimePoint time) const;
     decisions::AttemptId attemptId() const { return attempt_.current(); }
@@ -113,6 +125,8 @@
     RouteReply reply_;
     std::optional<RouteGrant> grant_;
     bool isRouteOpen_ = false;
+    core::TimePoint sentAt_ = {};
+    mutable std::vector<decisions::CrashSuspect> suspects_;
     std::vector<core::TargetId> tried_;
     bool wasMisdirected_ = false;
     std::unique_ptr<runtime::HttpExchange> exchange_;
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -2,7 +2,6 @@
 
 #include "RequestExecution.h"
 
-#include "boragerack/decisions/Quarantine.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -42,6 +41,10 @@
         fire(attempt::Cancel {core::ErrorCode::Isolated});
         return;
     }
+    if (const auto refusal = findQuarantine()) {
+        fire(attempt::Cancel {refusal->code});
+        return;
+    }
     const decisions::SendPermission permission = requestSendPermission();
     if (outcome_.isCallerGone) {
         fire(attempt::Cancel {core::ErrorCode::ConnectionFailed});
@@ -113,16 +116,19 @@
 {
     if (outcome_.isCallerGone)
         return;
-    if (event.verdict != core::Verdict::NotRun) {
-        const core::Digest fingerprint = decisions::makeFingerprint(
-            admitted_.organisation, admitted_.request.target, admitted_.request.body);
-        if (!dependencies_.routing.trySend(
-                RequestCrashReported {{fingerprint, admitted_.decoded.callerAttemptId}}))
-            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=request_crash_reported");
-    }
+    if (event.verdict != core::Verdict::NotRun)
+        reportCrash();
     failAttempt();
 }
 
+void RequestExecution::reportCrash()
+{
+    if (!dependencies_.routing.trySend(RequestCrashReported {
+            suspects(), attemptId(), grant_->target.value + "/" + std::to_string(grant_->startedAt),
+            sentAt_, dependencies_.clock.now()}))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=request_crash_reported");
+}
+
 void RequestExecution::failAttempt()
 {
     endRoute(decisions::AttemptOutcome::Failed);
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -3,10 +3,12 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "ConfigurationTask.h"
 #include "TargetTask.h"
 #include "boragerack/core/Result.h"
+#include "boragerack/decisions/CrashSuspect.h"
 #include "boragerack/decisions/serving/CoordinationMessages.h"
 #include "boragerack/decisions/serving/RequestRouter.h"
 #include "boragerack/decisions/serving/SendPermission.h"
@@ -19,6 +21,8 @@
 {
     core::TargetId target;
     std::string address;
+    /// When the target's process started.
+    std::uint64_t startedAt = 0;
 
     friend auto operator<=>(const RouteGrant &, const RouteGrant &) = default;
 };
@@ -48,6 +52,8 @@
     std::uint64_t request = 0;
     decisions::AttemptOutcome outcome = decisions::AttemptOutcome::Abandoned;
     bool isMissing = false;
+    /// What has not crashed the target, if it answered completely.
+    std::vector<decisions::CrashSuspect> harmless;
 };
 
 /// Tokens of a request that did not run.
@@ -65,9 +71,15 @@
     runtime::ReplyChannel<decisions::SendPermission> reply;
 };
 
+/// The connection to a target ended before its answer was complete.
 struct RequestCrashReported
 {
-    decisions::RequestCrash crash;
+    std::vector<decisions::CrashSuspect> suspects;
+    decisions::AttemptId attempt;
+    /// The process of the target.
+    std::string target;
+    core::TimePoint sentAt = {};
+    core::TimePoint crashedAt = {};
 };
 
 struct TargetListChanged
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -23,6 +23,10 @@
 /// If no coordinator has confirmed the members for this long, address answers contain only this
 /// node, because the others may have terminated.
 constexpr std::chrono::milliseconds kMembersMaxAge(3000);
+/// Maximum number of suspects in one report.
+constexpr std::size_t kMaxReportedCrashes = 256;
+/// Difference below which two ends of a refusal are the same.
+constexpr std::chrono::seconds kRefusalTolerance(2);
 /// Without a coordinator, a request that waits for tokens is refused after this time.
 constexpr std::chrono::milliseconds kMaxTokenWait(250);
 
@@ -119,7 +123,7 @@
         const RouteRequest &pendingRequest = position->second;
         grants_[granted.request] = {granted.target, pendingRequest.requirements.service,
                                     pendingRequest.requirements.artifact};
-        pendingRequest.reply.set(RouteGrant {granted.target, granted.address});
+        pendingRequest.reply.set(RouteGrant {granted.target, granted.address, granted.startedAt});
         pending_.erase(position);
     }
 }
@@ -127,6 +131,9 @@
 void RoutingTask::on(RouteRequestEnded &message)
 {
     releaseRetry(message.request);
+    for (const core::Digest &fingerprint :
+         crashAttribution_.handleCompletion(message.harmless, clock_.now()))
+        completed_.push_back({fingerprint});
     if (const auto grant = grants_.find(message.request); grant != grants_.end()) {
         route(decisions::routing::Ended {grant->second.target, grant->second.service,
                                          grant->second.artifact, message.outcome,
@@ -211,7 +218,12 @@
 
 void RoutingTask::on(RequestCrashReported &message)
 {
-    crashes_.push_back(std::move(message.crash));
+    for (const decisions::CrashSuspect &suspect :
+         crashAttribution_.handleCrash(message.suspects, message.crashedAt)) {
+        if (crashes_.size() >= kMaxReportedCrashes)
+            break;
+        crashes_.push_back({message, suspect});
+    }
     hasUrgentReport_ = true;
 }
 
@@ -266,17 +278,60 @@
     applyUpdate(message.update);
     // A list that was not relayed has to be in the next update as well.
     known_.targets = relayedTargets;
-    if (const std::set<core::Digest> quarantined(answer.quarantined.begin(),
-                                                 answer.quarantined.end());
-        quarantined != fleet_.get()->quarantined) {
-        FleetView view = *fleet_.get();
-        view.quarantined = quarantined;
-        fleet_.set(std::move(view));
-    }
+    adoptRefusals(answer, message.update.versions.term);
     if (answer.loads && message.update.loads)
         route(decisions::routing::LoadsReported {*message.update.loads});
 }
 
+void RoutingTask::adoptRefusals(const decisions::CoordinationAnswer &answer, std::uint64_t term)
+{
+    const core::TimePoint now = clock_.now();
+    std::map<core::Digest, core::TimePoint> refused;
+    // A new coordinator has the refusals of the previous one only from the nodes.
+    if (term != refusalsTerm_ && !wereRefusalsReported_)
+        refused = fleet_.get()->quarantined;
+    else
+        refusalsTerm_ = term;
+    wereRefusalsReported_ = false;
+    for (const decisions::quarantine::Notice &notice : answer.quarantined) {
+        // The remaining time is rounded and reaches the node late, so that a difference of some
+        // milliseconds is no change.
+        const auto known = fleet_.get()->quarantined.find(notice.fingerprint);
+        const core::TimePoint until = now + notice.remaining;
+        const bool isKnown = known != fleet_.get()->quarantined.end()
+            && core::Duration(until - known->second) < kRefusalTolerance
+            && core::Duration(known->second - until) < kRefusalTolerance;
+        refused[notice.fingerprint] = isKnown ? known->second : until;
+    }
+    std::erase_if(refused, [now](const auto &item) { return item.second <= now; });
+    if (refused == fleet_.get()->quarantined)
+        return;
+    FleetView view = *fleet_.get();
+    view.quarantined = std::move(refused);
+    fleet_.set(std::move(view));
+}
+
+void RoutingTask::reportCrashes(decisions::CoordinationReport &report)
+{
+    const core::TimePoint now = clock_.now();
+    const auto ageOf = [now](core::TimePoint time) {
+        return std::chrono::floor<std::chrono::milliseconds>(now - time);
+    };
+    for (const auto &[crash, suspect] : std::exchange(crashes_, {}))
+        report.crashes.push_back({suspect.fingerprint, crash.attempt, suspect.origin,
+                                  suspect.minOrigins, crash.target, ageOf(crash.sentAt),
+                                  ageOf(crash.crashedAt)});
+    report.completed = std::exchange(completed_, {});
+    if (known_.term == refusalsTerm_ && known_.term != 0)
+        return;
+    for (const auto &[fingerprint, until] : fleet_.get()->quarantined) {
+        if (until > now)
+            report.refusals.push_back(
+                {fingerprint, std::chrono::ceil<std::chrono::milliseconds>(until - now)});
+    }
+    wereRefusalsReported_ = true;
+}
+
 void RoutingTask::applyUpdate(const decisions::FleetUpdate &update)
 {
     if (update.versions.term != known_.term) {
@@ -366,7 +421,7 @@
     report.demands = router_.takeDemands(now);
     report.uses = router_.uses();
     report.wanted = tokenLimiter_.wanted(now);
-    report.crashes = std::exchange(crashes_, {});
+    reportCrashes(report);
     sendReport_(std::move(report));
 }
 
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -12,6 +12,7 @@
 #include "RoutingMessages.h"
 #include "boragerack/core/Clock.h"
 #include "boragerack/core/RandomSource.h"
+#include "boragerack/decisions/CrashAttribution.h"
 #include "boragerack/decisions/RequestQueue.h"
 #include "boragerack/decisions/serving/NodeTokenLimiter.h"
 #include "boragerack/decisions/serving/RequestRouter.h"
@@ -71,6 +72,12 @@
         std::optional<decisions::Artifact> artifact;
     };
 
+    struct ReportedCrash
+    {
+        RequestCrashReported crash;
+        decisions::CrashSuspect suspect;
+    };
+
     void run();
     void on(RouteRequest &message);
     void on(RouteRequestEnded &message);
@@ -96,6 +103,8 @@
     /// Passes on what the coordinator has read. False if it is not valid for this node or was not
     /// accepted.
     bool relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
+    void adoptRefusals(const decisions::CoordinationAnswer &answer, std::uint64_t term);
+    void reportCrashes(decisions::CoordinationReport &report);
     void applyUpdate(const decisions::FleetUpdate &update);
     void handleCoordinatorTimeout();
     void setNodes(std::size_t nodes);
@@ -136,7 +145,14 @@
     std::vector<std::uint64_t> tokenQueue_;
     /// How many of them are included in the report in flight.
     std::size_t reportedTokenQueueSize_ = 0;
-    std::vector<decisions::RequestCrash> crashes_;
+    decisions::CrashAttribution crashAttribution_;
+    /// Crashes, and fingerprints found to be harmless, for the next report.
+    std::vector<ReportedCrash> crashes_;
+    std::vector<decisions::quarantine::Completed> completed_;
+    /// Term of the coordinator that has this node's refusals.
+    std::uint64_t refusalsTerm_ = 0;
+    /// The report in flight contains the refusals.
+    bool wereRefusalsReported_ = false;
     /// Versions of the fleet's state that the router and other tasks have.
     decisions::FleetVersions known_;
     bool isReporting_ = false;
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -13,8 +13,8 @@
 
 /// Maximum duration of a watch; heartbeats of the targets usually end it much earlier.
 constexpr std::chrono::milliseconds kWatchWait(1500);
-/// The duration on the coordinator. Its list is relayed with the age of the last answered call, which
-/// must stay below the maximum age while no target writes.
+/// The duration on the coordinator. Its list is relayed with the age of the last answered call,
+/// which must stay below the maximum age while no target writes.
 constexpr std::chrono::milliseconds kUrgentWatchWait(200);
 /// Delay between reads, which limits the calls to the platform because targets write continuously.
 /// The departure of a target must be known within two seconds; this delay takes about a quarter.
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -92,8 +92,8 @@
     core::MonotonicClock clock;
     core::SeededRandomSource random {1};
     runtime::Metrics metrics;
-    RoutingTask task {{}, {.retries = {}, .activeRequests = 10, .waiting = {}},
-                      clock, random, metrics};
+    RoutingTask task {
+        {}, {.retries = {}, .activeRequests = 10, .waiting = {}}, clock, random, metrics};
 };
 
 } // namespace
--- a/packages/node/src/ModelHandler.cpp
+++ b/packages/node/src/ModelHandler.cpp
@@ -47,9 +47,10 @@
         responder.send(makeErrorResponse(core::errorOf(artifact)));
         return;
     }
-    const core::Digest fingerprint =
-        decisions::makeFingerprint(context.organisation, runtime::pathOf(request), request.body);
-    if (const auto refusal = services_.quarantine.check(fingerprint, context.deadline)) {
+    const std::vector<decisions::CrashSuspect> suspects =
+        decisions::makeCrashSuspects({context.organisation, runtime::pathOf(request), request.body,
+                                      core::valueOf(model).sharedParts});
+    if (const auto refusal = services_.quarantine.check(suspects, context.deadline)) {
         refuse(*refusal, context, core::valueOf(model), responder);
         return;
     }
@@ -77,7 +78,7 @@
         result.verdict == core::Verdict::NotRun ? 0 : countTokens(parsed, result, sink);
     static_cast<void>(services_.budget.trySend(
         decisions::ReservationSettled {core::valueOf(reservation), std::min(used, tokens)}));
-    reportCrashes(fingerprint, result);
+    reportOutcome(suspects, result);
     countRequest(services_.metrics, context.organisation, parsed.model, result.verdict,
                  result.error);
     services_.metrics.add("boragerack_tokens_admitted_total",
@@ -164,10 +165,13 @@
     return job;
 }
 
-void ModelHandler::reportCrashes(const core::Digest &fingerprint, const ForwardingResult &result)
+void ModelHandler::reportOutcome(const std::vector<decisions::CrashSuspect> &suspects,
+                                 const ForwardingResult &result)
 {
-    for (const decisions::AttemptId &attempt : result.crashedAttempts)
-        services_.quarantineMessenger.reportCrash({fingerprint, attempt});
+    if (!result.crashes.empty())
+        static_cast<void>(services_.quarantine.trySend(TargetsCrashed {suspects, result.crashes}));
+    if (!result.error)
+        static_cast<void>(services_.quarantine.trySend(RequestCompleted {suspects}));
 }
 
 } // namespace boragerack::node
--- a/packages/node/src/ModelHandler.h
+++ b/packages/node/src/ModelHandler.h
@@ -25,7 +25,8 @@
                                                    const CallerContext &context);
     ForwardingJob makeJob(const runtime::HttpRequest &request, const ModelRequest &model,
                           const decisions::Artifact &artifact, const CallerContext &context) const;
-    void reportCrashes(const core::Digest &fingerprint, const ForwardingResult &result);
+    void reportOutcome(const std::vector<decisions::CrashSuspect> &suspects,
+                       const ForwardingResult &result);
 
     const RequestDependencies &services_;
 };
--- a/packages/node/src/ModelRequest.cpp
+++ b/packages/node/src/ModelRequest.cpp
@@ -29,6 +29,19 @@
     return static_cast<std::int64_t>(characters) / kCharactersPerToken + 1;
 }
 
+/// Messages before the last one, which other requests of a conversation or application share.
+std::vector<std::string> findSharedParts(const json::object &body)
+{
+    std::vector<std::string> parts;
+    const json::value *messages = body.if_contains("messages");
+    if (!messages || !messages->is_array())
+        return parts;
+    const json::array &list = messages->get_array();
+    for (std::size_t i = 0; i + 1 < list.size(); ++i)
+        parts.push_back(json::serialize(list[i]));
+    return parts;
+}
+
 core::Result<std::int64_t> readMaxTokens(const json::object &body)
 {
     for (const std::string_view name : {"max_tokens", "max_completion_tokens"}) {
@@ -76,6 +89,7 @@
     request.isStream = boolMember(value, "stream");
     request.promptTokens = estimateTokens(body);
     request.maxTokens = core::valueOf(maxTokens);
+    request.sharedParts = findSharedParts(body);
     return request;
 }
 
--- a/packages/node/src/ModelRequest.h
+++ b/packages/node/src/ModelRequest.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "boragerack/core/Result.h"
 #include "boragerack/decisions/Artifact.h"
@@ -20,6 +21,8 @@
     bool isStream = false;
     std::int64_t promptTokens = 0;
     std::int64_t maxTokens = 0;
+    /// Parts of the prompt that other requests may share.
+    std::vector<std::string> sharedParts;
 
     friend auto operator<=>(const ModelRequest &, const ModelRequest &) = default;
 };
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -226,9 +226,9 @@
                          metrics_);
         fleet_.emplace(charts_.fleet, store_, *messenger_, clock_, *this);
         messenger_->setReceivers(*fleet_, *quarantine_);
-        services_.emplace(RequestDependencies {
-            identity_, charts_, fleet_->configuration(), *lifecycle_, *quarantine_, *messenger_,
-            *budget_, *routing_, store_, client_, random_, clock_, metrics_});
+        services_.emplace(RequestDependencies {identity_, charts_, fleet_->configuration(),
+                                               *lifecycle_, *quarantine_, *budget_, *routing_,
+                                               store_, client_, random_, clock_, metrics_});
         handler_.emplace(*services_, fleet_->members(), settings_.requestTimeout,
                          settings_.addressLifetime);
         server_.emplace(fiberRuntime_.ioContext(), *handler_, makeLimits(settings_));
--- a/packages/node/src/PeerDispatcher.cpp
+++ b/packages/node/src/PeerDispatcher.cpp
@@ -21,9 +21,7 @@
 
 template<class Message>
 constexpr bool kIsQuarantineMessage =
-    std::is_same_v<Message,
-                   decisions::quarantine::
-                       CrashReport> || std::is_same_v<Message, decisions::quarantine::Notice>;
+    std::is_constructible_v<decisions::Quarantine::Event, Message>;
 
 constexpr std::chrono::milliseconds kMembersTimeout(500);
 
--- a/packages/node/src/PeerMessenger.cpp
+++ b/packages/node/src/PeerMessenger.cpp
@@ -133,14 +133,24 @@
     static_cast<void>(network_.send(planner, std::move(message)));
 }
 
-void PeerMessenger::reportCrash(const decisions::quarantine::CrashReport &report)
+template<class Message>
+void PeerMessenger::sendToOwner(const Message &message)
 {
-    const auto owners =
-        core::rendezvousOwners("fingerprint/" + core::toHex(report.fingerprint), members_, 1);
+    const auto owners = core::rendezvousOwners("quarantine", members_, 1);
     if (owners.empty() || owners.front() == identity_.instance)
-        static_cast<void>(quarantine_->trySend(report));
+        static_cast<void>(quarantine_->trySend(message));
     else
-        static_cast<void>(network_.send(owners.front(), report));
+        static_cast<void>(network_.send(owners.front(), message));
+}
+
+void PeerMessenger::reportCrash(const decisions::quarantine::CrashReport &report)
+{
+    sendToOwner(report);
+}
+
+void PeerMessenger::reportCompletion(const decisions::quarantine::Completed &report)
+{
+    sendToOwner(report);
 }
 
 void PeerMessenger::announce(const decisions::quarantine::Notice &notice)
--- a/packages/node/src/PeerMessenger.h
+++ b/packages/node/src/PeerMessenger.h
@@ -49,6 +49,7 @@
                         const std::vector<decisions::ReplicaUsed> &uses) override;
 
     void reportCrash(const decisions::quarantine::CrashReport &report) override;
+    void reportCompletion(const decisions::quarantine::Completed &report) override;
     void announce(const decisions::quarantine::Notice &notice) override;
 
 private:
@@ -59,6 +60,10 @@
     std::vector<std::string> bootstrapAddresses_;
     const core::Clock &clock_;
     FleetTask *fleet_ = nullptr;
+    /// Sends a message to the node that counts the crashes of all suspects.
+    template<class Message>
+    void sendToOwner(const Message &message);
+
     QuarantineTask *quarantine_ = nullptr;
     std::vector<core::InstanceId> members_;
     /// Former members whose addresses are still kept, with the time of their removal.
--- a/packages/node/src/QuarantineTask.cpp
+++ b/packages/node/src/QuarantineTask.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kMailboxCapacity = 4096;
+/// Interval of decisions while there are suspects.
+constexpr std::chrono::milliseconds kTick(100);
 
 } // namespace
 
@@ -34,10 +36,11 @@
     return mailbox_.trySend(std::move(message));
 }
 
-std::optional<core::Error> QuarantineTask::check(const core::Digest &fingerprint,
-                                                 core::TimePoint deadline)
+std::optional<core::Error>
+QuarantineTask::check(const std::vector<decisions::CrashSuspect> &suspects,
+                      core::TimePoint deadline)
 {
-    const CheckFingerprint message {fingerprint, {}};
+    const CheckSuspects message {suspects, {}};
     if (!trySend(message))
         return core::makeNotRunError(core::ErrorCode::QueueFull, "node is overloaded",
                                      std::chrono::seconds(1));
@@ -51,23 +54,65 @@
 void QuarantineTask::run()
 {
     while (isRunning_) {
-        if (auto message = mailbox_.receive())
+        auto message = quarantine_.size() == 0
+            ? mailbox_.receive()
+            : mailbox_.receiveUntil(std::chrono::steady_clock::now() + kTick);
+        if (message)
             std::visit([this](const auto &body) { on(body); }, *message);
+        announce(quarantine_.handle(decisions::quarantine::Tick(), clock_.now()));
     }
     mailbox_.close();
 }
 
-void QuarantineTask::on(const CheckFingerprint &message)
+void QuarantineTask::on(const CheckSuspects &message)
 {
-    message.reply.set(quarantine_.check(message.fingerprint, clock_.now()));
+    std::optional<core::Error> refusal;
+    for (const decisions::CrashSuspect &suspect : message.suspects) {
+        if (!refusal)
+            refusal = quarantine_.check(suspect.fingerprint, clock_.now());
+    }
+    message.reply.set(refusal);
+}
+
+void QuarantineTask::on(const TargetsCrashed &message)
+{
+    const core::TimePoint now = clock_.now();
+    const auto ageOf = [now](core::TimePoint time) {
+        return std::chrono::floor<std::chrono::milliseconds>(now - time);
+    };
+    for (const TargetsCrashed::Crash &crash : message.crashes) {
+        for (const decisions::CrashSuspect &suspect :
+             attribution_.handleCrash(message.suspects, crash.crashedAt))
+            messenger_.reportCrash({suspect.fingerprint, crash.attempt, suspect.origin,
+                                    suspect.minOrigins, crash.target, ageOf(crash.sentAt),
+                                    ageOf(crash.crashedAt)});
+    }
+}
+
+void QuarantineTask::on(const RequestCompleted &message)
+{
+    for (const core::Digest &fingerprint :
+         attribution_.handleCompletion(message.suspects, clock_.now()))
+        messenger_.reportCompletion({fingerprint});
 }
 
 void QuarantineTask::on(const decisions::quarantine::CrashReport &message)
 {
-    for (const auto &action : quarantine_.handle(message, clock_.now())) {
+    announce(quarantine_.handle(message, clock_.now()));
+}
+
+void QuarantineTask::on(const decisions::quarantine::Completed &message)
+{
+    announce(quarantine_.handle(message, clock_.now()));
+}
+
+void QuarantineTask::announce(const std::vector<decisions::Quarantine::Action> &actions)
+{
+    for (const auto &action : actions) {
         const auto &announce = std::get<decisions::quarantine::Announce>(action);
         runtime::logEvent(runtime::LogEvent::RequestQuarantined,
-                          "fingerprint " + core::toHex(announce.fingerprint));
+                          "fingerprint=" + core::toHex(announce.fingerprint).substr(0, 16)
+                              + " remaining_ms=" + std::to_string(announce.remaining.count()));
         messenger_.announce({announce.fingerprint, announce.remaining});
     }
 }
--- a/packages/node/src/QuarantineTask.h
+++ b/packages/node/src/QuarantineTask.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <variant>
+#include <vector>
 
 #include "boragerack/core/Clock.h"
+#include "boragerack/decisions/CrashAttribution.h"
 #include "boragerack/decisions/Quarantine.h"
 #include "boragerack/runtime/FiberGroup.h"
 #include "boragerack/runtime/Mailbox.h"
@@ -11,18 +14,42 @@
 
 namespace boragerack::node {
 
-struct CheckFingerprint
+/// Asks whether one of the suspects is refused.
+struct CheckSuspects
 {
-    core::Digest fingerprint;
+    std::vector<decisions::CrashSuspect> suspects;
     runtime::ReplyChannel<std::optional<core::Error>> reply;
 };
 
+/// Targets crashed under attempts of a request of this node.
+struct TargetsCrashed
+{
+    struct Crash
+    {
+        decisions::AttemptId attempt;
+        std::string target;
+        core::TimePoint sentAt = {};
+        core::TimePoint crashedAt = {};
+    };
+
+    std::vector<decisions::CrashSuspect> suspects;
+    std::vector<Crash> crashes;
+};
+
+/// A request of this node was answered completely.
+struct RequestCompleted
+{
+    std::vector<decisions::CrashSuspect> suspects;
+};
+
 struct StopQuarantine
 {
 };
 
-using QuarantineMessage = std::variant<CheckFingerprint, decisions::quarantine::CrashReport,
-                                       decisions::quarantine::Notice, StopQuarantine>;
+using QuarantineMessage =
+    std::variant<CheckSuspects, TargetsCrashed, RequestCompleted,
+                 decisions::quarantine::CrashReport, decisions::quarantine::Completed,
+                 decisions::quarantine::Notice, StopQuarantine>;
 
 /// Sends information about requests that crash their targets to other nodes.
 class QuarantineMessenger
@@ -35,10 +62,11 @@
 
     /// Sends a report to the node that counts the crashes of its fingerprint.
     virtual void reportCrash(const decisions::quarantine::CrashReport &report) = 0;
+    virtual void reportCompletion(const decisions::quarantine::Completed &report) = 0;
     virtual void announce(const decisions::quarantine::Notice &notice) = 0;
 };
 
-/// Owns the list of quarantined request fingerprints of this node.
+/// Owns the refused fingerprints of requests and of parts of prompts on this node.
 class QuarantineTask
 {
 public:
@@ -48,18 +76,24 @@
     void stop();
     [[nodiscard]] bool trySend(QuarantineMessage message);
 
-    /// Returns the error for a request with a quarantined fingerprint, or nullopt if it may run.
-    std::optional<core::Error> check(const core::Digest &fingerprint, core::TimePoint deadline);
+    /// Returns the error for a request with a refused suspect, or nullopt if it may run.
+    std::optional<core::Error> check(const std::vector<decisions::CrashSuspect> &suspects,
+                                     core::TimePoint deadline);
 
 private:
     void run();
-    void on(const CheckFingerprint &message);
+    void on(const CheckSuspects &message);
+    void on(const TargetsCrashed &message);
+    void on(const RequestCompleted &message);
     void on(const decisions::quarantine::CrashReport &message);
+    void on(const decisions::quarantine::Completed &message);
     void on(const decisions::quarantine::Notice &message);
     void on(const StopQuarantine &message);
+    void announce(const std::vector<decisions::Quarantine::Action> &actions);
 
     QuarantineMessenger &messenger_;
     const core::Clock &clock_;
+    decisions::CrashAttribution attribution_;
     decisions::Quarantine quarantine_;
     runtime::Mailbox<QuarantineMessage> mailbox_;
     bool isRunning_ = true;
--- a/packages/node/src/RequestDependencies.h
+++ b/packages/node/src/RequestDependencies.h
@@ -19,7 +19,6 @@
     const runtime::Published<ActiveConfiguration> &configuration;
     LifecycleTask &lifecycle;
     QuarantineTask &quarantine;
-    QuarantineMessenger &quarantineMessenger;
     BudgetTask &budget;
     RoutingTask &routing;
     platform::PlatformStore &store;
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -141,6 +141,7 @@
     if (action.resumeOffset > 0)
         request.headers.push_back({"X-Resume-Offset", std::to_string(action.resumeOffset)});
     received_ = action.resumeOffset;
+    sentAt_ = clock_.now();
     exchange_->send(std::move(request));
 }
 
@@ -238,8 +239,8 @@
 
 void RequestForwarder::performConnection(const connection::ReportTargetCrash &action)
 {
-    result_.crashedAttempts.insert(result_.crashedAttempts.end(), action.attempts.begin(),
-                                   action.attempts.end());
+    for (const decisions::AttemptId &attempt : action.attempts)
+        result_.crashes.push_back({attempt, route_->target.value, sentAt_, clock_.now()});
     static_cast<void>(routing_.trySend(TargetUnreachable {route_->target}));
 }
 
--- a/packages/node/src/RequestForwarder.h
+++ b/packages/node/src/RequestForwarder.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "ChartSet.h"
+#include "QuarantineTask.h"
 #include "ResponseFramer.h"
 #include "ResponseSink.h"
 #include "RoutingTask.h"
@@ -33,7 +34,7 @@
     std::optional<core::Error> error;
     std::uint32_t attempts = 0;
     /// Attempts that were in progress on a target when it crashed.
-    std::vector<decisions::AttemptId> crashedAttempts;
+    std::vector<TargetsCrashed::Crash> crashes;
     /// Units of the response that were passed to the sink.
     std::uint64_t forwardedUnits = 0;
     bool hasStarted = false;
@@ -103,6 +104,7 @@
     std::unique_ptr<ResponseFramer> framer_;
     std::optional<SelectedTarget> route_;
     decisions::AttemptId connectionAttempt_;
+    core::TimePoint sentAt_ = {};
     runtime::HttpResponseHead head_;
     std::uint64_t received_ = 0;
     std::string chunk_;
--- a/packages/peer/include/boragerack/peer/Messages.h
+++ b/packages/peer/include/boragerack/peer/Messages.h
@@ -94,7 +94,8 @@
                  decisions::ConfigUpdate, decisions::ProbeRequest, decisions::ProbeReport,
                  decisions::BudgetRequest, decisions::BudgetGrant, decisions::BudgetReturn,
                  TargetUpdate, ColdStartRequest, ColdStartReply, ReplicaInFlightReport,
-                 decisions::quarantine::CrashReport, decisions::quarantine::Notice,
-                 decisions::CoordinationReport, decisions::CoordinationAnswer, core::Error>;
+                 decisions::quarantine::CrashReport, decisions::quarantine::Completed,
+                 decisions::quarantine::Notice, decisions::CoordinationReport,
+                 decisions::CoordinationAnswer, core::Error>;
 
 } // namespace boragerack::peer
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -241,16 +241,41 @@
     return body;
 }
 
-std::optional<MessageBody> fromWire(const wire::CrashReport &in)
+bool read(const wire::CrashReport &in, decisions::quarantine::CrashReport &body)
 {
-    decisions::quarantine::CrashReport body {{}, {in.request(), in.attempt()}};
-    return checked(read(in.fingerprint(), body.fingerprint), body);
+    body.attempt = {in.request(), in.attempt()};
+    // A node of an earlier version reports whole requests only, without an origin.
+    body.minOrigins = std::max(1U, in.min_origins());
+    body.target = in.target();
+    body.sentAge = milliseconds(in.sent_age_ms());
+    body.crashAge = milliseconds(in.crash_age_ms());
+    return read(in.fingerprint(), body.fingerprint)
+        && (in.origin().empty() || read(in.origin(), body.origin));
 }
 
-std::optional<MessageBody> fromWire(const wire::QuarantineNotice &in)
+bool read(const wire::CompletedAnswer &in, decisions::quarantine::Completed &body)
 {
-    decisions::quarantine::Notice body {{}, milliseconds(in.remaining_ms())};
-    return checked(read(in.fingerprint(), body.fingerprint), body);
+    return read(in.fingerprint(), body.fingerprint);
+}
+
+bool read(const wire::QuarantineNotice &in, decisions::quarantine::Notice &body)
+{
+    body.remaining = milliseconds(in.remaining_ms());
+    return read(in.fingerprint(), body.fingerprint);
+}
+
+/// Reads one record and appends it. False if the record is not valid.
+template<class Record, class Body>
+bool readInto(const Record &record, std::vector<Body> &bodies)
+{
+    return read(record, bodies.emplace_back());
+}
+
+template<class Body, class Record>
+std::optional<MessageBody> readBody(const Record &record)
+{
+    Body body;
+    return checked(read(record, body), body);
 }
 
 decisions::FleetMember read(const wire::FleetMember &in)
@@ -348,11 +373,12 @@
     for (const wire::TokenAsk &record : in.wanted())
         body.wanted.push_back(read(record));
     bool isValid = true;
-    for (const wire::RequestDeath &record : in.deaths()) {
-        decisions::RequestCrash crash {{}, record.attempt()};
-        isValid = isValid && read(record.fingerprint(), crash.fingerprint);
-        body.crashes.push_back(std::move(crash));
-    }
+    for (const wire::CrashReport &record : in.crashes())
+        isValid = readInto(record, body.crashes) && isValid;
+    for (const wire::CompletedAnswer &record : in.completed())
+        isValid = readInto(record, body.completed) && isValid;
+    for (const wire::QuarantineNotice &record : in.refusals())
+        isValid = readInto(record, body.refusals) && isValid;
     for (const wire::ChildReport &record : in.children()) {
         decisions::ChildReport child {read(record.member()), record.stopping(), {}};
         for (const wire::TokenAsk &request : record.wanted())
@@ -388,11 +414,8 @@
     for (const wire::ChildGrant &record : in.child_grants())
         body.childGrants.push_back({{record.instance()}, read(record.granted())});
     bool isValid = wire::CoordinationAnswer::Standing_IsValid(in.standing());
-    for (const std::string &record : in.quarantined()) {
-        core::Digest fingerprint;
-        isValid = isValid && read(record, fingerprint);
-        body.quarantined.push_back(fingerprint);
-    }
+    for (const wire::QuarantineNotice &record : in.refusals())
+        isValid = readInto(record, body.quarantined) && isValid;
     body.configuration = in.configuration();
     if (in.has_holder())
         body.holder = read(in.holder());
@@ -446,9 +469,11 @@
     case wire::Envelope::kReplicaUses:
         return fromWire(message.replica_uses());
     case wire::Envelope::kCrashReport:
-        return fromWire(message.crash_report());
+        return readBody<decisions::quarantine::CrashReport>(message.crash_report());
+    case wire::Envelope::kCompletedAnswer:
+        return readBody<decisions::quarantine::Completed>(message.completed_answer());
     case wire::Envelope::kQuarantineNotice:
-        return fromWire(message.quarantine_notice());
+        return readBody<decisions::quarantine::Notice>(message.quarantine_notice());
     case wire::Envelope::kCoordinationReport:
         return fromWire(message.coordination_report());
     case wire::Envelope::kCoordinationAnswer:
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -158,6 +158,24 @@
         out.add_removed(key.value);
 }
 
+void write(const decisions::quarantine::CrashReport &from, wire::CrashReport &out)
+{
+    out.set_fingerprint(toBytes(from.fingerprint));
+    out.set_request(from.attempt.request);
+    out.set_attempt(from.attempt.number);
+    out.set_origin(toBytes(from.origin));
+    out.set_min_origins(from.minOrigins);
+    out.set_target(from.target);
+    out.set_sent_age_ms(clampMilliseconds(from.sentAge));
+    out.set_crash_age_ms(clampMilliseconds(from.crashAge));
+}
+
+void write(const decisions::quarantine::Notice &from, wire::QuarantineNotice &out)
+{
+    out.set_fingerprint(toBytes(from.fingerprint));
+    out.set_remaining_ms(clampMilliseconds(from.remaining));
+}
+
 } // namespace
 
 void toWire(const decisions::Heartbeat &body, wire::Envelope &message)
@@ -327,17 +345,17 @@
 
 void toWire(const decisions::quarantine::CrashReport &body, wire::Envelope &message)
 {
-    wire::CrashReport &out = *message.mutable_crash_report();
-    out.set_fingerprint(toBytes(body.fingerprint));
-    out.set_request(body.attempt.request);
-    out.set_attempt(body.attempt.number);
+    write(body, *message.mutable_crash_report());
+}
+
+void toWire(const decisions::quarantine::Completed &body, wire::Envelope &message)
+{
+    message.mutable_completed_answer()->set_fingerprint(toBytes(body.fingerprint));
 }
 
 void toWire(const decisions::quarantine::Notice &body, wire::Envelope &message)
 {
-    wire::QuarantineNotice &out = *message.mutable_quarantine_notice();
-    out.set_fingerprint(toBytes(body.fingerprint));
-    out.set_remaining_ms(clampMilliseconds(body.remaining));
+    write(body, *message.mutable_quarantine_notice());
 }
 
 void toWire(const decisions::CoordinationReport &body, wire::Envelope &message)
@@ -370,11 +388,12 @@
     }
     for (const decisions::TokenRequest &request : body.wanted)
         write(request, *out.add_wanted());
-    for (const decisions::RequestCrash &crash : body.crashes) {
-        wire::RequestDeath &record = *out.add_deaths();
-        record.set_fingerprint(toBytes(crash.fingerprint));
-        record.set_attempt(crash.attempt);
-    }
+    for (const decisions::quarantine::CrashReport &crash : body.crashes)
+        write(crash, *out.add_crashes());
+    for (const decisions::quarantine::Completed &completed : body.completed)
+        out.add_completed()->set_fingerprint(toBytes(completed.fingerprint));
+    for (const decisions::quarantine::Notice &notice : body.refusals)
+        write(notice, *out.add_refusals());
     for (const decisions::ChildReport &child : body.children) {
         wire::ChildReport &record = *out.add_children();
         write(child.member, *record.mutable_member());
@@ -418,8 +437,8 @@
         for (const decisions::TokenAmount &amount : grant.granted)
             write(amount, *record.add_granted());
     }
-    for (const core::Digest &fingerprint : body.quarantined)
-        out.add_quarantined(toBytes(fingerprint));
+    for (const decisions::quarantine::Notice &notice : body.quarantined)
+        write(notice, *out.add_refusals());
     out.set_configuration(body.configuration);
     if (body.holder)
         write(*body.holder, *out.mutable_holder());
--- a/packages/peer/src/WireConversion.h
+++ b/packages/peer/src/WireConversion.h
@@ -26,6 +26,7 @@
 void toWire(const ColdStartReply &body, wire::Envelope &message);
 void toWire(const ReplicaInFlightReport &body, wire::Envelope &message);
 void toWire(const decisions::quarantine::CrashReport &body, wire::Envelope &message);
+void toWire(const decisions::quarantine::Completed &body, wire::Envelope &message);
 void toWire(const decisions::quarantine::Notice &body, wire::Envelope &message);
 void toWire(const decisions::CoordinationReport &body, wire::Envelope &message);
 void toWire(const decisions::CoordinationAnswer &body, wire::Envelope &message);
