Compare parts that occur together, and crashes that follow each other at once

Of such parts the one without complete answers, then the last in the prompt, is refused first; one more crash shows that it was another. And ages are rounded to milliseconds, so that the second of two crashes of one request could count as sent before the first: nodeTest requestThatCrashesEnginesIsQuarantined failed once of two with three engines gone.

QuarantineTest/ofPartsThatOccurTogetherTheLastIsRefusedFirst is new.

--- a/packages/decisions/include/boragerack/decisions/CrashSuspect.h
+++ b/packages/decisions/include/boragerack/decisions/CrashSuspect.h
@@ -24,6 +24,12 @@
     /// Number of origins from which crashes must come before the suspect is refused. A part that
     /// crashed targets in one request only is not the cause; the request is.
     std::uint32_t minOrigins = 1;
+    /// The part of the prompt, for whichever organisation.
+    core::Digest part = {};
+    /// Position of the part in the prompt. Parts that follow others occur in fewer requests.
+    std::uint32_t position = 0;
+    /// A target has answered a request with it completely before.
+    bool wasAnswered = false;
 
     bool isPart() const { return minOrigins > 1; }
 
--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -50,6 +50,10 @@
     /// Times from the send of the request and from the crash until the report.
     std::chrono::milliseconds sentAge = {};
     std::chrono::milliseconds crashAge = {};
+    /// As in CrashSuspect.
+    core::Digest part = {};
+    std::uint32_t position = 0;
+    bool wasAnswered = false;
     friend bool operator==(const CrashReport &, const CrashReport &) = default;
 };
 
@@ -130,6 +134,9 @@
         std::optional<core::TimePoint> enoughAt;
         std::set<core::Digest> origins;
         std::uint32_t minOrigins = 1;
+        core::Digest part;
+        std::uint32_t position = 0;
+        bool wasAnswered = false;
         /// All targets that crashed, also at the same time.
         std::set<std::string> targets;
         std::optional<core::TimePoint> completedAt;
@@ -146,6 +153,8 @@
     bool hasEnoughCrashes(const Entry &entry) const;
     /// Whether another suspect explains all crashes of the entry and more.
     bool isExplainedByOther(const Entry &entry) const;
+    /// Whether `left` explains the crashes better than `right`.
+    static bool isBetterExplanation(const Entry &left, const Entry &right);
     void refuse(Entries::iterator position, core::TimePoint now, Actions &actions);
     /// Removes the crashes of these targets from all entries but the one that explains them.
     void removeExplained(const core::Digest &cause, const std::set<std::string> &targets,
--- a/packages/decisions/src/CrashAttribution.cpp
+++ b/packages/decisions/src/CrashAttribution.cpp
@@ -7,8 +7,8 @@
 /// While no request has been answered for this long, crashes are not attributed to parts, because
 /// all targets may fail for a reason that no request causes.
 constexpr std::chrono::seconds kMaxTimeWithoutAnswers(30);
-/// How long a reported suspect may be found to be harmless.
-constexpr std::chrono::minutes kReportValidity(10);
+/// How long reports and complete answers are kept.
+constexpr std::chrono::minutes kMemory(10);
 constexpr std::size_t kMaxEntries = 4096;
 
 using Times = std::unordered_map<core::Digest, core::TimePoint>;
@@ -32,8 +32,9 @@
     for (const CrashSuspect &suspect : suspects) {
         if (!isSuspected(suspect, now))
             continue;
-        record(reportedAt_, suspect.fingerprint, now, kReportValidity);
+        record(reportedAt_, suspect.fingerprint, now, kMemory);
         reported.push_back(suspect);
+        reported.back().wasAnswered = completedAt_.contains(suspect.fingerprint);
     }
     return reported;
 }
@@ -45,7 +46,7 @@
     std::vector<core::Digest> harmless;
     for (const CrashSuspect &suspect : suspects) {
         if (suspect.isPart())
-            record(completedAt_, suspect.fingerprint, now, kCompletionValidity);
+            record(completedAt_, suspect.fingerprint, now, kMemory);
         if (reportedAt_.erase(suspect.fingerprint) > 0)
             harmless.push_back(suspect.fingerprint);
     }
--- a/packages/decisions/src/CrashSuspect.cpp
+++ b/packages/decisions/src/CrashSuspect.cpp
@@ -28,16 +28,26 @@
 std::vector<CrashSuspect> makeCrashSuspects(const RequestContent &content)
 {
     const core::Digest request = makeFingerprint(content.organisation, content.route, content.body);
-    std::vector<CrashSuspect> suspects {{request, request, 1}};
+    std::vector<CrashSuspect> suspects {{.fingerprint = request, .origin = request}};
     if (content.sharedParts.empty())
         return suspects;
     const std::string &organisation = content.organisation.value;
     const core::Digest caller = core::makeDigest(organisation);
-    for (const std::string &part : content.sharedParts) {
-        suspects.push_back({core::makeDigest(joinWithLengths({"part", organisation, part})),
-                            request, kMinPartOrigins});
+    std::uint32_t position = 0;
+    for (const std::string &text : content.sharedParts) {
+        const core::Digest part = core::makeDigest(joinWithLengths({"part", text}));
+        ++position;
         suspects.push_back(
-            {core::makeDigest(joinWithLengths({"part", part})), caller, kMinPartOrigins});
+            {.fingerprint = core::makeDigest(joinWithLengths({"part", organisation, text})),
+             .origin = request,
+             .minOrigins = kMinPartOrigins,
+             .part = part,
+             .position = position});
+        suspects.push_back({.fingerprint = part,
+                            .origin = caller,
+                            .minOrigins = kMinPartOrigins,
+                            .part = part,
+                            .position = position});
     }
     return suspects;
 }
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -1,12 +1,20 @@
 #include "boragerack/decisions/Quarantine.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "boragerack/decisions/CrashAttribution.h"
 
 namespace boragerack::decisions {
 
+namespace {
+
+/// Ages are rounded to milliseconds, and a request is sent again immediately after a crash.
+constexpr std::chrono::milliseconds kAgeTolerance(5);
+
+} // namespace
+
 Quarantine::Quarantine(QuarantineLimits limits)
     : limits_(limits)
 {
@@ -47,9 +55,12 @@
         return {};
     entry.expiresAt = now + limits_.duration;
     entry.minOrigins = event.minOrigins;
+    entry.part = event.part;
+    entry.position = event.position;
+    entry.wasAnswered = entry.wasAnswered || event.wasAnswered;
     entry.origins.insert(event.origin);
     entry.targets.insert(event.target);
-    if (entry.crashes.empty() || now - event.sentAge >= entry.lastCrashAt) {
+    if (entry.crashes.empty() || now - event.sentAge >= entry.lastCrashAt - kAgeTolerance) {
         entry.crashes.push_back({event.attempt, event.target});
         entry.lastCrashAt = crashedAt;
     }
@@ -74,9 +85,7 @@
             if (!entry.isRefused && entry.minOrigins > 1 && hasEnoughCrashes(entry)
                 && entry.enoughAt && now - *entry.enoughAt >= limits_.reportDelay
                 && !isExplainedByOther(entry)
-                && (best == entries_.end()
-                    || std::pair(entry.targets.size(), entry.origins.size())
-                        > std::pair(best->second.targets.size(), best->second.origins.size())))
+                && (best == entries_.end() || isBetterExplanation(entry, best->second)))
                 best = position;
         }
         if (best == entries_.end())
@@ -91,6 +100,16 @@
         && entry.targets.size() >= limits_.minTargets;
 }
 
+bool Quarantine::isBetterExplanation(const Entry &left, const Entry &right)
+{
+    // Of parts that occur together in each request, the last one is in the fewest others.
+    const auto rank = [](const Entry &entry) {
+        return std::tuple(entry.targets.size(), !entry.wasAnswered, entry.position,
+                          entry.origins.size());
+    };
+    return rank(left) > rank(right);
+}
+
 bool Quarantine::isExplainedByOther(const Entry &entry) const
 {
     return std::ranges::any_of(entries_, [&](const auto &item) {
@@ -121,9 +140,18 @@
     for (const std::string &target : targets)
         explained_[target] = explanation.expiresAt;
     for (auto &[fingerprint, entry] : entries_) {
-        // The same part may be a suspect for all organisations as well.
-        if (fingerprint == cause || std::ranges::includes(entry.targets, explanation.targets))
+        // The same part may be a suspect for other organisations as well.
+        if (fingerprint == cause || entry.part == explanation.part)
             continue;
+        if (entry.minOrigins > 1 && std::ranges::includes(entry.targets, explanation.targets)) {
+            // Both occurred in all requests that crashed targets. One more crash shows that this
+            // one is the cause.
+            if (!entry.isRefused && entry.enoughAt) {
+                entry.crashes.resize(limits_.maxCrashes - 1);
+                entry.enoughAt.reset();
+            }
+            continue;
+        }
         std::erase_if(entry.crashes,
                       [&](const Crash &crash) { return targets.contains(crash.target); });
         std::erase_if(entry.targets,
--- a/packages/decisions/tests/CrashAttributionTest.cpp
+++ b/packages/decisions/tests/CrashAttributionTest.cpp
@@ -52,8 +52,13 @@
     attribution.handleCompletion(suspectsOf("one", {"shared"}), kStart);
     const auto reported =
         attribution.handleCrash(suspectsOf("two", {"shared", "cause"}), kStart + 1s);
-    const auto expected = suspectsOf("two", {"cause"});
-    BOOST_TEST((reported == expected));
+    BOOST_TEST_REQUIRE(reported.size() == 3U);
+    BOOST_TEST((reported[0].fingerprint == suspectsOf("two", {})[0].fingerprint));
+    BOOST_TEST((reported[1].fingerprint == suspectsOf("", {"cause"})[1].fingerprint));
+    BOOST_TEST((reported[2].fingerprint == suspectsOf("", {"cause"})[2].fingerprint));
+    BOOST_TEST(!reported[1].wasAnswered);
+    const auto later = attribution.handleCrash(suspectsOf("three", {"shared"}), kStart + 3s);
+    BOOST_TEST(later.size() == 1U);
 }
 
 // Guards against the refusal of all prompts after an outage of all targets.
--- a/packages/decisions/tests/QuarantineTest.cpp
+++ b/packages/decisions/tests/QuarantineTest.cpp
@@ -186,8 +186,12 @@
     const auto fingerprint = makeTestFingerprint("part");
     const auto first = makeTestFingerprint("first");
     const auto report = [&](int number, const core::Digest &origin, const std::string &target) {
-        const quarantine::CrashReport crash {
-            fingerprint, {"r" + std::to_string(number), 1}, origin, 2, target, 0ms, 0ms};
+        const quarantine::CrashReport crash {.fingerprint = fingerprint,
+                                             .attempt = {"r" + std::to_string(number), 1},
+                                             .origin = origin,
+                                             .minOrigins = 2,
+                                             .target = target,
+                                             .part = fingerprint};
         quarantine.handle(crash, kStart + number * 1s);
         return quarantine.handle(quarantine::Tick(), kStart + number * 1s + 250ms).size();
     };
@@ -210,13 +214,13 @@
     const auto crash = [&](const core::Digest &suspect, int number, std::uint32_t minOrigins) {
         const std::string name = std::to_string(number);
         const auto now = kStart + number * 100ms;
-        quarantine.handle(quarantine::CrashReport {suspect,
-                                                   {"r" + name, 1},
-                                                   makeTestFingerprint("origin" + name),
-                                                   minOrigins,
-                                                   "t" + name,
-                                                   10ms,
-                                                   0ms},
+        quarantine.handle(quarantine::CrashReport {.fingerprint = suspect,
+                                                   .attempt = {"r" + name, 1},
+                                                   .origin = makeTestFingerprint("origin" + name),
+                                                   .minOrigins = minOrigins,
+                                                   .target = "t" + name,
+                                                   .sentAge = 10ms,
+                                                   .part = suspect},
                           now);
         return quarantine.handle(quarantine::Tick(), now);
     };
@@ -238,6 +242,37 @@
     BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 2s).empty());
 }
 
+// Guards against the refusal of a part that is in every request of the cause and in sound ones, and
+// against one that is never refused because another one was first.
+BOOST_AUTO_TEST_CASE(ofPartsThatOccurTogetherTheLastIsRefusedFirst)
+{
+    Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+    const auto first = makeTestFingerprint("first");
+    const auto second = makeTestFingerprint("second");
+    const auto crash = [&](const core::Digest &suspect, std::uint32_t position, int number) {
+        const std::string name = std::to_string(number);
+        quarantine.handle(quarantine::CrashReport {.fingerprint = suspect,
+                                                   .attempt = {"r" + name, 1},
+                                                   .origin = makeTestFingerprint("origin" + name),
+                                                   .minOrigins = 2,
+                                                   .target = "t" + name,
+                                                   .part = suspect,
+                                                   .position = position},
+                          kStart + number * 100ms);
+    };
+    for (int i = 0; i < 3; ++i) {
+        crash(first, 1, i);
+        crash(second, 2, i);
+    }
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 400ms).size() == 1U);
+    BOOST_TEST(quarantine.check(second, kStart + 400ms).has_value());
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 4s).empty());
+    crash(first, 1, 50);
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 5200ms).size() == 2U);
+    BOOST_TEST(quarantine.check(first, kStart + 5200ms).has_value());
+    BOOST_TEST(!quarantine.check(second, kStart + 5200ms).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -320,7 +320,8 @@
     for (const auto &[crash, suspect] : std::exchange(crashes_, {}))
         report.crashes.push_back({suspect.fingerprint, crash.attempt, suspect.origin,
                                   suspect.minOrigins, crash.target, ageOf(crash.sentAt),
-                                  ageOf(crash.crashedAt)});
+                                  ageOf(crash.crashedAt), suspect.part, suspect.position,
+                                  suspect.wasAnswered});
     report.completed = std::exchange(completed_, {});
     if (known_.term == refusalsTerm_ && known_.term != 0)
         return;
--- a/packages/node/src/QuarantineTask.cpp
+++ b/packages/node/src/QuarantineTask.cpp
@@ -85,7 +85,8 @@
              attribution_.handleCrash(message.suspects, crash.crashedAt))
             messenger_.reportCrash({suspect.fingerprint, crash.attempt, suspect.origin,
                                     suspect.minOrigins, crash.target, ageOf(crash.sentAt),
-                                    ageOf(crash.crashedAt)});
+                                    ageOf(crash.crashedAt), suspect.part, suspect.position,
+                                    suspect.wasAnswered});
     }
 }
 
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -249,8 +249,11 @@
     body.target = in.target();
     body.sentAge = milliseconds(in.sent_age_ms());
     body.crashAge = milliseconds(in.crash_age_ms());
+    body.position = in.position();
+    body.wasAnswered = in.was_answered();
     return read(in.fingerprint(), body.fingerprint)
-        && (in.origin().empty() || read(in.origin(), body.origin));
+        && (in.origin().empty() || read(in.origin(), body.origin))
+        && (in.part().empty() || read(in.part(), body.part));
 }
 
 bool read(const wire::CompletedAnswer &in, decisions::quarantine::Completed &body)
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -168,6 +168,9 @@
     out.set_target(from.target);
     out.set_sent_age_ms(clampMilliseconds(from.sentAge));
     out.set_crash_age_ms(clampMilliseconds(from.crashAge));
+    out.set_part(toBytes(from.part));
+    out.set_position(from.position);
+    out.set_was_answered(from.wasAnswered);
 }
 
 void write(const decisions::quarantine::Notice &from, wire::QuarantineNotice &out)
