Treat a stream that its connection ends inside an event as broken off

Callers got a truncated stream that looked complete. A response without length and chunks ends with its connection, also when the target crashes. HttpCompleted now says whether the body was framed; an unframed stream with a rest behind its last event is a crash of its target and is resumed or fails, and an unframed answer is no evidence that a request is harmless.

--- a/packages/gateway/src/FleetView.cpp
+++ b/packages/gateway/src/FleetView.cpp
@@ -11,8 +11,7 @@
         const auto position = quarantined.find(suspect.fingerprint);
         if (position == quarantined.end() || position->second <= now)
             continue;
-        const auto remaining =
-            std::chrono::ceil<std::chrono::milliseconds>(position->second - now);
+        const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(position->second - now);
         if (!refusal || remaining > refusal->remaining)
             refusal = {suspect.fingerprint, remaining};
     }
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -323,7 +323,7 @@
 
 void RequestExecution::perform(const attempt::ReleaseConnection &)
 {
-    endRoute(decisions::AttemptOutcome::Succeeded, false, true);
+    endRoute(decisions::AttemptOutcome::Succeeded, false, isFramed_);
     exchange_.reset();
 }
 
--- a/packages/gateway/src/RequestExecution.h
+++ b/packages/gateway/src/RequestExecution.h
@@ -135,6 +135,7 @@
     std::string event_;
     std::string body_;
     bool isStreaming_ = false;
+    bool isFramed_ = true;
     std::uint64_t received_ = 0;
     std::optional<std::uint64_t> lastEvent_;
     bool isHeadSent_ = false;
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -100,12 +100,19 @@
         failAttempt();
 }
 
-void RequestExecution::onExchange(const runtime::HttpCompleted &)
+void RequestExecution::onExchange(const runtime::HttpCompleted &event)
 {
+    isFramed_ = event.isFramed;
     if (!isStreaming_) {
         forwardCompleteBody();
         return;
     }
+    // An event that the end of the connection cuts off shows that the target broke off the stream.
+    if (!event.isFramed && !splitter_.rest().empty()) {
+        reportCrash();
+        failAttempt();
+        return;
+    }
     // Text after the last blank line is part of the body as well.
     if (!splitter_.rest().empty())
         forwardEvent(splitter_.rest());
--- a/packages/runtime/include/boragerack/runtime/HttpExchange.h
+++ b/packages/runtime/include/boragerack/runtime/HttpExchange.h
@@ -31,6 +31,10 @@
 /// The body has been received completely, as framed by the server.
 struct HttpCompleted
 {
+    /// The body had a length or chunks. Otherwise it ended with the connection, which a server that
+    /// crashes closes as well.
+    bool isFramed = true;
+
     friend auto operator<=>(const HttpCompleted &, const HttpCompleted &) = default;
 };
 
--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -203,6 +203,7 @@
     if (!events_.send(head_))
         return;
 
+    const bool isFramed = !parser.need_eof();
     std::array<char, kReadBytes> bytes;
     while (!parser.is_done()) {
         parser.get().body().data = bytes.data();
@@ -224,7 +225,7 @@
         keepConnection(head_);
     else
         stream_->close();
-    static_cast<void>(events_.send(HttpCompleted()));
+    static_cast<void>(events_.send(HttpCompleted {isFramed}));
 }
 
 void HttpExchange::State::keepConnection(const HttpResponseHead &head)
