Count the crash of a process once, and compare only after 0.5 s of answers

A crash now counts once for each process of a target, and a node suspects parts 0.5 s after its first complete answer.

--- a/packages/decisions/include/boragerack/decisions/CrashAttribution.h
+++ b/packages/decisions/include/boragerack/decisions/CrashAttribution.h
@@ -32,6 +32,7 @@
 
     std::unordered_map<core::Digest, core::TimePoint> completedAt_;
     std::unordered_map<core::Digest, core::TimePoint> reportedAt_;
+    std::optional<core::TimePoint> firstCompletedAt_;
     std::optional<core::TimePoint> lastCompletedAt_;
 };
 
--- a/packages/decisions/src/CrashAttribution.cpp
+++ b/packages/decisions/src/CrashAttribution.cpp
@@ -7,6 +7,8 @@
 /// While no request has been answered for this long, crashes are not attributed to parts, because
 /// all targets may fail for a reason that no request causes.
 constexpr std::chrono::seconds kMaxTimeWithoutAnswers(30);
+/// A node that began to receive answers less than this time ago has too few to compare.
+constexpr std::chrono::milliseconds kMinTimeOfAnswers(500);
 /// How long reports and complete answers are kept.
 constexpr std::chrono::minutes kMemory(10);
 constexpr std::size_t kMaxEntries = 4096;
@@ -42,6 +44,7 @@
 std::vector<core::Digest>
 CrashAttribution::handleCompletion(const std::vector<CrashSuspect> &suspects, core::TimePoint now)
 {
+    firstCompletedAt_ = firstCompletedAt_.value_or(now);
     lastCompletedAt_ = now;
     std::vector<core::Digest> harmless;
     for (const CrashSuspect &suspect : suspects) {
@@ -57,7 +60,8 @@
 {
     if (!suspect.isPart())
         return true;
-    if (!lastCompletedAt_ || now - *lastCompletedAt_ >= kMaxTimeWithoutAnswers)
+    if (!lastCompletedAt_ || now - *lastCompletedAt_ >= kMaxTimeWithoutAnswers
+        || now - *firstCompletedAt_ < kMinTimeOfAnswers)
         return false;
     const auto completed = completedAt_.find(suspect.fingerprint);
     return completed == completedAt_.end()
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -59,8 +59,10 @@
     entry.position = event.position;
     entry.wasAnswered = entry.wasAnswered || event.wasAnswered;
     entry.origins.insert(event.origin);
-    entry.targets.insert(event.target);
-    if (entry.crashes.empty() || now - event.sentAge >= entry.lastCrashAt - kAgeTolerance) {
+    // Requests to a process that has crashed fail as well, so its crash counts once.
+    const bool isNewTarget = entry.targets.insert(event.target).second || limits_.minTargets == 1;
+    if (isNewTarget
+        && (entry.crashes.empty() || now - event.sentAge >= entry.lastCrashAt - kAgeTolerance)) {
         entry.crashes.push_back({event.attempt, event.target});
         entry.lastCrashAt = crashedAt;
     }
