--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -142,6 +142,9 @@
         std::optional<core::TimePoint> completedAt;
         bool isRefused = false;
         core::TimePoint expiresAt;
+
+        /// Only parts of prompts need crashes of several origins.
+        bool isPart() const { return minOrigins > 1; }
     };
     using Entries = std::unordered_map<core::Digest, Entry>;
     using Actions = std::vector<Action>;
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -66,13 +66,12 @@
         entry.crashes.push_back({event.attempt, event.target});
         entry.lastCrashAt = crashedAt;
     }
-    // Whether a part is the cause can be decided once all nodes have reported the crash.
-    const bool isPart = event.minOrigins > 1;
     if (!hasEnoughCrashes(entry))
         return {};
     if (!entry.enoughAt)
         entry.enoughAt = now;
-    if (!isPart)
+    // Whether a part is the cause is decided once all nodes have reported the crash.
+    if (!entry.isPart())
         refuse(entries_.find(event.fingerprint), now, actions);
     return actions;
 }
@@ -84,9 +83,8 @@
         auto best = entries_.end();
         for (auto position = entries_.begin(); position != entries_.end(); ++position) {
             const Entry &entry = position->second;
-            if (!entry.isRefused && entry.minOrigins > 1 && hasEnoughCrashes(entry)
-                && entry.enoughAt && now - *entry.enoughAt >= limits_.reportDelay
-                && !isExplainedByOther(entry)
+            if (!entry.isRefused && entry.isPart() && hasEnoughCrashes(entry) && entry.enoughAt
+                && now - *entry.enoughAt >= limits_.reportDelay && !isExplainedByOther(entry)
                 && (best == entries_.end() || isBetterExplanation(entry, best->second)))
                 best = position;
         }
@@ -116,7 +114,7 @@
 {
     return std::ranges::any_of(entries_, [&](const auto &item) {
         const std::set<std::string> &targets = item.second.targets;
-        return item.second.minOrigins > 1 && item.second.origins.size() >= item.second.minOrigins
+        return item.second.isPart() && item.second.origins.size() >= item.second.minOrigins
             && targets.size() > entry.targets.size()
             && std::ranges::includes(targets, entry.targets);
     });
@@ -127,7 +125,7 @@
     Entry &entry = position->second;
     entry.isRefused = true;
     actions.push_back(quarantine::Announce {position->first, limits_.duration});
-    if (entry.minOrigins == 1)
+    if (!entry.isPart())
         return;
     std::erase_if(explained_, [&](const auto &item) { return item.second <= now; });
     removeExplained(position->first, entry.targets, actions);
@@ -137,7 +135,7 @@
                                  Actions &actions)
 {
     const Entry &explanation = entries_.at(cause);
-    if (explanation.minOrigins == 1)
+    if (!explanation.isPart())
         return;
     for (const std::string &target : targets)
         explained_[target] = explanation.expiresAt;
@@ -145,7 +143,7 @@
         // The same part may be a suspect for other organisations as well.
         if (fingerprint == cause || entry.part == explanation.part)
             continue;
-        if (entry.minOrigins > 1 && std::ranges::includes(entry.targets, explanation.targets)) {
+        if (entry.isPart() && std::ranges::includes(entry.targets, explanation.targets)) {
             // Both occurred in all requests that crashed targets. One more crash shows that this
             // one is the cause.
             if (!entry.isRefused && entry.enoughAt) {
--- a/packages/node/src/PeerMessenger.cpp
+++ b/packages/node/src/PeerMessenger.cpp
@@ -134,7 +134,7 @@
 }
 
 template<class Message>
-void PeerMessenger::sendToOwner(const Message &message)
+void PeerMessenger::sendToQuarantineOwner(const Message &message)
 {
     const auto owners = core::rendezvousOwners("quarantine", members_, 1);
     if (owners.empty() || owners.front() == identity_.instance)
@@ -145,12 +145,12 @@
 
 void PeerMessenger::reportCrash(const decisions::quarantine::CrashReport &report)
 {
-    sendToOwner(report);
+    sendToQuarantineOwner(report);
 }
 
 void PeerMessenger::reportCompletion(const decisions::quarantine::Completed &report)
 {
-    sendToOwner(report);
+    sendToQuarantineOwner(report);
 }
 
 void PeerMessenger::announce(const decisions::quarantine::Notice &notice)
--- a/packages/node/src/PeerMessenger.h
+++ b/packages/node/src/PeerMessenger.h
@@ -54,16 +54,15 @@
 
 private:
     void fetchMembers(const std::string &address, const decisions::MemberFetch &fetch);
+    /// Sends a message to the node that counts the crashes of all suspects.
+    template<class Message>
+    void sendToQuarantineOwner(const Message &message);
 
     NodeIdentity identity_;
     peer::PeerNetwork &network_;
     std::vector<std::string> bootstrapAddresses_;
     const core::Clock &clock_;
     FleetTask *fleet_ = nullptr;
-    /// Sends a message to the node that counts the crashes of all suspects.
-    template<class Message>
-    void sendToOwner(const Message &message);
-
     QuarantineTask *quarantine_ = nullptr;
     std::vector<core::InstanceId> members_;
     /// Former members whose addresses are still kept, with the time of their removal.
