Add failing tests for crashes that a lost coordinator had counted

On the current code a crash is in one report only, whether or not it is answered; the coordinator of the next term gets none; five of six orders of three reports count fewer than three crashes; and crashes that a handed-over refusal explains count against the other parts of the prompt. The fixture answers with an interval of 30 ms, so that a message that follows an answer is in the next report.

--- a/packages/decisions/tests/QuarantineTest.cpp
+++ b/packages/decisions/tests/QuarantineTest.cpp
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -274,6 +275,55 @@
     BOOST_TEST(!quarantine.check(second, kStart + 5200ms).has_value());
 }
 
+// Guards against crashes that do not count, because nodes report them in another order than they
+// happened.
+BOOST_AUTO_TEST_CASE(orderOfReportsDoesNotMatter)
+{
+    std::vector<int> order {1, 2, 3};
+    do {
+        Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+        const auto fingerprint = makeTestFingerprint("x");
+        for (const int second : order) {
+            const auto age = std::chrono::seconds(5 - second);
+            const auto name = std::to_string(second);
+            quarantine.handle(quarantine::CrashReport {.fingerprint = fingerprint,
+                                                       .attempt = {"r" + name, 1},
+                                                       .target = "t" + name,
+                                                       .sentAge = age + 100ms,
+                                                       .crashAge = age},
+                              kStart + 5s);
+        }
+        BOOST_TEST(quarantine.check(fingerprint, kStart + 5s).has_value());
+    } while (std::ranges::next_permutation(order).found);
+}
+
+// Guards against the refusal of sound parts under a new coordinator, which gets the refusals of the
+// previous one and the crashes that they explain.
+BOOST_AUTO_TEST_CASE(refusalOfAnotherCoordinatorExplainsItsCrashes)
+{
+    Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+    const auto cause = makeTestFingerprint("cause");
+    const auto beside = makeTestFingerprint("beside");
+    quarantine.handle(quarantine::Notice {cause, 5min}, kStart);
+    for (int i = 0; i < 4; ++i) {
+        for (const auto &suspect : {beside, cause}) {
+            const std::string name = std::to_string(i);
+            quarantine.handle(
+                quarantine::CrashReport {.fingerprint = suspect,
+                                         .attempt = {"r" + name, 1},
+                                         .origin = makeTestFingerprint("origin" + name),
+                                         .minOrigins = 2,
+                                         .target = "t" + name,
+                                         .sentAge = 10ms,
+                                         .part = suspect},
+                kStart + i * 100ms);
+        }
+    }
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 1s).empty());
+    BOOST_TEST(quarantine.check(cause, kStart + 1s).has_value());
+    BOOST_TEST(!quarantine.check(beside, kStart + 1s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -35,27 +35,54 @@
         task.start(
             [this](decisions::CoordinationReport report) {
                 lastKnown = report.known;
+                lastCrashes = report.crashes;
                 ++reports;
             },
             [this](RoutingTask::Relay) { return isRelayAccepted; });
     }
 
-    /// Waits for the next report and answers it with this version of the target list.
-    void answerReport(std::uint64_t targetsVersion)
+    void waitForReport()
     {
         const int before = reports;
         for (int i = 0; i < 200 && reports == before; ++i)
             boost::this_fiber::sleep_for(10ms);
         BOOST_REQUIRE(reports > before);
+    }
+
+    /// Waits for the next report and answers it with this version of the target list.
+    void answerReport(std::uint64_t targetsVersion, std::uint64_t term = 1)
+    {
+        waitForReport();
         decisions::CoordinationAnswer answer;
         answer.standing = decisions::CoordinatorStanding::Holding;
+        // Messages that follow an answer are in the next report.
+        answer.reportAfter = 30ms;
         ReportAnswered message;
         message.answer = answer;
-        message.update.versions = {.term = 1, .members = 1, .targets = targetsVersion};
+        message.update.versions = {.term = term, .members = 1, .targets = targetsVersion};
+        message.reportedAt = clock.now();
+        BOOST_REQUIRE(task.trySend(std::move(message)));
+    }
+
+    void loseReport()
+    {
+        waitForReport();
+        ReportAnswered message;
         message.reportedAt = clock.now();
         BOOST_REQUIRE(task.trySend(std::move(message)));
     }
 
+    void reportCrash(const std::string &name)
+    {
+        const core::Digest request = core::makeDigest(name);
+        BOOST_REQUIRE(task.trySend(
+            RequestCrashReported {{{.fingerprint = request, .origin = request}},
+                                  {name, 1},
+                                  "a/1",
+                                  clock.now() - 10ms,
+                                  clock.now()}));
+    }
+
     void setTargets(const std::vector<decisions::TargetEntry> &list)
     {
         auto entries = std::make_shared<decisions::TargetEntries>();
@@ -86,6 +113,7 @@
     }
 
     decisions::FleetVersions lastKnown;
+    std::vector<decisions::quarantine::CrashReport> lastCrashes;
     int reports = 0;
     bool isRelayAccepted = true;
     runtime::FiberRuntime fibers;
@@ -131,6 +159,37 @@
     BOOST_TEST(lastKnown.targets == 5U);
 }
 
+// Guards against crashes that no coordinator counts, because their report was not answered.
+BOOST_AUTO_TEST_CASE(crashIsReportedUntilACoordinatorAnswers)
+{
+    answerReport(1);
+    reportCrash("first");
+    loseReport();
+    BOOST_TEST(lastCrashes.size() == 1U);
+    answerReport(1);
+    BOOST_TEST(lastCrashes.size() == 1U);
+    answerReport(1);
+    BOOST_TEST(lastCrashes.empty());
+}
+
+// Guards against a part of a prompt that crashes targets again under each new coordinator, because
+// the counts of the previous one ended with its term.
+BOOST_AUTO_TEST_CASE(nextCoordinatorGetsTheCrashesOfThePreviousTerm)
+{
+    answerReport(1, 1);
+    reportCrash("first");
+    answerReport(1, 1);
+    reportCrash("second");
+    answerReport(1, 1);
+    answerReport(1, 1);
+    BOOST_TEST(lastCrashes.empty());
+    answerReport(1, 2);
+    answerReport(1, 2);
+    BOOST_TEST(lastCrashes.size() == 2U);
+    answerReport(1, 2);
+    BOOST_TEST(lastCrashes.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::gateway::testing
