Count crashes by the times at which they happened, in whatever order they are reported

Callers saw requests fail that ran beside a part of a prompt which crashes targets, for longer than needed. Cause: Quarantine compared each report with the crash that was reported last, so that crashes of several nodes whose reports arrived in another order counted as one. The entry now keeps the times of its crashes, and the longest sequence of crashes of different processes, each of whose requests was sent after the previous crash, counts. Without it, a coordinator that gets the recent crashes of all nodes at once would count fewer than there were.

The other cases of QuarantineTest are unchanged and pass. Crashes that are removed as explained no longer leave a sequence that is longer than its crashes.

--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -97,7 +97,8 @@
 
 /// Counts target crashes per fingerprint and refuses requests that caused `maxCrashes` of them. A
 /// crash counts only if its request was sent after the previous one, since requests that run when
-/// many targets crash at once are not the cause; a complete answer starts the count again. Of the
+/// many targets crash at once are not the cause. Crashes may be reported in any order. A complete
+/// answer starts the count again. Of the
 /// parts of prompts that were in progress on the targets that crashed, the one that explains the
 /// most crashes is refused, and its crashes no longer count for others.
 class Quarantine
@@ -123,13 +124,17 @@
     {
         AttemptId attempt;
         std::string target;
+        core::TimePoint sentAt;
+        core::TimePoint crashedAt;
     };
+    using Crashes = std::vector<Crash>;
 
     struct Entry
     {
-        /// Crashes that count.
-        std::vector<Crash> crashes;
-        core::TimePoint lastCrashAt;
+        /// In the order in which they happened.
+        Crashes crashes;
+        /// Number of crashes that count.
+        std::size_t count = 0;
         /// When there were enough crashes for a refusal.
         std::optional<core::TimePoint> enoughAt;
         std::set<core::Digest> origins;
@@ -153,6 +158,9 @@
     std::vector<Action> on(const quarantine::Completed &event, core::TimePoint now);
     std::vector<Action> on(const quarantine::Notice &event, core::TimePoint now);
     std::vector<Action> on(const quarantine::Tick &event, core::TimePoint now);
+    void addCrash(Entry &entry, Crash crash) const;
+    /// The longest sequence of crashes of which each request was sent after the previous crash.
+    Crashes findSequence(const Crashes &crashes) const;
     bool hasEnoughCrashes(const Entry &entry) const;
     /// Whether another suspect explains all crashes of the entry and more.
     bool isExplainedByOther(const Entry &entry) const;
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -12,6 +12,8 @@
 
 /// Ages are rounded to milliseconds, and a request is sent again immediately after a crash.
 constexpr std::chrono::milliseconds kAgeTolerance(5);
+/// Crashes that are kept for one fingerprint, including those that do not count.
+constexpr std::size_t kMaxCrashesPerEntry = 64;
 
 } // namespace
 
@@ -59,13 +61,8 @@
     entry.position = event.position;
     entry.wasAnswered = entry.wasAnswered || event.wasAnswered;
     entry.origins.insert(event.origin);
-    // Requests to a process that has crashed fail as well, so its crash counts once.
-    const bool isNewTarget = entry.targets.insert(event.target).second || limits_.minTargets == 1;
-    if (isNewTarget
-        && (entry.crashes.empty() || now - event.sentAge >= entry.lastCrashAt - kAgeTolerance)) {
-        entry.crashes.push_back({event.attempt, event.target});
-        entry.lastCrashAt = crashedAt;
-    }
+    entry.targets.insert(event.target);
+    addCrash(entry, {event.attempt, event.target, now - event.sentAge, crashedAt});
     if (!hasEnoughCrashes(entry))
         return {};
     if (!entry.enoughAt)
@@ -94,9 +91,33 @@
     }
 }
 
+void Quarantine::addCrash(Entry &entry, Crash crash) const
+{
+    if (entry.crashes.size() >= kMaxCrashesPerEntry)
+        entry.crashes = findSequence(entry.crashes);
+    entry.crashes.insert(
+        std::ranges::upper_bound(entry.crashes, crash.crashedAt, {}, &Crash::crashedAt),
+        std::move(crash));
+    entry.count = findSequence(entry.crashes).size();
+}
+
+Quarantine::Crashes Quarantine::findSequence(const Crashes &crashes) const
+{
+    Crashes sequence;
+    for (const Crash &crash : crashes) {
+        // Requests to a process that has crashed fail as well, so its crash counts once.
+        const bool isNewTarget = limits_.minTargets == 1
+            || std::ranges::find(sequence, crash.target, &Crash::target) == sequence.end();
+        if (isNewTarget
+            && (sequence.empty() || crash.sentAt >= sequence.back().crashedAt - kAgeTolerance))
+            sequence.push_back(crash);
+    }
+    return sequence;
+}
+
 bool Quarantine::hasEnoughCrashes(const Entry &entry) const
 {
-    return entry.crashes.size() >= limits_.maxCrashes && entry.origins.size() >= entry.minOrigins
+    return entry.count >= limits_.maxCrashes && entry.origins.size() >= entry.minOrigins
         && entry.targets.size() >= limits_.minTargets;
 }
 
@@ -147,7 +168,11 @@
             // Both occurred in all requests that crashed targets. One more crash shows that this
             // one is the cause.
             if (!entry.isRefused && entry.enoughAt) {
-                entry.crashes.resize(limits_.maxCrashes - 1);
+                const Crashes sequence = findSequence(entry.crashes);
+                const auto kept = std::min<std::size_t>(sequence.size(), limits_.maxCrashes - 1);
+                entry.crashes.assign(sequence.end() - static_cast<std::ptrdiff_t>(kept),
+                                     sequence.end());
+                entry.count = kept;
                 entry.enoughAt.reset();
             }
             continue;
@@ -156,6 +181,7 @@
                       [&](const Crash &crash) { return targets.contains(crash.target); });
         std::erase_if(entry.targets,
                       [&](const std::string &target) { return targets.contains(target); });
+        entry.count = findSequence(entry.crashes).size();
         // A refusal that another node announced has no crashes here.
         const bool wasCounted = entry.isRefused && !entry.origins.empty();
         if (wasCounted && !hasEnoughCrashes(entry)) {
