Let a refusal that was handed over explain crashes

Callers saw nothing of it yet, since a coordinator got no crashes of the previous term; with them, sound parts of the same prompts would be refused. Cause: an entry that a notice made knew neither that it is a part of a prompt nor which targets had crashed, so that crashes of the refused part still counted against the parts that occur beside it. Its entry now takes both from the crashes that are reported for it. Whether a refusal may end early is a member of its own and no longer derived from the origins.

QuarantineTest passes.

--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -146,6 +146,8 @@
         std::set<std::string> targets;
         std::optional<core::TimePoint> completedAt;
         bool isRefused = false;
+        /// Another node decided on the refusal, so the crashes here need not be enough for it.
+        bool isHandedOver = false;
         core::TimePoint expiresAt;
 
         /// Only parts of prompts need crashes of several origins.
@@ -169,7 +171,7 @@
     void refuse(Entries::iterator position, core::TimePoint now, Actions &actions);
     /// Removes the crashes of these targets from all entries but the one that explains them.
     void removeExplained(const core::Digest &cause, const std::set<std::string> &targets,
-                         Actions &actions);
+                         core::TimePoint now, Actions &actions);
 
     Entry &findOrAdd(const core::Digest &fingerprint, core::TimePoint now);
     void evictIfFull(core::TimePoint now);
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -46,7 +46,13 @@
     Entry &entry = findOrAdd(event.fingerprint, now);
     Actions actions;
     if (entry.isRefused) {
-        removeExplained(event.fingerprint, {event.target}, actions);
+        if (entry.isHandedOver) {
+            entry.minOrigins = event.minOrigins;
+            entry.part = event.part;
+            entry.position = event.position;
+            entry.targets.insert(event.target);
+        }
+        removeExplained(event.fingerprint, {event.target}, now, actions);
         return actions;
     }
     const core::TimePoint crashedAt = now - event.crashAge;
@@ -148,16 +154,16 @@
     actions.push_back(quarantine::Announce {position->first, limits_.duration});
     if (!entry.isPart())
         return;
-    std::erase_if(explained_, [&](const auto &item) { return item.second <= now; });
-    removeExplained(position->first, entry.targets, actions);
+    removeExplained(position->first, entry.targets, now, actions);
 }
 
 void Quarantine::removeExplained(const core::Digest &cause, const std::set<std::string> &targets,
-                                 Actions &actions)
+                                 core::TimePoint now, Actions &actions)
 {
     const Entry &explanation = entries_.at(cause);
     if (!explanation.isPart())
         return;
+    std::erase_if(explained_, [now](const auto &item) { return item.second <= now; });
     for (const std::string &target : targets)
         explained_[target] = explanation.expiresAt;
     for (auto &[fingerprint, entry] : entries_) {
@@ -182,9 +188,7 @@
         std::erase_if(entry.targets,
                       [&](const std::string &target) { return targets.contains(target); });
         entry.count = findSequence(entry.crashes).size();
-        // A refusal that another node announced has no crashes here.
-        const bool wasCounted = entry.isRefused && !entry.origins.empty();
-        if (wasCounted && !hasEnoughCrashes(entry)) {
+        if (entry.isRefused && !entry.isHandedOver && !hasEnoughCrashes(entry)) {
             entry.isRefused = false;
             actions.push_back(quarantine::Announce {fingerprint, std::chrono::milliseconds(0)});
         }
@@ -211,6 +215,7 @@
         return {};
     }
     Entry &entry = findOrAdd(event.fingerprint, now);
+    entry.isHandedOver = entry.isHandedOver || !entry.isRefused;
     entry.isRefused = true;
     // A notice with a longer time than the limit allows must not extend the refusal.
     entry.expiresAt = std::max(entry.expiresAt, now + std::min(event.remaining, limits_.duration));
