Report the crash of a target until a coordinator has answered

Callers saw requests fail beside a part of a prompt that crashes targets, for longer than needed after the loss of the coordinator. Cause: the routing task emptied its list of crashes when it sent a report, so that those of a report without an answer, of a node or of its relay, never counted.

The coordinator of the next term still gets only what the previous one has not accepted.

--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -130,9 +130,9 @@
 
 void RequestExecution::reportCrash()
 {
+    const std::string process = grant_->target.value + "/" + std::to_string(grant_->startedAt);
     if (!dependencies_.routing.trySend(RequestCrashReported {
-            suspects(), attemptId(), grant_->target.value + "/" + std::to_string(grant_->startedAt),
-            sentAt_, dependencies_.clock.now()}))
+            suspects(), {attemptId(), process, sentAt_, dependencies_.clock.now()}}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=request_crash_reported");
 }
 
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -8,6 +8,7 @@
 #include "ConfigurationTask.h"
 #include "TargetTask.h"
 #include "boragerack/core/Result.h"
+#include "boragerack/decisions/CrashReporter.h"
 #include "boragerack/decisions/CrashSuspect.h"
 #include "boragerack/decisions/serving/CoordinationMessages.h"
 #include "boragerack/decisions/serving/RequestRouter.h"
@@ -75,11 +76,7 @@
 struct RequestCrashReported
 {
     std::vector<decisions::CrashSuspect> suspects;
-    decisions::AttemptId attempt;
-    /// The process of the target.
-    std::string target;
-    core::TimePoint sentAt = {};
-    core::TimePoint crashedAt = {};
+    decisions::CrashedAttempt attempt;
 };
 
 struct TargetListChanged
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -23,8 +23,6 @@
 /// If no coordinator has confirmed the members for this long, address answers contain only this
 /// node, because the others may have terminated.
 constexpr std::chrono::milliseconds kMembersMaxAge(3000);
-/// Maximum number of suspects in one report.
-constexpr std::size_t kMaxReportedCrashes = 256;
 /// Difference below which two ends of a refusal are the same.
 constexpr std::chrono::seconds kRefusalTolerance(2);
 /// Without a coordinator, a request that waits for tokens is refused after this time.
@@ -131,9 +129,8 @@
 void RoutingTask::on(RouteRequestEnded &message)
 {
     releaseRetry(message.request);
-    for (const core::Digest &fingerprint :
-         crashAttribution_.handleCompletion(message.harmless, clock_.now()))
-        completed_.push_back({fingerprint});
+    if (!message.harmless.empty())
+        crashReporter_.handleCompletion(message.harmless, clock_.now());
     if (const auto grant = grants_.find(message.request); grant != grants_.end()) {
         route(decisions::routing::Ended {grant->second.target, grant->second.service,
                                          grant->second.artifact, message.outcome,
@@ -218,12 +215,7 @@
 
 void RoutingTask::on(RequestCrashReported &message)
 {
-    for (const decisions::CrashSuspect &suspect :
-         crashAttribution_.handleCrash(message.suspects, message.crashedAt)) {
-        if (crashes_.size() >= kMaxReportedCrashes)
-            break;
-        crashes_.push_back({message, suspect});
-    }
+    crashReporter_.handleCrash(message.attempt, message.suspects, clock_.now());
     hasUrgentReport_ = true;
 }
 
@@ -278,6 +270,7 @@
     applyUpdate(message.update);
     // A list that was not relayed has to be in the next update as well.
     known_.targets = relayedTargets;
+    crashReporter_.handleAccepted();
     adoptRefusals(answer, message.update.versions.term);
     if (answer.loads && message.update.loads)
         route(decisions::routing::LoadsReported {*message.update.loads});
@@ -314,15 +307,9 @@
 void RoutingTask::reportCrashes(decisions::CoordinationReport &report)
 {
     const core::TimePoint now = clock_.now();
-    const auto ageOf = [now](core::TimePoint time) {
-        return std::chrono::floor<std::chrono::milliseconds>(now - time);
-    };
-    for (const auto &[crash, suspect] : std::exchange(crashes_, {}))
-        report.crashes.push_back({suspect.fingerprint, crash.attempt, suspect.origin,
-                                  suspect.minOrigins, crash.target, ageOf(crash.sentAt),
-                                  ageOf(crash.crashedAt), suspect.part, suspect.position,
-                                  suspect.wasAnswered});
-    report.completed = std::exchange(completed_, {});
+    decisions::CrashReports reports = crashReporter_.takePending(now);
+    report.crashes = std::move(reports.crashes);
+    report.completed = std::move(reports.completed);
     if (known_.term == refusalsTerm_ && known_.term != 0)
         return;
     for (const auto &[fingerprint, until] : fleet_.get()->quarantined) {
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -12,7 +12,7 @@
 #include "RoutingMessages.h"
 #include "boragerack/core/Clock.h"
 #include "boragerack/core/RandomSource.h"
-#include "boragerack/decisions/CrashAttribution.h"
+#include "boragerack/decisions/CrashReporter.h"
 #include "boragerack/decisions/RequestQueue.h"
 #include "boragerack/decisions/serving/NodeTokenLimiter.h"
 #include "boragerack/decisions/serving/RequestRouter.h"
@@ -72,12 +72,6 @@
         std::optional<decisions::Artifact> artifact;
     };
 
-    struct ReportedCrash
-    {
-        RequestCrashReported crash;
-        decisions::CrashSuspect suspect;
-    };
-
     void run();
     void on(RouteRequest &message);
     void on(RouteRequestEnded &message);
@@ -145,10 +139,7 @@
     std::vector<std::uint64_t> tokenQueue_;
     /// How many of them are included in the report in flight.
     std::size_t reportedTokenQueueSize_ = 0;
-    decisions::CrashAttribution crashAttribution_;
-    /// Crashes, and fingerprints found to be harmless, for the next report.
-    std::vector<ReportedCrash> crashes_;
-    std::vector<decisions::quarantine::Completed> completed_;
+    decisions::CrashReporter crashReporter_;
     /// Term of the coordinator that has this node's refusals.
     std::uint64_t refusalsTerm_ = 0;
     /// The report in flight contains the refusals.
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -75,12 +75,12 @@
     void reportCrash(const std::string &name)
     {
         const core::Digest request = core::makeDigest(name);
-        BOOST_REQUIRE(
-            task.trySend(RequestCrashReported {{{.fingerprint = request, .origin = request}},
-                                               {name, 1},
-                                               "a/1",
-                                               clock.now() - 10ms,
-                                               clock.now()}));
+        const RequestCrashReported message {{{.fingerprint = request, .origin = request}},
+                                            {.attempt = {name, 1},
+                                             .target = "a/1",
+                                             .sentAt = clock.now() - 10ms,
+                                             .crashedAt = clock.now()}};
+        BOOST_REQUIRE(task.trySend(message));
     }
 
     void setTargets(const std::vector<decisions::TargetEntry> &list)
