Report recent crashes again to the coordinator of the next term

Callers saw requests fail beside a part of a prompt that crashes targets, and replicas crash again, after the loss of the coordinator: its counts ended with its term and nodes had reported their crashes once. A node now marks its crashes of the last 30 s as not reported when an answer comes from another term, and the next report, which is urgent, has them. The refusals were handed over in the same way already.

CrashReporterTest/successorGetsAcceptedReportsOnce is new.

--- a/packages/decisions/include/boragerack/decisions/CrashReporter.h
+++ b/packages/decisions/include/boragerack/decisions/CrashReporter.h
@@ -36,7 +36,8 @@
 };
 
 /// Decides on one node what it reports to the node that counts crashes. Reports are repeated until
-/// they are accepted.
+/// they are accepted, and once more for each successor of that node, since the counts of a node end
+/// with it.
 class CrashReporter
 {
 public:
@@ -55,6 +56,8 @@
     CrashReports takePending(core::TimePoint now);
     /// The reports of the last takePending() were accepted.
     void handleAccepted();
+    /// Another node counts from now on. It has at most the reports of the last takePending().
+    void handleSuccessor();
 
 private:
     enum class ReportState {
--- a/packages/decisions/src/CrashReporter.cpp
+++ b/packages/decisions/src/CrashReporter.cpp
@@ -82,6 +82,14 @@
     completedInFlight_ = 0;
 }
 
+void CrashReporter::handleSuccessor()
+{
+    for (Crash &crash : crashes_) {
+        if (crash.state == ReportState::Accepted)
+            crash.state = ReportState::Pending;
+    }
+}
+
 void CrashReporter::removeExpired(core::TimePoint now)
 {
     while (!crashes_.empty() && now - crashes_.front().attempt.crashedAt >= kRetention)
--- a/packages/decisions/tests/CrashReporterTest.cpp
+++ b/packages/decisions/tests/CrashReporterTest.cpp
@@ -62,6 +62,26 @@
     BOOST_TEST(reporter.takePending(kStart + 1s).completed.empty());
 }
 
+// Guards against crashes that a successor of the counting node does not count, and against those
+// that it gets twice.
+BOOST_AUTO_TEST_CASE(successorGetsAcceptedReportsOnce)
+{
+    CrashReporter reporter;
+    addCrash(reporter, "a", kStart);
+    reporter.takePending(kStart);
+    reporter.handleAccepted();
+    addCrash(reporter, "b", kStart);
+    reporter.takePending(kStart);
+    // The successor answers the report that has only the second crash.
+    reporter.handleSuccessor();
+    reporter.handleAccepted();
+    const CrashReports reports = reporter.takePending(kStart + 1s);
+    BOOST_TEST_REQUIRE(reports.crashes.size() == 1U);
+    BOOST_TEST((reports.crashes.front().attempt == AttemptId {"a", 1}));
+    reporter.handleAccepted();
+    BOOST_TEST(!reporter.hasPending());
+}
+
 // Guards against memory that grows while no coordinator answers, and against crashes that are
 // reported long after they can matter.
 BOOST_AUTO_TEST_CASE(reportsAreBoundedInNumberAndAge)
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -270,12 +270,20 @@
     applyUpdate(message.update);
     // A list that was not relayed has to be in the next update as well.
     known_.targets = relayedTargets;
-    crashReporter_.handleAccepted();
+    handleCrashesAccepted(message.update.versions.term);
     adoptRefusals(answer, message.update.versions.term);
     if (answer.loads && message.update.loads)
         route(decisions::routing::LoadsReported {*message.update.loads});
 }
 
+void RoutingTask::handleCrashesAccepted(std::uint64_t term)
+{
+    if (std::exchange(crashesTerm_, term) != term)
+        crashReporter_.handleSuccessor();
+    crashReporter_.handleAccepted();
+    hasUrgentReport_ = hasUrgentReport_ || crashReporter_.hasPending();
+}
+
 void RoutingTask::adoptRefusals(const decisions::CoordinationAnswer &answer, std::uint64_t term)
 {
     const core::TimePoint now = clock_.now();
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -97,6 +97,7 @@
     /// Passes on what the coordinator has read. False if it is not valid for this node or was not
     /// accepted.
     bool relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
+    void handleCrashesAccepted(std::uint64_t term);
     void adoptRefusals(const decisions::CoordinationAnswer &answer, std::uint64_t term);
     void reportCrashes(decisions::CoordinationReport &report);
     void applyUpdate(const decisions::FleetUpdate &update);
@@ -140,6 +141,8 @@
     /// How many of them are included in the report in flight.
     std::size_t reportedTokenQueueSize_ = 0;
     decisions::CrashReporter crashReporter_;
+    /// Term of the coordinator that counts the reported crashes.
+    std::uint64_t crashesTerm_ = 0;
     /// Term of the coordinator that has this node's refusals.
     std::uint64_t refusalsTerm_ = 0;
     /// The report in flight contains the refusals.
