--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -111,6 +111,31 @@
     BOOST_TEST((directory.contentAt() == kNow));
 }
 
+// Guards against a target that stays in use for the time between two lists and the grace, although
+// the list before its removal was read after the failed call.
+BOOST_AUTO_TEST_CASE(graceCountsFromTheLastListWithTheEntry)
+{
+    constexpr auto kFailedAt = kNow + 1s;
+    constexpr auto kRemovedAt = kFailedAt + 1s;
+    for (const bool wasListedSince : {true, false}) {
+        TargetDirectory directory;
+        const auto list = [&](core::TimePoint at) {
+            directory.handle(targets::Listed {{entryOf("a")}}, at);
+            directory.handle(targets::Confirmed {at}, at);
+        };
+        list(kNow);
+        directory.handle(targets::PlatformFailed(), kFailedAt);
+        if (wasListedSince)
+            list(kFailedAt + 100ms);
+        directory.handle(targets::Removed {{"a"}}, kRemovedAt);
+        directory.handle(targets::Confirmed {kRemovedAt}, kRemovedAt);
+        directory.handle(targets::Tick(), kFailedAt + 100ms + TargetDirectory::kLapseGrace);
+        BOOST_TEST(directory.entries().empty() == wasListedSince);
+        directory.handle(targets::Tick(), kRemovedAt + TargetDirectory::kLapseGrace);
+        BOOST_TEST(directory.entries().empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/tests/TargetTaskTest.cpp
+++ b/packages/gateway/tests/TargetTaskTest.cpp
@@ -51,6 +51,8 @@
     }
     core::Result<TargetsRead> listTargets() override
     {
+        if (isFailing)
+            return fail();
         TargetsRead read;
         read.revision = 1;
         read.events.emplace_back(decisions::targets::Listed {entriesOf(names)});
@@ -60,13 +62,23 @@
     }
     core::Result<TargetsRead> watchTargets(std::uint64_t, std::chrono::milliseconds) override
     {
+        if (isFailing)
+            return fail();
         answeredAt = clock.now();
         boost::this_fiber::sleep_for(delay);
         return TargetsRead {1, {}, false};
     }
 
+    core::Error fail()
+    {
+        ++failures;
+        return core::makeNotRunError(core::ErrorCode::PlatformUnavailable, "no answer");
+    }
+
     core::MonotonicClock clock;
     std::vector<std::string> names;
+    bool isFailing = false;
+    int failures = 0;
     std::chrono::milliseconds delay = 50ms;
     core::TimePoint answeredAt = {};
 };
@@ -162,6 +174,25 @@
     BOOST_TEST(has("a"));
 }
 
+// Guards against requests to a target that left, because the node follows the list of the
+// coordinator and makes no reads that would end the grace of the entry.
+BOOST_AUTO_TEST_CASE(graceOfAKeptEntryEndsWhileTheListIsRelayed)
+{
+    source.names = {"a", "b"};
+    start(false);
+    source.isFailing = true;
+    for (int i = 0; i < 200 && source.failures == 0; ++i)
+        boost::this_fiber::sleep_for(10ms);
+    const core::TimePoint removedAt = source.clock.now();
+    BOOST_REQUIRE(task.trySend({entriesOf({"b"}), removedAt}));
+    while (source.clock.now() < removedAt + decisions::TargetDirectory::kLapseGrace + 250ms) {
+        boost::this_fiber::sleep_for(50ms);
+        BOOST_REQUIRE(task.trySend({std::nullopt, source.clock.now()}));
+    }
+    BOOST_TEST(!has("a"));
+    BOOST_TEST(has("b"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::gateway::testing
