End the grace of a kept target also while the list is relayed

Callers saw nothing of it; targets that had left got requests up to 3.4 s after they had announced it, where 2 s are allowed. Cause: a node keeps an entry that vanishes within 3 s of a failed call for 1.7 s, and looked at that time only when a read of its own succeeded. A node that follows the list of the coordinator does not read, so the entry stayed until the next change of the list. What the directory derived from the time of the last failed call is a state of its own: the platform is lost until a read succeeds or a relayed list is more recent than the failure. All entries are updated in one place.

--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -84,8 +84,10 @@
     bool isRelayed() const { return isRelayed_; }
 
 private:
+    bool update(const TargetEntry &updated);
     bool replace(const std::vector<TargetEntry> &entries, core::TimePoint now);
     bool relay(const targets::Relayed &event, core::TimePoint now);
+    bool removeLapsed(core::TimePoint now);
     bool remove(const core::TargetId &target, core::TimePoint now);
     bool hadRecentOutage(core::TimePoint now) const;
 
@@ -96,6 +98,8 @@
     std::optional<std::vector<TargetEntry>> relayedEntries_;
     std::map<core::TargetId, core::TimePoint> lapsing_;
     std::optional<core::TimePoint> platformFailedAt_;
+    /// No list that is more recent than the last failed call has arrived.
+    bool isPlatformLost_ = false;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -16,43 +16,39 @@
 
 bool TargetDirectory::handle(const targets::Event &event, core::TimePoint now)
 {
-    if (const auto *listed = std::get_if<targets::Listed>(&event))
-        return replace(listed->entries, now);
-    if (const auto *confirmed = std::get_if<targets::Confirmed>(&event)) {
-        contentAt_ = std::max(contentAt_, confirmed->contentAt);
-        isRelayed_ = false;
+    if (std::holds_alternative<targets::PlatformFailed>(event)) {
+        platformFailedAt_ = now;
+        isPlatformLost_ = true;
         return false;
     }
+    if (std::holds_alternative<targets::Tick>(event))
+        return removeLapsed(now);
     if (const auto *relayed = std::get_if<targets::Relayed>(&event))
         return relay(*relayed, now);
-    if (const auto *updated = std::get_if<targets::Updated>(&event)) {
-        lapsing_.erase(updated->entry.target);
-        TargetEntry &entry = entries_[updated->entry.target];
-        // A leaving target stays leaving until its process restarts.
-        const bool staysLeaving = entry.isLeaving && entry.startedAt == updated->entry.startedAt;
-        if (entry == updated->entry)
-            return false;
-        entry = updated->entry;
-        entry.isLeaving = entry.isLeaving || staysLeaving;
-        return true;
-    }
+    // All others come from a call to the platform that succeeded.
+    isPlatformLost_ = false;
+    if (const auto *listed = std::get_if<targets::Listed>(&event))
+        return replace(listed->entries, now);
+    if (const auto *updated = std::get_if<targets::Updated>(&event))
+        return update(updated->entry);
     if (const auto *removed = std::get_if<targets::Removed>(&event))
         return remove(removed->target, now);
-    if (std::holds_alternative<targets::PlatformFailed>(event)) {
-        platformFailedAt_ = now;
+    contentAt_ = std::max(contentAt_, std::get<targets::Confirmed>(event).contentAt);
+    isRelayed_ = false;
+    return false;
+}
+
+bool TargetDirectory::update(const TargetEntry &updated)
+{
+    lapsing_.erase(updated.target);
+    TargetEntry &entry = entries_[updated.target];
+    // A leaving target stays leaving until its process restarts.
+    const bool staysLeaving = entry.isLeaving && entry.startedAt == updated.startedAt;
+    if (entry == updated)
         return false;
-    }
-    bool isChanged = false;
-    // While calls to the platform fail, it is unknown whether lapsed entries are live.
-    if (platformFailedAt_ != now) {
-        std::erase_if(lapsing_, [&](const auto &item) {
-            if (item.second > now)
-                return false;
-            isChanged = entries_.erase(item.first) > 0 || isChanged;
-            return true;
-        });
-    }
-    return isChanged;
+    entry = updated;
+    entry.isLeaving = entry.isLeaving || staysLeaving;
+    return true;
 }
 
 bool TargetDirectory::replace(const std::vector<TargetEntry> &entries, core::TimePoint now)
@@ -61,7 +57,7 @@
     std::set<core::TargetId> present;
     for (const TargetEntry &entry : entries) {
         present.insert(entry.target);
-        isChanged = handle(targets::Updated {entry}, now) || isChanged;
+        isChanged = update(entry) || isChanged;
     }
     std::vector<core::TargetId> missing;
     for (const auto &[target, entry] : entries_) {
@@ -80,10 +76,26 @@
     if (!relayedEntries_ || event.contentAt <= contentAt_)
         return false;
     contentAt_ = event.contentAt;
+    isPlatformLost_ = isPlatformLost_ && contentAt_ <= *platformFailedAt_;
     const bool wasRelayed = std::exchange(isRelayed_, true);
     return (event.entries || !wasRelayed) && replace(*relayedEntries_, now);
 }
 
+bool TargetDirectory::removeLapsed(core::TimePoint now)
+{
+    // While calls to the platform fail, it is unknown whether lapsed entries are live.
+    if (isPlatformLost_)
+        return false;
+    bool isChanged = false;
+    std::erase_if(lapsing_, [&](const auto &item) {
+        if (item.second > now)
+            return false;
+        isChanged = entries_.erase(item.first) > 0 || isChanged;
+        return true;
+    });
+    return isChanged;
+}
+
 bool TargetDirectory::remove(const core::TargetId &target, core::TimePoint now)
 {
     const auto position = entries_.find(target);
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -97,6 +97,8 @@
         isChanged = handleRelayed(*relayed) || isChanged;
     if (isChanged)
         publish(true, false);
+    if (directory_.handle(decisions::targets::Tick(), clock_.now()))
+        publish(true, hasReplicas_);
 }
 
 bool TargetTask::isRelayed() const
@@ -196,7 +198,7 @@
         return false;
     }
     revision_ = targets.revision;
-    bool isChanged = directory_.handle(decisions::targets::Tick(), now);
+    bool isChanged = false;
     for (const decisions::targets::Event &event : targets.events)
         isChanged = directory_.handle(event, now) || isChanged;
     directory_.handle(decisions::targets::Confirmed {sentAt}, now);
