Count the grace of a kept target from the last list that had it

Callers saw nothing of it; a target whose entry vanished within 3 s of a failed call could stay in use for the time between two lists and 1.7 s, more than the 2 s that are allowed. Cause: the grace counted from the handling of the list without the entry. If a list since the failed call had the entry, the grace now counts from that list; otherwise the time of the removal is unknown, and it counts from the handling as before.

--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -75,10 +75,11 @@
         relayedEntries_ = event.entries;
     if (!relayedEntries_ || event.contentAt <= contentAt_)
         return false;
+    const bool wasRelayed = std::exchange(isRelayed_, true);
+    const bool isChanged = (event.entries || !wasRelayed) && replace(*relayedEntries_, now);
     contentAt_ = event.contentAt;
     isPlatformLost_ = isPlatformLost_ && contentAt_ <= *platformFailedAt_;
-    const bool wasRelayed = std::exchange(isRelayed_, true);
-    return (event.entries || !wasRelayed) && replace(*relayedEntries_, now);
+    return isChanged;
 }
 
 bool TargetDirectory::removeLapsed(core::TimePoint now)
@@ -103,7 +104,9 @@
         return false;
     // A target that announced its stop has left, regardless of the platform's state.
     if (hadRecentOutage(now) && !position->second.isLeaving) {
-        lapsing_.emplace(target, now + kLapseGrace);
+        // The last list had the entry. Lists before the failure say nothing about its time.
+        const core::TimePoint removedAt = contentAt_ > *platformFailedAt_ ? contentAt_ : now;
+        lapsing_.emplace(target, removedAt + kLapseGrace);
         return !std::exchange(position->second.isUnconfirmed, true);
     }
     entries_.erase(position);
