Hand crashes and refusals to the next counting node of the own interface

The same class of fault as behind both front ends of the platform: on the own interface the node that counts crashes is chosen by the list of members, a crash was sent to it once, and refusals were sent to the members of the moment only. Its successor counted from zero, so that a request or a part of a prompt could crash targets again. QuarantineTask uses CrashReporter as the routing task does; when the members choose another counting node it gets the refusals and the crashes of the last 30 s.

QuarantineTaskTest/successorOfTheCountingNodeGetsCrashesAndRefusals passes; the task had no message for the change before, so the test could not run against it. Not played with real processes.

--- a/packages/node/src/PeerMessenger.cpp
+++ b/packages/node/src/PeerMessenger.cpp
@@ -78,7 +78,10 @@
         network_.removePeer(entry.first);
         return true;
     });
+    const core::InstanceId previous = countingNode();
     members_ = std::move(current);
+    if (quarantine_ && countingNode() != previous)
+        static_cast<void>(quarantine_->trySend(CountingNodeChanged()));
 }
 
 void PeerMessenger::sendBudgetRequest(const core::InstanceId &holder,
@@ -133,24 +136,34 @@
     static_cast<void>(network_.send(planner, std::move(message)));
 }
 
-template<class Message>
-void PeerMessenger::sendToQuarantineOwner(const Message &message)
+core::InstanceId PeerMessenger::countingNode() const
 {
     const auto owners = core::rendezvousOwners("quarantine", members_, 1);
-    if (owners.empty() || owners.front() == identity_.instance)
-        static_cast<void>(quarantine_->trySend(message));
+    return owners.empty() ? identity_.instance : owners.front();
+}
+
+template<class Message>
+void PeerMessenger::sendToCountingNode(const Message &message)
+{
+    if (const core::InstanceId node = countingNode(); node != identity_.instance)
+        static_cast<void>(network_.send(node, message));
     else
-        static_cast<void>(network_.send(owners.front(), message));
+        static_cast<void>(quarantine_->trySend(message));
 }
 
 void PeerMessenger::reportCrash(const decisions::quarantine::CrashReport &report)
 {
-    sendToQuarantineOwner(report);
+    sendToCountingNode(report);
 }
 
 void PeerMessenger::reportCompletion(const decisions::quarantine::Completed &report)
 {
-    sendToQuarantineOwner(report);
+    sendToCountingNode(report);
+}
+
+void PeerMessenger::reportRefusal(const decisions::quarantine::Notice &notice)
+{
+    sendToCountingNode(notice);
 }
 
 void PeerMessenger::announce(const decisions::quarantine::Notice &notice)
--- a/packages/node/src/PeerMessenger.h
+++ b/packages/node/src/PeerMessenger.h
@@ -50,13 +50,15 @@
 
     void reportCrash(const decisions::quarantine::CrashReport &report) override;
     void reportCompletion(const decisions::quarantine::Completed &report) override;
+    void reportRefusal(const decisions::quarantine::Notice &notice) override;
     void announce(const decisions::quarantine::Notice &notice) override;
 
 private:
     void fetchMembers(const std::string &address, const decisions::MemberFetch &fetch);
-    /// Sends a message to the node that counts the crashes of all suspects.
+    /// The node that counts the crashes of all nodes.
+    core::InstanceId countingNode() const;
     template<class Message>
-    void sendToQuarantineOwner(const Message &message);
+    void sendToCountingNode(const Message &message);
 
     NodeIdentity identity_;
     peer::PeerNetwork &network_;
--- a/packages/node/src/QuarantineTask.cpp
+++ b/packages/node/src/QuarantineTask.cpp
@@ -76,25 +76,36 @@
 
 void QuarantineTask::on(const TargetsCrashed &message)
 {
-    const core::TimePoint now = clock_.now();
-    const auto ageOf = [now](core::TimePoint time) {
-        return std::chrono::floor<std::chrono::milliseconds>(now - time);
-    };
-    for (const TargetsCrashed::Crash &crash : message.crashes) {
-        for (const decisions::CrashSuspect &suspect :
-             attribution_.handleCrash(message.suspects, crash.crashedAt))
-            messenger_.reportCrash({suspect.fingerprint, crash.attempt, suspect.origin,
-                                    suspect.minOrigins, crash.target, ageOf(crash.sentAt),
-                                    ageOf(crash.crashedAt), suspect.part, suspect.position,
-                                    suspect.wasAnswered});
-    }
+    for (const decisions::CrashedAttempt &crash : message.crashes)
+        reporter_.handleCrash(crash, message.suspects, clock_.now());
+    report();
 }
 
 void QuarantineTask::on(const RequestCompleted &message)
 {
-    for (const core::Digest &fingerprint :
-         attribution_.handleCompletion(message.suspects, clock_.now()))
-        messenger_.reportCompletion({fingerprint});
+    reporter_.handleCompletion(message.suspects, clock_.now());
+    report();
+}
+
+void QuarantineTask::on(const CountingNodeChanged &)
+{
+    reporter_.handleSuccessor();
+    // The refusals first, since they explain crashes.
+    for (const decisions::quarantine::Notice &refusal : quarantine_.refusals(clock_.now()))
+        messenger_.reportRefusal(refusal);
+    report();
+}
+
+void QuarantineTask::report()
+{
+    const decisions::CrashReports reports = reporter_.takePending(clock_.now());
+    for (const decisions::quarantine::Completed &completed : reports.completed)
+        messenger_.reportCompletion(completed);
+    for (const decisions::quarantine::CrashReport &crash : reports.crashes)
+        messenger_.reportCrash(crash);
+    // Messages between nodes are not answered. Those to a node that has failed are sent again to
+    // its successor.
+    reporter_.handleAccepted();
 }
 
 void QuarantineTask::on(const decisions::quarantine::CrashReport &message)
--- a/packages/node/src/QuarantineTask.h
+++ b/packages/node/src/QuarantineTask.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "boragerack/core/Clock.h"
-#include "boragerack/decisions/CrashAttribution.h"
+#include "boragerack/decisions/CrashReporter.h"
 #include "boragerack/decisions/Quarantine.h"
 #include "boragerack/runtime/FiberGroup.h"
 #include "boragerack/runtime/Mailbox.h"
@@ -24,16 +24,8 @@
 /// Targets crashed under attempts of a request of this node.
 struct TargetsCrashed
 {
-    struct Crash
-    {
-        decisions::AttemptId attempt;
-        std::string target;
-        core::TimePoint sentAt = {};
-        core::TimePoint crashedAt = {};
-    };
-
     std::vector<decisions::CrashSuspect> suspects;
-    std::vector<Crash> crashes;
+    std::vector<decisions::CrashedAttempt> crashes;
 };
 
 /// A request of this node was answered completely.
@@ -42,6 +34,11 @@
     std::vector<decisions::CrashSuspect> suspects;
 };
 
+/// Another node counts the crashes of all nodes from now on.
+struct CountingNodeChanged
+{
+};
+
 struct StopQuarantine
 {
 };
@@ -49,7 +46,7 @@
 using QuarantineMessage =
     std::variant<CheckSuspects, TargetsCrashed, RequestCompleted,
                  decisions::quarantine::CrashReport, decisions::quarantine::Completed,
-                 decisions::quarantine::Notice, StopQuarantine>;
+                 decisions::quarantine::Notice, CountingNodeChanged, StopQuarantine>;
 
 /// Sends information about requests that crash their targets to other nodes.
 class QuarantineMessenger
@@ -60,9 +57,11 @@
     QuarantineMessenger &operator=(const QuarantineMessenger &) = delete;
     virtual ~QuarantineMessenger() = default;
 
-    /// Sends a report to the node that counts the crashes of its fingerprint.
+    /// These send to the node that counts the crashes of all nodes.
     virtual void reportCrash(const decisions::quarantine::CrashReport &report) = 0;
     virtual void reportCompletion(const decisions::quarantine::Completed &report) = 0;
+    virtual void reportRefusal(const decisions::quarantine::Notice &notice) = 0;
+    /// Sends to all other nodes.
     virtual void announce(const decisions::quarantine::Notice &notice) = 0;
 };
 
@@ -88,12 +87,14 @@
     void on(const decisions::quarantine::CrashReport &message);
     void on(const decisions::quarantine::Completed &message);
     void on(const decisions::quarantine::Notice &message);
+    void on(const CountingNodeChanged &message);
     void on(const StopQuarantine &message);
+    void report();
     void announce(const std::vector<decisions::Quarantine::Action> &actions);
 
     QuarantineMessenger &messenger_;
     const core::Clock &clock_;
-    decisions::CrashAttribution attribution_;
+    decisions::CrashReporter reporter_;
     decisions::Quarantine quarantine_;
     runtime::Mailbox<QuarantineMessage> mailbox_;
     bool isRunning_ = true;
--- a/packages/node/src/RequestForwarder.h
+++ b/packages/node/src/RequestForwarder.h
@@ -34,7 +34,7 @@
     std::optional<core::Error> error;
     std::uint32_t attempts = 0;
     /// Attempts that were in progress on a target when it crashed.
-    std::vector<TargetsCrashed::Crash> crashes;
+    std::vector<decisions::CrashedAttempt> crashes;
     /// Units of the response that were passed to the sink.
     std::uint64_t forwardedUnits = 0;
     bool hasStarted = false;
