--- a/packages/decisions/tests/serving/RetryBudgetTest.cpp
+++ b/packages/decisions/tests/serving/RetryBudgetTest.cpp
@@ -134,6 +134,33 @@
     }
 }
 
+// Guards against a fleet that exceeds its limit because its nodes restart several times within a
+// window, each time with a new share of the slack.
+BOOST_AUTO_TEST_CASE(nodesThatRestartInSeriesKeepToTheLimit)
+{
+    constexpr std::size_t kNodes = 7;
+    for (const auto pause : {500ms, 1000ms, 3000ms, 9000ms}) {
+        core::TimePoint now = core::TimePoint() + 1h;
+        std::vector<RetryBudget> fleet(kNodes, RetryBudget(kLimits, now));
+        for (RetryBudget &node : fleet)
+            node.setNodes(kNodes);
+        now += 20s;
+        const core::TimePoint end = now + kLimits.window;
+        int retries = 0;
+        for (auto restartAt = now + pause; now < end; now += 100ms) {
+            if (now >= restartAt) {
+                restartAt += pause;
+                fleet.assign(kNodes, RetryBudget(kLimits, now));
+                for (RetryBudget &node : fleet)
+                    node.setNodes(kNodes);
+            }
+            for (RetryBudget &node : fleet)
+                retries += takeAll(node, now);
+        }
+        BOOST_TEST(retries <= kLimits.slack);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
