Let the slack of a process accrue over its first window

Callers saw nothing of it; targets could get more retries than the fleet's budget from nodes that restart in series. Cause: each process began with a share of the slack, although the retries of its predecessors in the same window are unknown to it; the fractions allowed for one predecessor only. A process now uses slack in proportion to the time since its start, up to 0.45 of its share, and the processes of an instance use that at most twice in a window, however often it restarts. Class: state that ends with a process and is assumed to have been unused.

The other cases of RetryBudgetTest and RetryPathTest pass. Ruled out: sharing the counts between nodes, which needs a message for each retry.

--- a/packages/decisions/include/boragerack/decisions/serving/RetryBudget.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RetryBudget.h
@@ -59,6 +59,10 @@
         std::uint32_t retries = 0;
     };
 
+    /// The fraction of this node's share of the slack that has accrued. A process does not know the
+    /// retries that its predecessors on the instance sent in the same window, so its share accrues
+    /// over the first one.
+    double accruedFraction(core::TimePoint now) const;
     Slice &sliceAt(core::TimePoint now);
 
     RetryLimits limits_;
--- a/packages/decisions/src/serving/RetryBudget.cpp
+++ b/packages/decisions/src/serving/RetryBudget.cpp
@@ -10,11 +10,10 @@
 /// Fraction of the ratio that is used. The rest covers retries that a target counts later than the
 /// node sent them.
 constexpr double kUsedRatioFraction = 0.8;
-/// Fractions of the slack that the nodes share. A process does not know how many retries its
-/// predecessor on the instance sent, so in its first window it uses the smaller fraction. Both
-/// together stay within the limit even if all nodes restart.
-constexpr double kSlackFraction = 0.5;
-constexpr double kFirstWindowSlackFraction = 0.3;
+/// Fraction of the slack that the nodes share. Within a window, the processes that an instance runs
+/// one after the other use it up to twice: once by the process from before the window, and once as
+/// it accrues.
+constexpr double kSlackFraction = 0.45;
 /// Requests and retries are counted in this many slices of the window.
 constexpr int kSlicesPerWindow = 20;
 
@@ -70,13 +69,17 @@
         usage.retries += slice.retries;
     }
     usage.allowed = limits_.ratio * kUsedRatioFraction * usage.requests;
-    const bool isFirstWindow = now - startedAt_ < limits_.window;
     if (nodes_ > 0)
-        usage.allowed +=
-            limits_.slack * (isFirstWindow ? kFirstWindowSlackFraction : kSlackFraction) / nodes_;
+        usage.allowed += limits_.slack * kSlackFraction * accruedFraction(now) / nodes_;
     return usage;
 }
 
+double RetryBudget::accruedFraction(core::TimePoint now) const
+{
+    using Seconds = std::chrono::duration<double>;
+    return std::min(1.0, Seconds(now - startedAt_) / Seconds(limits_.window));
+}
+
 RetryBudget::Slice &RetryBudget::sliceAt(core::TimePoint now)
 {
     const core::Duration length = core::Duration(limits_.window) / kSlicesPerWindow;
