Add the time at a relay to the ages of crashes

A relay passed on the ages of a child's crashes as they were when it received them, so that they seemed later by the time until its own report, and a request that another node sent in between seemed to have been sent before the crash; it did not count. Demands already had the time added. The ages of lists and leases that a relay passes on count from the child's report, which is before the relay's, so they are never too low.

ReportAggregatorTest/crashAgesIncludeTheTimeAtTheRelay failed before (100 ms for 140 ms) and passes.

--- a/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
+++ b/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
@@ -39,12 +39,20 @@
         bool isNew = false;
     };
 
+    struct HeldCrash
+    {
+        /// The ages are those at the time of receipt.
+        quarantine::CrashReport crash;
+        core::TimePoint receivedAt = {};
+    };
+
     void mergeDemands(core::TimePoint now, CoordinationReport &merged) const;
+    void mergeCrashes(core::TimePoint now, CoordinationReport &merged);
     void mergeUses(CoordinationReport &merged) const;
 
     core::InstanceId self_;
     std::map<core::InstanceId, Source> sources_;
-    std::vector<quarantine::CrashReport> crashes_;
+    std::vector<HeldCrash> crashes_;
     std::vector<quarantine::Completed> completed_;
     std::vector<quarantine::Notice> refusals_;
     bool isUrgent_ = false;
--- a/packages/decisions/src/serving/ReportAggregator.cpp
+++ b/packages/decisions/src/serving/ReportAggregator.cpp
@@ -46,7 +46,8 @@
         demand.waiting = 0;
         source.last.demands.push_back(std::move(demand));
     }
-    append(crashes_, std::exchange(source.last.crashes, {}));
+    for (quarantine::CrashReport &crash : std::exchange(source.last.crashes, {}))
+        crashes_.push_back({std::move(crash), now});
     append(completed_, std::exchange(source.last.completed, {}));
     append(refusals_, std::exchange(source.last.refusals, {}));
     isUrgent_ = isUrgent_ || hasWaitingRequests(report);
@@ -60,7 +61,7 @@
     CoordinationReport merged;
     mergeDemands(now, merged);
     mergeUses(merged);
-    merged.crashes = std::exchange(crashes_, {});
+    mergeCrashes(now, merged);
     merged.completed = std::exchange(completed_, {});
     merged.refusals = std::exchange(refusals_, {});
     for (auto &[instance, source] : sources_) {
@@ -113,6 +114,16 @@
         merged.demands.push_back(std::move(demand));
 }
 
+void ReportAggregator::mergeCrashes(core::TimePoint now, CoordinationReport &merged)
+{
+    for (auto &[crash, receivedAt] : std::exchange(crashes_, {})) {
+        const auto held = std::chrono::floor<std::chrono::milliseconds>(now - receivedAt);
+        crash.sentAge += held;
+        crash.crashAge += held;
+        merged.crashes.push_back(std::move(crash));
+    }
+}
+
 void ReportAggregator::mergeUses(CoordinationReport &merged) const
 {
     std::map<std::pair<core::TargetId, Artifact>, std::uint32_t> totals;
--- a/packages/decisions/tests/serving/ReportAggregatorTest.cpp
+++ b/packages/decisions/tests/serving/ReportAggregatorTest.cpp
@@ -109,6 +109,24 @@
     BOOST_TEST(aggregator.take(now).crashes.empty());
 }
 
+// Guards against crashes that count as later than they were because a relay held their report, so
+// that a request which was sent after one of them seems to have been sent before it.
+BOOST_AUTO_TEST_CASE(crashAgesIncludeTheTimeAtTheRelay)
+{
+    core::TimePoint now(1h);
+    ReportAggregator aggregator(kSelf);
+    CoordinationReport child = reportOf("a");
+    child.crashes.push_back({.fingerprint = core::makeDigest("request"),
+                             .attempt = {"attempt", 1},
+                             .sentAge = 100ms,
+                             .crashAge = 10ms});
+    aggregator.add(child, now);
+    const CoordinationReport report = aggregator.take(now + 40ms);
+    BOOST_TEST_REQUIRE(report.crashes.size() == 1U);
+    BOOST_TEST((report.crashes.front().sentAge == 140ms));
+    BOOST_TEST((report.crashes.front().crashAge == 50ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
