End the fibers of cancelled exchanges before their client

A process could fail to end and use a whole core: an exchange that was cancelled shortly before the end left its fiber behind, and the scheduler of the thread, whose io_context is gone by then, looks for ready fibers without a pause. HttpClient now owns the fibers of its exchanges, and its destructor cancels and waits for them. An exchange that is cancelled before its connection is open, or before its request is written, no longer starts it.

Ruled out: a busy wait of the running scheduler (waitingThreadUsesNoCpuTime).

--- a/packages/runtime/include/boragerack/runtime/HttpClient.h
+++ b/packages/runtime/include/boragerack/runtime/HttpClient.h
@@ -42,6 +42,7 @@
     HttpClient(boost::asio::io_context &ioContext, const HttpClientOptions &options);
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
+    /// Cancels all exchanges and waits until their fibers have ended.
     ~HttpClient();
 
     /// Starts an exchange of one request and its response with "<ip>:<port>".
@@ -58,8 +59,11 @@
 
 private:
     class Pool;
+    class ExchangeGroup;
+
     HttpClientOptions options_;
     std::shared_ptr<Pool> pool_;
+    std::unique_ptr<ExchangeGroup> exchanges_;
 
     friend class HttpExchange;
 };
--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -94,8 +94,8 @@
 
 void HttpExchange::State::run()
 {
-    if (connect() && events_.send(HttpConnected())) {
-        if (auto request = requests_.receive()) {
+    if (!isCancelled_ && connect() && events_.send(HttpConnected())) {
+        if (auto request = requests_.receive(); request && !isCancelled_) {
             request_ = std::move(*request);
             startWriting();
             readResponse();
--- a/packages/runtime/src/HttpClient.cpp
+++ b/packages/runtime/src/HttpClient.cpp
@@ -2,9 +2,8 @@
 
 #include <utility>
 
-#include <boost/fiber/fiber.hpp>
-
 #include "ConnectionPool.h"
+#include "ExchangeGroup.h"
 #include "ExchangeState.h"
 #include "boragerack/runtime/HttpExchange.h"
 
@@ -13,6 +12,7 @@
 HttpClient::HttpClient(boost::asio::io_context &ioContext, const HttpClientOptions &options)
     : options_(options)
     , pool_(std::make_shared<Pool>(ioContext, options.maxIdleConnectionsPerAddress))
+    , exchanges_(std::make_unique<ExchangeGroup>())
 {
 }
 
@@ -21,7 +21,7 @@
 std::unique_ptr<HttpExchange> HttpClient::open(const std::string &address, ConnectionUse use)
 {
     auto state = std::make_shared<HttpExchange::State>(pool_, options_, address, use);
-    boost::fibers::fiber([state] { state->run(); }).detach();
+    exchanges_->start(state);
     return std::make_unique<HttpExchange>(std::move(state));
 }
 
