Bound the crash reports of a combined report

A relay passed on all crash reports of its children. If all targets crash while the coordinator changes, 24 children with 64 crashes each make a message of more than a megabyte, which a link of 10 Mbit/s carries in a second and the coordinator of a large fleet gets from each relay. 1024 are more than a refusal needs. Follows from the repeated reports; ReportAggregatorTest/crashesOfACombinedReportAreBounded is new and passes, and failed without the bound by construction (2,400 reports; not run against the old code).

--- a/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
+++ b/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
@@ -17,6 +17,8 @@
 public:
     /// A child that has not reported for this long no longer counts.
     static constexpr std::chrono::milliseconds kChildTimeout {1500};
+    /// Crash reports in one combined report. If all targets crash, each child has many of them.
+    static constexpr std::size_t kMaxHeldCrashes = 1024;
 
     explicit ReportAggregator(core::InstanceId self);
 
--- a/packages/decisions/src/serving/ReportAggregator.cpp
+++ b/packages/decisions/src/serving/ReportAggregator.cpp
@@ -46,8 +46,10 @@
         demand.waiting = 0;
         source.last.demands.push_back(std::move(demand));
     }
-    for (quarantine::CrashReport &crash : std::exchange(source.last.crashes, {}))
-        crashes_.push_back({std::move(crash), now});
+    for (quarantine::CrashReport &crash : std::exchange(source.last.crashes, {})) {
+        if (crashes_.size() < kMaxHeldCrashes)
+            crashes_.push_back({std::move(crash), now});
+    }
     append(completed_, std::exchange(source.last.completed, {}));
     append(refusals_, std::exchange(source.last.refusals, {}));
     isUrgent_ = isUrgent_ || hasWaitingRequests(report);
--- a/packages/decisions/tests/serving/ReportAggregatorTest.cpp
+++ b/packages/decisions/tests/serving/ReportAggregatorTest.cpp
@@ -1,5 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
+#include <string>
+
 #include "boragerack/decisions/serving/ReportAggregator.h"
 
 namespace boragerack::decisions::testing {
@@ -109,6 +111,19 @@
     BOOST_TEST(aggregator.take(now).crashes.empty());
 }
 
+// Guards against a combined report that grows with the number of children when all targets crash.
+BOOST_AUTO_TEST_CASE(crashesOfACombinedReportAreBounded)
+{
+    const core::TimePoint now(1h);
+    ReportAggregator aggregator(kSelf);
+    for (int child = 0; child < 24; ++child) {
+        CoordinationReport report = reportOf(std::to_string(child));
+        report.crashes.resize(100);
+        aggregator.add(report, now);
+    }
+    BOOST_TEST(aggregator.take(now).crashes.size() == ReportAggregator::kMaxHeldCrashes);
+}
+
 // Guards against crashes that count as later than they were because a relay held their report, so
 // that a request which was sent after one of them seems to have been sent before it.
 BOOST_AUTO_TEST_CASE(crashAgesIncludeTheTimeAtTheRelay)
