--- a/packages/decisions/include/boragerack/decisions/CrashReporter.h
+++ b/packages/decisions/include/boragerack/decisions/CrashReporter.h
@@ -51,8 +51,8 @@
     /// A request with these suspects was answered completely.
     void handleCompletion(const std::vector<CrashSuspect> &suspects, core::TimePoint now);
 
-    bool hasPending() const;
-    /// Reports that have not been accepted.
+    /// Number of reports that have not been accepted.
+    std::size_t pendingCount() const;
     CrashReports takePending(core::TimePoint now);
     /// The reports of the last takePending() were accepted.
     void handleAccepted();
--- a/packages/decisions/src/CrashReporter.cpp
+++ b/packages/decisions/src/CrashReporter.cpp
@@ -48,11 +48,14 @@
     }
 }
 
-bool CrashReporter::hasPending() const
+std::size_t CrashReporter::pendingCount() const
 {
-    return !completed_.empty() || std::ranges::any_of(crashes_, [](const Crash &crash) {
-        return crash.state != ReportState::Accepted;
-    });
+    std::size_t count = completed_.size();
+    for (const Crash &crash : crashes_) {
+        if (crash.state != ReportState::Accepted)
+            count += crash.suspects.size();
+    }
+    return count;
 }
 
 CrashReports CrashReporter::takePending(core::TimePoint now)
--- a/packages/decisions/tests/CrashReporterTest.cpp
+++ b/packages/decisions/tests/CrashReporterTest.cpp
@@ -44,7 +44,7 @@
     reporter.handleAccepted();
     BOOST_TEST(reporter.takePending(kStart + 2s).crashes.size() == 1U);
     reporter.handleAccepted();
-    BOOST_TEST(!reporter.hasPending());
+    BOOST_TEST(reporter.pendingCount() == 0U);
 }
 
 // Guards against a report that is repeated although its request has been answered since.
@@ -79,7 +79,7 @@
     BOOST_TEST_REQUIRE(reports.crashes.size() == 1U);
     BOOST_TEST((reports.crashes.front().attempt == AttemptId {"a", 1}));
     reporter.handleAccepted();
-    BOOST_TEST(!reporter.hasPending());
+    BOOST_TEST(reporter.pendingCount() == 0U);
 }
 
 // Guards against memory that grows while no coordinator answers, and against crashes that are
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -278,10 +278,17 @@
 
 void RoutingTask::handleCrashesAccepted(std::uint64_t term)
 {
-    if (std::exchange(crashesTerm_, term) != term)
+    const bool isSuccessor = std::exchange(crashesTerm_, term) != term;
+    if (isSuccessor)
         crashReporter_.handleSuccessor();
     crashReporter_.handleAccepted();
-    hasUrgentReport_ = hasUrgentReport_ || crashReporter_.hasPending();
+    const std::size_t pending = crashReporter_.pendingCount();
+    if (pending == 0)
+        return;
+    hasUrgentReport_ = true;
+    if (isSuccessor)
+        runtime::logEvent(runtime::LogEvent::CrashesReportedAgain,
+                          "reports=" + std::to_string(pending) + " term=" + std::to_string(term));
 }
 
 void RoutingTask::adoptRefusals(const decisions::CoordinationAnswer &answer, std::uint64_t term)
--- a/packages/node/src/QuarantineTask.cpp
+++ b/packages/node/src/QuarantineTask.cpp
@@ -90,6 +90,9 @@
 void QuarantineTask::on(const CountingNodeChanged &)
 {
     reporter_.handleSuccessor();
+    if (const std::size_t pending = reporter_.pendingCount(); pending > 0)
+        runtime::logEvent(runtime::LogEvent::CrashesReportedAgain,
+                          "reports=" + std::to_string(pending));
     // The refusals first, since they explain crashes.
     for (const decisions::quarantine::Notice &refusal : quarantine_.refusals(clock_.now()))
         messenger_.reportRefusal(refusal);
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -30,6 +30,7 @@
     RequestServed = 1404,
     RequestRefused = 1405,
     RetryRefused = 1406,
+    CrashesReportedAgain = 1407,
     PeerConnected = 1501,
     PeerLost = 1502,
     PeerRejected = 1503,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -78,6 +78,8 @@
         return {Severity::Info, "request refused"};
     case LogEvent::RetryRefused:
         return {Severity::Info, "retry refused"};
+    case LogEvent::CrashesReportedAgain:
+        return {Severity::Info, "crashes reported again"};
     case LogEvent::PeerConnected:
         return {Severity::Info, "peer connected"};
     case LogEvent::PeerLost:
