Check a refusal that was handed over against the crashes that are reported for it

Callers could see requests with a sound part refused for ten minutes, and the cause not refused at all: since handed-over refusals explain crashes, a wrong one removed the crashes of the cause. A handed-over refusal is now a candidate like any other, preferred to those that explain as many crashes; if another one explains all crashes that are reported for it, it ends, and it is not taken from other nodes again.

QuarantineTest/handedOverRefusalEndsWithABetterExplanation failed before (the cause was not refused, the sound part was) and passes, as does refusalOfAnotherCoordinatorExplainsItsCrashes.

--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -146,8 +146,11 @@
         std::set<std::string> targets;
         std::optional<core::TimePoint> completedAt;
         bool isRefused = false;
-        /// Another node decided on the refusal, so the crashes here need not be enough for it.
+        /// Another node decided on the refusal, which is checked against the crashes that are
+        /// reported here.
         bool isHandedOver = false;
+        /// A refusal has ended because another one explains its crashes.
+        bool wasLifted = false;
         core::TimePoint expiresAt;
 
         /// Only parts of prompts need crashes of several origins.
@@ -164,6 +167,8 @@
     /// The longest sequence of crashes of which each request was sent after the previous crash.
     Crashes findSequence(const Crashes &crashes) const;
     bool hasEnoughCrashes(const Entry &entry) const;
+    /// Whether the entry is a candidate for the refusal of a cause.
+    bool mayBeCause(const Entry &entry) const;
     /// Whether another suspect explains all crashes of the entry and more.
     bool isExplainedByOther(const Entry &entry) const;
     /// Whether `left` explains the crashes better than `right`.
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -45,13 +45,7 @@
 {
     Entry &entry = findOrAdd(event.fingerprint, now);
     Actions actions;
-    if (entry.isRefused) {
-        if (entry.isHandedOver) {
-            entry.minOrigins = event.minOrigins;
-            entry.part = event.part;
-            entry.position = event.position;
-            entry.targets.insert(event.target);
-        }
+    if (entry.isRefused && !entry.isHandedOver) {
         removeExplained(event.fingerprint, {event.target}, now, actions);
         return actions;
     }
@@ -61,7 +55,8 @@
     if (wasCompleted || explained_.contains(event.target)
         || std::ranges::find(entry.crashes, event.attempt, &Crash::attempt) != entry.crashes.end())
         return {};
-    entry.expiresAt = now + limits_.duration;
+    if (!entry.isRefused)
+        entry.expiresAt = now + limits_.duration;
     entry.minOrigins = event.minOrigins;
     entry.part = event.part;
     entry.position = event.position;
@@ -69,12 +64,12 @@
     entry.origins.insert(event.origin);
     entry.targets.insert(event.target);
     addCrash(entry, {event.attempt, event.target, now - event.sentAge, crashedAt});
-    if (!hasEnoughCrashes(entry))
+    if (!mayBeCause(entry))
         return {};
     if (!entry.enoughAt)
         entry.enoughAt = now;
     // Whether a part is the cause is decided once all nodes have reported the crash.
-    if (!entry.isPart())
+    if (!entry.isPart() && !entry.isRefused)
         refuse(entries_.find(event.fingerprint), now, actions);
     return actions;
 }
@@ -86,8 +81,9 @@
         auto best = entries_.end();
         for (auto position = entries_.begin(); position != entries_.end(); ++position) {
             const Entry &entry = position->second;
-            if (!entry.isRefused && entry.isPart() && hasEnoughCrashes(entry) && entry.enoughAt
-                && now - *entry.enoughAt >= limits_.reportDelay && !isExplainedByOther(entry)
+            if (entry.enoughAt && now - *entry.enoughAt >= limits_.reportDelay && entry.isPart()
+                && (!entry.isRefused || entry.isHandedOver) && mayBeCause(entry)
+                && !isExplainedByOther(entry)
                 && (best == entries_.end() || isBetterExplanation(entry, best->second)))
                 best = position;
         }
@@ -127,12 +123,17 @@
         && entry.targets.size() >= limits_.minTargets;
 }
 
+bool Quarantine::mayBeCause(const Entry &entry) const
+{
+    return hasEnoughCrashes(entry) || (entry.isHandedOver && !entry.crashes.empty());
+}
+
 bool Quarantine::isBetterExplanation(const Entry &left, const Entry &right)
 {
     // Of parts that occur together in each request, the last one is in the fewest others.
     const auto rank = [](const Entry &entry) {
-        return std::tuple(entry.targets.size(), !entry.wasAnswered, entry.position,
-                          entry.origins.size());
+        return std::tuple(entry.targets.size(), entry.isHandedOver, !entry.wasAnswered,
+                          entry.position, entry.origins.size());
     };
     return rank(left) > rank(right);
 }
@@ -150,8 +151,9 @@
 void Quarantine::refuse(Entries::iterator position, core::TimePoint now, Actions &actions)
 {
     Entry &entry = position->second;
-    entry.isRefused = true;
-    actions.push_back(quarantine::Announce {position->first, limits_.duration});
+    entry.isHandedOver = false;
+    if (!std::exchange(entry.isRefused, true))
+        actions.push_back(quarantine::Announce {position->first, limits_.duration});
     if (!entry.isPart())
         return;
     removeExplained(position->first, entry.targets, now, actions);
@@ -183,13 +185,19 @@
             }
             continue;
         }
+        const bool hadCrashes = !entry.crashes.empty();
         std::erase_if(entry.crashes,
                       [&](const Crash &crash) { return targets.contains(crash.target); });
         std::erase_if(entry.targets,
                       [&](const std::string &target) { return targets.contains(target); });
         entry.count = findSequence(entry.crashes).size();
-        if (entry.isRefused && !entry.isHandedOver && !hasEnoughCrashes(entry)) {
+        // The crashes of a handed-over refusal may have been too long ago to be reported again.
+        const bool isUnfounded =
+            entry.isHandedOver ? hadCrashes && entry.crashes.empty() : !hasEnoughCrashes(entry);
+        if (entry.isRefused && isUnfounded) {
             entry.isRefused = false;
+            entry.isHandedOver = false;
+            entry.wasLifted = true;
             actions.push_back(quarantine::Announce {fingerprint, std::chrono::milliseconds(0)});
         }
     }
@@ -215,6 +223,9 @@
         return {};
     }
     Entry &entry = findOrAdd(event.fingerprint, now);
+    // Another node may not have got all crashes.
+    if (entry.wasLifted)
+        return {};
     entry.isHandedOver = entry.isHandedOver || !entry.isRefused;
     entry.isRefused = true;
     // A notice with a longer time than the limit allows must not extend the refusal.
--- a/packages/decisions/tests/QuarantineTest.cpp
+++ b/packages/decisions/tests/QuarantineTest.cpp
@@ -324,6 +324,38 @@
     BOOST_TEST(!quarantine.check(beside, kStart + 1s).has_value());
 }
 
+// Guards against a sound part that stays refused, because a coordinator that had not got all
+// crashes refused it and handed the refusal over.
+BOOST_AUTO_TEST_CASE(handedOverRefusalEndsWithABetterExplanation)
+{
+    Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+    const auto cause = makeTestFingerprint("cause");
+    const auto beside = makeTestFingerprint("beside");
+    quarantine.handle(quarantine::Notice {beside, 5min}, kStart);
+    const auto crash = [&](const core::Digest &suspect, int number) {
+        const std::string name = std::to_string(number);
+        quarantine.handle(quarantine::CrashReport {.fingerprint = suspect,
+                                                   .attempt = {"r" + name, 1},
+                                                   .origin = makeTestFingerprint("origin" + name),
+                                                   .minOrigins = 2,
+                                                   .target = "t" + name,
+                                                   .sentAge = 10ms,
+                                                   .part = suspect},
+                          kStart + number * 100ms);
+    };
+    for (int i = 0; i < 4; ++i) {
+        if (i > 0)
+            crash(beside, i);
+        crash(cause, i);
+    }
+    quarantine.handle(quarantine::Tick(), kStart + 1s);
+    BOOST_TEST(quarantine.check(cause, kStart + 1s).has_value());
+    BOOST_TEST(!quarantine.check(beside, kStart + 1s).has_value());
+    // Another node that still has the old refusal reports it late.
+    quarantine.handle(quarantine::Notice {beside, 4min}, kStart + 2s);
+    BOOST_TEST(!quarantine.check(beside, kStart + 2s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
