Log the evidence for a refusal

Why a part of a prompt was refused, and another one was not, could not be seen afterwards. Event 1402 now has the position of the part, the crashes that count, the targets and origins, and whether requests with it had been answered. No decision changes; QuarantineTest passes.

--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -83,16 +83,32 @@
 
 // Actions.
 
+/// What speaks for and against a refusal, for the log.
+struct Evidence
+{
+    /// Position of the part in the prompt; zero for a whole request.
+    std::uint32_t position = 0;
+    std::size_t crashes = 0;
+    std::size_t targets = 0;
+    std::size_t origins = 0;
+    bool wasAnswered = false;
+    friend bool operator==(const Evidence &, const Evidence &) = default;
+};
+
 /// Send a Notice to all nodes.
 struct Announce
 {
     core::Digest fingerprint;
     std::chrono::milliseconds remaining = {};
+    Evidence evidence = {};
     friend bool operator==(const Announce &, const Announce &) = default;
 };
 
 using Action = std::variant<Announce>;
 
+/// Fields of the log event.
+std::string describe(const Announce &announce);
+
 } // namespace quarantine
 
 /// Counts target crashes per fingerprint and refuses requests that caused `maxCrashes` of them. A
@@ -156,6 +172,7 @@
         /// Only parts of prompts need crashes of several origins.
         bool isPart() const { return minOrigins > 1; }
     };
+    static quarantine::Evidence evidenceOf(const Entry &entry);
     using Entries = std::unordered_map<core::Digest, Entry>;
     using Actions = std::vector<Action>;
 
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -17,6 +17,16 @@
 
 } // namespace
 
+std::string quarantine::describe(const Announce &announce)
+{
+    const Evidence &evidence = announce.evidence;
+    return "fingerprint=" + core::toHex(announce.fingerprint).substr(0, 16)
+        + " remaining_ms=" + std::to_string(announce.remaining.count()) + " position="
+        + std::to_string(evidence.position) + " crashes=" + std::to_string(evidence.crashes)
+        + " targets=" + std::to_string(evidence.targets) + " origins="
+        + std::to_string(evidence.origins) + " answered=" + (evidence.wasAnswered ? "yes" : "no");
+}
+
 Quarantine::Quarantine(QuarantineLimits limits)
     : limits_(limits)
 {
@@ -117,6 +127,12 @@
     return sequence;
 }
 
+quarantine::Evidence Quarantine::evidenceOf(const Entry &entry)
+{
+    return {entry.position, entry.count, entry.targets.size(), entry.origins.size(),
+            entry.wasAnswered};
+}
+
 bool Quarantine::hasEnoughCrashes(const Entry &entry) const
 {
     return entry.count >= limits_.maxCrashes && entry.origins.size() >= entry.minOrigins
@@ -153,7 +169,8 @@
     Entry &entry = position->second;
     entry.isHandedOver = false;
     if (!std::exchange(entry.isRefused, true))
-        actions.push_back(quarantine::Announce {position->first, limits_.duration});
+        actions.push_back(
+            quarantine::Announce {position->first, limits_.duration, evidenceOf(entry)});
     if (!entry.isPart())
         return;
     removeExplained(position->first, entry.targets, now, actions);
@@ -198,7 +215,8 @@
             entry.isRefused = false;
             entry.isHandedOver = false;
             entry.wasLifted = true;
-            actions.push_back(quarantine::Announce {fingerprint, std::chrono::milliseconds(0)});
+            actions.push_back(quarantine::Announce {fingerprint, std::chrono::milliseconds(0),
+                                                    evidenceOf(entry)});
         }
     }
 }
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -290,8 +290,7 @@
     for (const decisions::Quarantine::Action &action : actions) {
         const auto &announce = std::get<decisions::quarantine::Announce>(action);
         runtime::logEvent(runtime::LogEvent::RequestQuarantined,
-                          "fingerprint=" + core::toHex(announce.fingerprint).substr(0, 16)
-                              + " remaining_ms=" + std::to_string(announce.remaining.count()));
+                          decisions::quarantine::describe(announce));
     }
 }
 
--- a/packages/node/src/QuarantineTask.cpp
+++ b/packages/node/src/QuarantineTask.cpp
@@ -126,8 +126,7 @@
     for (const auto &action : actions) {
         const auto &announce = std::get<decisions::quarantine::Announce>(action);
         runtime::logEvent(runtime::LogEvent::RequestQuarantined,
-                          "fingerprint=" + core::toHex(announce.fingerprint).substr(0, 16)
-                              + " remaining_ms=" + std::to_string(announce.remaining.count()));
+                          decisions::quarantine::describe(announce));
         messenger_.announce({announce.fingerprint, announce.remaining});
     }
 }
