Prefer parts that were never answered as the cause of crashes

Callers saw requests with a sound part refused for ten minutes, and replicas crash again under the cause. A part that most requests share collects crashes that follow each other faster than the cause, whose requests overlap; it was refused first, and its refusal removed the crashes that it explained from the cause, which started from zero. Most such parts were answered before, and a part that crashes each replica never is. Parts that were answered now need one crash more, rank behind others, and do not explain the crashes of a part that was never answered; when such a one is refused, they are lifted also if they occur in all of its requests.

QuarantineTest/answeredPartIsNotRefusedBeforeTheCause and refusalOfAnAnsweredPartDoesNotHideTheCause failed before and pass; the other cases are unchanged.

--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -171,6 +171,14 @@
 
         /// Only parts of prompts need crashes of several origins.
         bool isPart() const { return minOrigins > 1; }
+        bool isAnsweredPart() const { return isPart() && wasAnswered; }
+    };
+
+    /// A refused suspect that explains the crash of a target.
+    struct Explanation
+    {
+        core::TimePoint until;
+        bool byAnsweredPart = false;
     };
     static quarantine::Evidence evidenceOf(const Entry &entry);
     using Entries = std::unordered_map<core::Digest, Entry>;
@@ -186,10 +194,13 @@
     bool hasEnoughCrashes(const Entry &entry) const;
     /// Whether the entry is a candidate for the refusal of a cause.
     bool mayBeCause(const Entry &entry) const;
-    /// Whether another suspect explains all crashes of the entry and more.
+    /// Whether another suspect explains all crashes of the entry, and better.
     bool isExplainedByOther(const Entry &entry) const;
     /// Whether `left` explains the crashes better than `right`.
     static bool isBetterExplanation(const Entry &left, const Entry &right);
+    /// An answered part does not explain the crashes of one that was never answered.
+    static bool mayExplain(const Entry &explanation, const Entry &entry);
+    bool isExplained(const std::string &target, const Entry &entry) const;
     void refuse(Entries::iterator position, core::TimePoint now, Actions &actions);
     /// Removes the crashes of these targets from all entries but the one that explains them.
     void removeExplained(const core::Digest &cause, const std::set<std::string> &targets,
@@ -200,8 +211,8 @@
 
     QuarantineLimits limits_;
     Entries entries_;
-    /// Targets whose crash is explained by a refused suspect, with the end of the refusal.
-    std::unordered_map<std::string, core::TimePoint> explained_;
+    /// Targets whose crash is explained by a refused suspect.
+    std::unordered_map<std::string, Explanation> explained_;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -62,15 +62,15 @@
     const core::TimePoint crashedAt = now - event.crashAge;
     const bool wasCompleted =
         entry.completedAt && crashedAt - *entry.completedAt < CrashAttribution::kCompletionValidity;
-    if (wasCompleted || explained_.contains(event.target)
+    entry.minOrigins = event.minOrigins;
+    entry.wasAnswered = entry.wasAnswered || event.wasAnswered;
+    if (wasCompleted || isExplained(event.target, entry)
         || std::ranges::find(entry.crashes, event.attempt, &Crash::attempt) != entry.crashes.end())
         return {};
     if (!entry.isRefused)
         entry.expiresAt = now + limits_.duration;
-    entry.minOrigins = event.minOrigins;
     entry.part = event.part;
     entry.position = event.position;
-    entry.wasAnswered = entry.wasAnswered || event.wasAnswered;
     entry.origins.insert(event.origin);
     entry.targets.insert(event.target);
     addCrash(entry, {event.attempt, event.target, now - event.sentAge, crashedAt});
@@ -135,7 +135,9 @@
 
 bool Quarantine::hasEnoughCrashes(const Entry &entry) const
 {
-    return entry.count >= limits_.maxCrashes && entry.origins.size() >= entry.minOrigins
+    // What was answered before is probably harmless.
+    const std::uint32_t needed = limits_.maxCrashes + (entry.isAnsweredPart() ? 1 : 0);
+    return entry.count >= needed && entry.origins.size() >= entry.minOrigins
         && entry.targets.size() >= limits_.minTargets;
 }
 
@@ -148,7 +150,7 @@
 {
     // Of parts that occur together in each request, the last one is in the fewest others.
     const auto rank = [](const Entry &entry) {
-        return std::tuple(entry.targets.size(), entry.isHandedOver, !entry.wasAnswered,
+        return std::tuple(!entry.wasAnswered, entry.targets.size(), entry.isHandedOver,
                           entry.position, entry.origins.size());
     };
     return rank(left) > rank(right);
@@ -157,13 +159,29 @@
 bool Quarantine::isExplainedByOther(const Entry &entry) const
 {
     return std::ranges::any_of(entries_, [&](const auto &item) {
-        const std::set<std::string> &targets = item.second.targets;
-        return item.second.isPart() && item.second.origins.size() >= item.second.minOrigins
-            && targets.size() > entry.targets.size()
-            && std::ranges::includes(targets, entry.targets);
+        const Entry &other = item.second;
+        if (!other.isPart() || other.origins.size() < other.minOrigins
+            || (other.isRefused && !other.isHandedOver)
+            || !std::ranges::includes(other.targets, entry.targets))
+            return false;
+        if (other.targets.size() > entry.targets.size())
+            return mayExplain(other, entry);
+        return other.part != entry.part && isBetterExplanation(other, entry);
     });
 }
 
+bool Quarantine::mayExplain(const Entry &explanation, const Entry &entry)
+{
+    return !explanation.isAnsweredPart() || !entry.isPart() || entry.wasAnswered;
+}
+
+bool Quarantine::isExplained(const std::string &target, const Entry &entry) const
+{
+    const auto position = explained_.find(target);
+    return position != explained_.end()
+        && (!position->second.byAnsweredPart || !entry.isPart() || entry.wasAnswered);
+}
+
 void Quarantine::refuse(Entries::iterator position, core::TimePoint now, Actions &actions)
 {
     Entry &entry = position->second;
@@ -182,14 +200,20 @@
     const Entry &explanation = entries_.at(cause);
     if (!explanation.isPart())
         return;
-    std::erase_if(explained_, [now](const auto &item) { return item.second <= now; });
-    for (const std::string &target : targets)
-        explained_[target] = explanation.expiresAt;
+    std::erase_if(explained_, [now](const auto &item) { return item.second.until <= now; });
+    for (const std::string &target : targets) {
+        const auto [position, isNew] =
+            explained_.try_emplace(target, Explanation {explanation.expiresAt, true});
+        position->second.until = explanation.expiresAt;
+        position->second.byAnsweredPart &= explanation.isAnsweredPart();
+    }
     for (auto &[fingerprint, entry] : entries_) {
         // The same part may be a suspect for other organisations as well.
-        if (fingerprint == cause || entry.part == explanation.part)
+        if (fingerprint == cause || entry.part == explanation.part
+            || !mayExplain(explanation, entry))
             continue;
-        if (entry.isPart() && std::ranges::includes(entry.targets, explanation.targets)) {
+        if (entry.isPart() && entry.wasAnswered == explanation.wasAnswered
+            && std::ranges::includes(entry.targets, explanation.targets)) {
             // Both occurred in all requests that crashed targets. One more crash shows that this
             // one is the cause.
             if (!entry.isRefused && entry.enoughAt) {
--- a/packages/decisions/tests/QuarantineTest.cpp
+++ b/packages/decisions/tests/QuarantineTest.cpp
@@ -356,6 +356,70 @@
     BOOST_TEST(!quarantine.check(beside, kStart + 2s).has_value());
 }
 
+// Guards against the refusal of a part that most requests share before that of the cause, whose
+// crashes overlap.
+BOOST_AUTO_TEST_CASE(answeredPartIsNotRefusedBeforeTheCause)
+{
+    Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+    const auto cause = makeTestFingerprint("cause");
+    const auto answered = makeTestFingerprint("answered");
+    const auto crash = [&](const core::Digest &suspect, int number, std::chrono::seconds sentAge) {
+        const std::string name = std::to_string(number);
+        quarantine.handle(
+            quarantine::CrashReport {.fingerprint = suspect,
+                                     .attempt = {"r" + name, suspect == cause ? 1U : 2U},
+                                     .origin = makeTestFingerprint("origin" + name),
+                                     .minOrigins = 2,
+                                     .target = "t" + name,
+                                     .sentAge = sentAge,
+                                     .part = suspect,
+                                     .position = suspect == cause ? 2U : 1U,
+                                     .wasAnswered = suspect != cause},
+            kStart + number * 1s);
+    };
+    for (int i = 1; i <= 3; ++i) {
+        crash(answered, i, 0s);
+        crash(cause, i, i == 2 ? 2s : 0s);
+    }
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 4s).empty());
+    crash(cause, 5, 0s);
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 6s).size() == 1U);
+    BOOST_TEST(quarantine.check(cause, kStart + 6s).has_value());
+    BOOST_TEST(!quarantine.check(answered, kStart + 6s).has_value());
+}
+
+// Guards against a cause whose crashes no longer count, because a part that had been answered was
+// refused for them.
+BOOST_AUTO_TEST_CASE(refusalOfAnAnsweredPartDoesNotHideTheCause)
+{
+    Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+    const auto cause = makeTestFingerprint("cause");
+    const auto answered = makeTestFingerprint("answered");
+    const auto crash = [&](const core::Digest &suspect, int number) {
+        const std::string name = std::to_string(number);
+        quarantine.handle(
+            quarantine::CrashReport {.fingerprint = suspect,
+                                     .attempt = {"r" + name, suspect == cause ? 1U : 2U},
+                                     .origin = makeTestFingerprint("origin" + name),
+                                     .minOrigins = 2,
+                                     .target = "t" + name,
+                                     .part = suspect,
+                                     .wasAnswered = suspect != cause},
+            kStart + number * 1s);
+    };
+    for (int i = 1; i <= 5; ++i) {
+        crash(answered, i);
+        if (i <= 2)
+            crash(cause, i);
+    }
+    quarantine.handle(quarantine::Tick(), kStart + 6s);
+    BOOST_TEST(quarantine.check(answered, kStart + 6s).has_value());
+    crash(cause, 7);
+    quarantine.handle(quarantine::Tick(), kStart + 8s);
+    BOOST_TEST(quarantine.check(cause, kStart + 8s).has_value());
+    BOOST_TEST(!quarantine.check(answered, kStart + 8s).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
