Await a better explanation before a part is refused

Callers saw sound requests refused that had been sent again beside the cause. The first part with enough crashes was refused 150 ms after its own last report, although a part with a better explanation had got its report some milliseconds later; the best candidate is now chosen first, and refused once its time has passed. And a part that only one request had had so far, sent again by its client, was not considered, so that a part beside it with two requests was refused for the same crashes; such a part now defers the decision until another crash separates them.

QuarantineTest/betterExplanationIsAwaited failed before and passes.

--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -91,13 +91,12 @@
         auto best = entries_.end();
         for (auto position = entries_.begin(); position != entries_.end(); ++position) {
             const Entry &entry = position->second;
-            if (entry.enoughAt && now - *entry.enoughAt >= limits_.reportDelay && entry.isPart()
-                && (!entry.isRefused || entry.isHandedOver) && mayBeCause(entry)
-                && !isExplainedByOther(entry)
+            if (entry.enoughAt && entry.isPart() && (!entry.isRefused || entry.isHandedOver)
+                && mayBeCause(entry) && !isExplainedByOther(entry)
                 && (best == entries_.end() || isBetterExplanation(entry, best->second)))
                 best = position;
         }
-        if (best == entries_.end())
+        if (best == entries_.end() || now - *best->second.enoughAt < limits_.reportDelay)
             return actions;
         refuse(best, now, actions);
     }
@@ -160,8 +159,7 @@
 {
     return std::ranges::any_of(entries_, [&](const auto &item) {
         const Entry &other = item.second;
-        if (!other.isPart() || other.origins.size() < other.minOrigins
-            || (other.isRefused && !other.isHandedOver)
+        if (!other.isPart() || (other.isRefused && !other.isHandedOver)
             || !std::ranges::includes(other.targets, entry.targets))
             return false;
         if (other.targets.size() > entry.targets.size())
--- a/packages/decisions/tests/QuarantineTest.cpp
+++ b/packages/decisions/tests/QuarantineTest.cpp
@@ -420,6 +420,39 @@
     BOOST_TEST(!quarantine.check(answered, kStart + 8s).has_value());
 }
 
+// Guards against the refusal of a part that was reported some milliseconds before a better
+// explanation, and in place of one that only one request has had so far.
+BOOST_AUTO_TEST_CASE(betterExplanationIsAwaited)
+{
+    for (const bool hasOneOrigin : {false, true}) {
+        Quarantine quarantine({.maxCrashes = 3, .minTargets = 2});
+        const auto cause = makeTestFingerprint("cause");
+        const auto beside = makeTestFingerprint("beside");
+        const auto crash = [&](const core::Digest &suspect, int number, core::TimePoint now) {
+            const std::string name = std::to_string(number);
+            const bool isSameOrigin = suspect == cause && hasOneOrigin && number <= 3;
+            quarantine.handle(
+                quarantine::CrashReport {.fingerprint = suspect,
+                                         .attempt = {"r" + name, suspect == cause ? 1U : 2U},
+                                         .origin = makeTestFingerprint(isSameOrigin ? "" : name),
+                                         .minOrigins = 2,
+                                         .target = "t" + name,
+                                         .part = suspect,
+                                         .position = suspect == cause ? 3U : 2U},
+                now);
+        };
+        for (int i = 1; i <= 3; ++i) {
+            crash(beside, i, kStart + i * 1s);
+            crash(cause, i, kStart + i * 1s + 50ms);
+        }
+        BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 3160ms).empty());
+        crash(cause, 4, kStart + 4s);
+        quarantine.handle(quarantine::Tick(), kStart + 5s);
+        BOOST_TEST(quarantine.check(cause, kStart + 5s).has_value());
+        BOOST_TEST(!quarantine.check(beside, kStart + 5s).has_value());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
