Keep two crashes of a part that was never answered when another one explains them

What made a wrong refusal harmful is that the cause started from zero after it. A part that was never answered now keeps the last two crashes of its sequence, so that one more shows that it is a cause as well; parts that were answered lose theirs as before.

betterExplanationIsAwaited asked for no refusal while the cause has one origin. That was the wrong decision; the case now asks for the refusal of the cause after one more crash, and for the end of the wrong refusal, in both variants, and still that no part is refused while a better candidate is younger than 150 ms.

--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -205,6 +205,9 @@
     /// Removes the crashes of these targets from all entries but the one that explains them.
     void removeExplained(const core::Digest &cause, const std::set<std::string> &targets,
                          core::TimePoint now, Actions &actions);
+    /// The crashes are explained, but the entry may be the cause all the same; one more crash shows
+    /// that it is.
+    void keepForNextCrash(Entry &entry, const std::set<std::string> &explained) const;
 
     Entry &findOrAdd(const core::Digest &fingerprint, core::TimePoint now);
     void evictIfFull(core::TimePoint now);
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -159,7 +159,8 @@
 {
     return std::ranges::any_of(entries_, [&](const auto &item) {
         const Entry &other = item.second;
-        if (!other.isPart() || (other.isRefused && !other.isHandedOver)
+        if (!other.isPart() || other.origins.size() < other.minOrigins
+            || (other.isRefused && !other.isHandedOver)
             || !std::ranges::includes(other.targets, entry.targets))
             return false;
         if (other.targets.size() > entry.targets.size())
@@ -207,23 +208,19 @@
     }
     for (auto &[fingerprint, entry] : entries_) {
         // The same part may be a suspect for other organisations as well.
-        if (fingerprint == cause || entry.part == explanation.part
+        const bool isConcerned = std::ranges::any_of(
+            targets, [&](const std::string &target) { return entry.targets.contains(target); });
+        if (fingerprint == cause || entry.part == explanation.part || !isConcerned
             || !mayExplain(explanation, entry))
             continue;
-        if (entry.isPart() && entry.wasAnswered == explanation.wasAnswered
-            && std::ranges::includes(entry.targets, explanation.targets)) {
-            // Both occurred in all requests that crashed targets. One more crash shows that this
-            // one is the cause.
-            if (!entry.isRefused && entry.enoughAt) {
-                const Crashes sequence = findSequence(entry.crashes);
-                const auto kept = std::min<std::size_t>(sequence.size(), limits_.maxCrashes - 1);
-                entry.crashes.assign(sequence.end() - static_cast<std::ptrdiff_t>(kept),
-                                     sequence.end());
-                entry.count = kept;
-                entry.enoughAt.reset();
-            }
+        if (entry.isPart() && !entry.isRefused && !entry.wasAnswered) {
+            keepForNextCrash(entry, targets);
             continue;
         }
+        // Both occurred in all requests that crashed targets.
+        if (entry.isPart() && entry.wasAnswered == explanation.wasAnswered
+            && std::ranges::includes(entry.targets, explanation.targets))
+            continue;
         const bool hadCrashes = !entry.crashes.empty();
         std::erase_if(entry.crashes,
                       [&](const Crash &crash) { return targets.contains(crash.target); });
@@ -243,6 +240,19 @@
     }
 }
 
+void Quarantine::keepForNextCrash(Entry &entry, const std::set<std::string> &explained) const
+{
+    const Crashes sequence = findSequence(entry.crashes);
+    const auto kept = std::min<std::size_t>(sequence.size(), limits_.maxCrashes - 1);
+    entry.crashes.assign(sequence.end() - static_cast<std::ptrdiff_t>(kept), sequence.end());
+    entry.count = kept;
+    entry.enoughAt.reset();
+    std::erase_if(entry.targets, [&](const std::string &target) {
+        return explained.contains(target)
+            && std::ranges::find(entry.crashes, target, &Crash::target) == entry.crashes.end();
+    });
+}
+
 std::vector<Quarantine::Action> Quarantine::on(const quarantine::Completed &event,
                                                core::TimePoint now)
 {
