Compare parts of prompts once all nodes have reported to a new coordinator

A coordinator now compares parts 1 s after its first report; refusals that were handed over are in force meanwhile.

QuarantineTest/partsAreComparedAfterTheHandover fails without the delay and passes.

--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -30,6 +30,9 @@
     std::uint32_t minTargets = 1;
     /// Time in which all nodes report a crash, before a part of a prompt is refused.
     std::chrono::milliseconds reportDelay = std::chrono::milliseconds(150);
+    /// Time from the first event in which all nodes report what they reported to a predecessor,
+    /// before a part of a prompt is refused or the refusal of the predecessor is ended.
+    std::chrono::milliseconds handoverDelay = std::chrono::milliseconds(0);
 
     friend bool operator==(const QuarantineLimits &, const QuarantineLimits &) = default;
 };
@@ -213,6 +216,7 @@
     void evictIfFull(core::TimePoint now);
 
     QuarantineLimits limits_;
+    std::optional<core::TimePoint> startedAt_;
     Entries entries_;
     /// Targets whose crash is explained by a refused suspect.
     std::unordered_map<std::string, Explanation> explained_;
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -34,6 +34,7 @@
 
 std::vector<Quarantine::Action> Quarantine::handle(const Event &event, core::TimePoint now)
 {
+    startedAt_ = startedAt_.value_or(now);
     return std::visit([&](const auto &concrete) { return on(concrete, now); }, event);
 }
 
@@ -87,6 +88,8 @@
 std::vector<Quarantine::Action> Quarantine::on(const quarantine::Tick &, core::TimePoint now)
 {
     Actions actions;
+    if (now - *startedAt_ < limits_.handoverDelay)
+        return actions;
     while (true) {
         auto best = entries_.end();
         for (auto position = entries_.begin(); position != entries_.end(); ++position) {
--- a/packages/decisions/tests/QuarantineTest.cpp
+++ b/packages/decisions/tests/QuarantineTest.cpp
@@ -454,6 +454,39 @@
     }
 }
 
+// Guards against a right refusal of the previous coordinator that ends, because only some of the
+// nodes have reported their crashes to the next one.
+BOOST_AUTO_TEST_CASE(partsAreComparedAfterTheHandover)
+{
+    Quarantine quarantine({.maxCrashes = 3, .minTargets = 2, .handoverDelay = 1s});
+    const auto cause = makeTestFingerprint("cause");
+    const auto beside = makeTestFingerprint("beside");
+    quarantine.handle(quarantine::Notice {cause, 5min}, kStart);
+    const auto crash = [&](const core::Digest &suspect, int number, std::chrono::milliseconds at) {
+        const std::string name = std::to_string(number);
+        const auto age = at + 4s - number * 1s;
+        quarantine.handle(
+            quarantine::CrashReport {.fingerprint = suspect,
+                                     .attempt = {"r" + name, suspect == cause ? 1U : 2U},
+                                     .origin = makeTestFingerprint(name),
+                                     .minOrigins = 2,
+                                     .target = "t" + name,
+                                     .sentAge = age,
+                                     .crashAge = age,
+                                     .part = suspect},
+            kStart + at);
+    };
+    for (int i = 1; i <= 3; ++i)
+        crash(beside, i, 50ms);
+    crash(cause, 1, 50ms);
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 500ms).empty());
+    for (int i = 2; i <= 3; ++i)
+        crash(cause, i, 700ms);
+    BOOST_TEST(quarantine.handle(quarantine::Tick(), kStart + 1100ms).empty());
+    BOOST_TEST(quarantine.check(cause, kStart + 1100ms).has_value());
+    BOOST_TEST(!quarantine.check(beside, kStart + 1100ms).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -23,7 +23,8 @@
 /// Interval at which the sums of requests in flight are computed for the answers.
 constexpr std::chrono::milliseconds kLoadsInterval(50);
 /// When a request, or a part of a prompt, is refused on all nodes.
-constexpr decisions::QuarantineLimits kQuarantineLimits {.maxCrashes = 3, .minTargets = 2};
+constexpr decisions::QuarantineLimits kQuarantineLimits {
+    .maxCrashes = 3, .minTargets = 2, .handoverDelay = std::chrono::seconds(1)};
 
 std::string describe(const decisions::Artifact &artifact)
 {
