Let a process use a fiftieth of its share of the slack at once

In fleets of seven nodes or more requests earn more retries than this. Five restarts of all nodes within a window stay within the slack.

RetryBudgetTest (with restarts in series), RetryPathTest and UnframedStreamTest pass, three runs of the latter two.

--- a/packages/decisions/src/serving/RetryBudget.cpp
+++ b/packages/decisions/src/serving/RetryBudget.cpp
@@ -14,6 +14,9 @@
 /// one after the other use it up to twice: once by the process from before the window, and once as
 /// it accrues.
 constexpr double kSlackFraction = 0.45;
+/// Fraction that a process has at once, so that a small fleet can send a request again in its first
+/// seconds. Five restarts of all nodes in a window stay within the rest of the slack.
+constexpr double kInitialSlackFraction = 0.02;
 /// Requests and retries are counted in this many slices of the window.
 constexpr int kSlicesPerWindow = 20;
 
@@ -70,7 +73,8 @@
     }
     usage.allowed = limits_.ratio * kUsedRatioFraction * usage.requests;
     if (nodes_ > 0)
-        usage.allowed += limits_.slack * kSlackFraction * accruedFraction(now) / nodes_;
+        usage.allowed += limits_.slack
+            * (kInitialSlackFraction + kSlackFraction * accruedFraction(now)) / nodes_;
     return usage;
 }
 
