--- a/packages/decisions/include/boragerack/decisions/Quarantine.h
+++ b/packages/decisions/include/boragerack/decisions/Quarantine.h
@@ -117,9 +117,13 @@
 /// Counts target crashes per fingerprint and refuses requests that caused `maxCrashes` of them. A
 /// crash counts only if its request was sent after the previous one, since requests that run when
 /// many targets crash at once are not the cause. Crashes may be reported in any order. A complete
-/// answer starts the count again. Of the
-/// parts of prompts that were in progress on the targets that crashed, the one that explains the
-/// most crashes is refused, and its crashes no longer count for others.
+/// answer starts the count again.
+///
+/// Of the parts of prompts that were in progress on the targets that crashed, the one that explains
+/// the most crashes is refused; parts that were answered before rank behind all others. The crashes
+/// that it explains no longer count for other parts, except that one which was never answered
+/// becomes a candidate again with its next crash. A refusal that another node hands over is in
+/// force at once, and is compared with other parts in the same way.
 class Quarantine
 {
 public:
--- a/packages/decisions/src/Quarantine.cpp
+++ b/packages/decisions/src/Quarantine.cpp
@@ -15,6 +15,12 @@
 /// Crashes that are kept for one fingerprint, including those that do not count.
 constexpr std::size_t kMaxCrashesPerEntry = 64;
 
+bool overlap(const std::set<std::string> &left, const std::set<std::string> &right)
+{
+    return std::ranges::any_of(left,
+                               [&](const std::string &value) { return right.contains(value); });
+}
+
 } // namespace
 
 std::string quarantine::describe(const Announce &announce)
@@ -211,10 +217,8 @@
     }
     for (auto &[fingerprint, entry] : entries_) {
         // The same part may be a suspect for other organisations as well.
-        const bool isConcerned = std::ranges::any_of(
-            targets, [&](const std::string &target) { return entry.targets.contains(target); });
-        if (fingerprint == cause || entry.part == explanation.part || !isConcerned
-            || !mayExplain(explanation, entry))
+        if (fingerprint == cause || entry.part == explanation.part
+            || !overlap(entry.targets, targets) || !mayExplain(explanation, entry))
             continue;
         if (entry.isPart() && !entry.isRefused && !entry.wasAnswered) {
             keepForNextCrash(entry, targets);
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -33,12 +33,12 @@
     RoutingFixture()
     {
         task.start(
-            [this](decisions::CoordinationReport report) {
+            [this](const decisions::CoordinationReport &report) {
                 lastKnown = report.known;
                 lastCrashes = report.crashes;
                 ++reports;
             },
-            [this](RoutingTask::Relay) { return isRelayAccepted; });
+            [this](const RoutingTask::Relay &) { return isRelayAccepted; });
     }
 
     void waitForReport()
@@ -61,7 +61,8 @@
         message.answer = answer;
         message.update.versions = {.term = term, .members = 1, .targets = targetsVersion};
         message.reportedAt = clock.now();
-        BOOST_REQUIRE(task.trySend(std::move(message)));
+        const bool isSent = task.trySend(std::move(message));
+        BOOST_REQUIRE(isSent);
     }
 
     void loseReport()
@@ -69,7 +70,8 @@
         waitForReport();
         ReportAnswered message;
         message.reportedAt = clock.now();
-        BOOST_REQUIRE(task.trySend(std::move(message)));
+        const bool isSent = task.trySend(std::move(message));
+        BOOST_REQUIRE(isSent);
     }
 
     void reportCrash(const std::string &name)
--- a/packages/node/src/PeerMessenger.cpp
+++ b/packages/node/src/PeerMessenger.cpp
@@ -78,10 +78,10 @@
         network_.removePeer(entry.first);
         return true;
     });
-    const core::InstanceId previous = countingNode();
+    const core::InstanceId previous = quarantineOwner();
     members_ = std::move(current);
-    if (quarantine_ && countingNode() != previous)
-        static_cast<void>(quarantine_->trySend(CountingNodeChanged()));
+    if (quarantine_ && quarantineOwner() != previous)
+        static_cast<void>(quarantine_->trySend(QuarantineOwnerChanged()));
 }
 
 void PeerMessenger::sendBudgetRequest(const core::InstanceId &holder,
@@ -136,16 +136,16 @@
     static_cast<void>(network_.send(planner, std::move(message)));
 }
 
-core::InstanceId PeerMessenger::countingNode() const
+core::InstanceId PeerMessenger::quarantineOwner() const
 {
     const auto owners = core::rendezvousOwners("quarantine", members_, 1);
     return owners.empty() ? identity_.instance : owners.front();
 }
 
 template<class Message>
-void PeerMessenger::sendToCountingNode(const Message &message)
+void PeerMessenger::sendToQuarantineOwner(const Message &message)
 {
-    if (const core::InstanceId node = countingNode(); node != identity_.instance)
+    if (const core::InstanceId node = quarantineOwner(); node != identity_.instance)
         static_cast<void>(network_.send(node, message));
     else
         static_cast<void>(quarantine_->trySend(message));
@@ -153,17 +153,17 @@
 
 void PeerMessenger::reportCrash(const decisions::quarantine::CrashReport &report)
 {
-    sendToCountingNode(report);
+    sendToQuarantineOwner(report);
 }
 
 void PeerMessenger::reportCompletion(const decisions::quarantine::Completed &report)
 {
-    sendToCountingNode(report);
+    sendToQuarantineOwner(report);
 }
 
 void PeerMessenger::reportRefusal(const decisions::quarantine::Notice &notice)
 {
-    sendToCountingNode(notice);
+    sendToQuarantineOwner(notice);
 }
 
 void PeerMessenger::announce(const decisions::quarantine::Notice &notice)
--- a/packages/node/src/PeerMessenger.h
+++ b/packages/node/src/PeerMessenger.h
@@ -55,10 +55,10 @@
 
 private:
     void fetchMembers(const std::string &address, const decisions::MemberFetch &fetch);
-    /// The node that counts the crashes of all nodes.
-    core::InstanceId countingNode() const;
+    /// The node that counts the crashes that all nodes report.
+    core::InstanceId quarantineOwner() const;
     template<class Message>
-    void sendToCountingNode(const Message &message);
+    void sendToQuarantineOwner(const Message &message);
 
     NodeIdentity identity_;
     peer::PeerNetwork &network_;
--- a/packages/node/src/QuarantineTask.cpp
+++ b/packages/node/src/QuarantineTask.cpp
@@ -87,7 +87,7 @@
     report();
 }
 
-void QuarantineTask::on(const CountingNodeChanged &)
+void QuarantineTask::on(const QuarantineOwnerChanged &)
 {
     reporter_.handleSuccessor();
     if (const std::size_t pending = reporter_.pendingCount(); pending > 0)
--- a/packages/node/src/QuarantineTask.h
+++ b/packages/node/src/QuarantineTask.h
@@ -34,8 +34,8 @@
     std::vector<decisions::CrashSuspect> suspects;
 };
 
-/// Another node counts the crashes of all nodes from now on.
-struct CountingNodeChanged
+/// Another node counts the crashes that all nodes report.
+struct QuarantineOwnerChanged
 {
 };
 
@@ -46,7 +46,7 @@
 using QuarantineMessage =
     std::variant<CheckSuspects, TargetsCrashed, RequestCompleted,
                  decisions::quarantine::CrashReport, decisions::quarantine::Completed,
-                 decisions::quarantine::Notice, CountingNodeChanged, StopQuarantine>;
+                 decisions::quarantine::Notice, QuarantineOwnerChanged, StopQuarantine>;
 
 /// Sends information about requests that crash their targets to other nodes.
 class QuarantineMessenger
@@ -57,7 +57,7 @@
     QuarantineMessenger &operator=(const QuarantineMessenger &) = delete;
     virtual ~QuarantineMessenger() = default;
 
-    /// These send to the node that counts the crashes of all nodes.
+    /// These send to the quarantine owner, which counts the crashes that all nodes report.
     virtual void reportCrash(const decisions::quarantine::CrashReport &report) = 0;
     virtual void reportCompletion(const decisions::quarantine::Completed &report) = 0;
     virtual void reportRefusal(const decisions::quarantine::Notice &notice) = 0;
@@ -87,7 +87,7 @@
     void on(const decisions::quarantine::CrashReport &message);
     void on(const decisions::quarantine::Completed &message);
     void on(const decisions::quarantine::Notice &message);
-    void on(const CountingNodeChanged &message);
+    void on(const QuarantineOwnerChanged &message);
     void on(const StopQuarantine &message);
     void report();
     void announce(const std::vector<decisions::Quarantine::Action> &actions);
--- a/packages/node/tests/QuarantineTaskTest.cpp
+++ b/packages/node/tests/QuarantineTaskTest.cpp
@@ -39,7 +39,7 @@
 
 // Guards against a request that crashes targets again, because the node that counted its crashes
 // has left and its successor knows neither them nor the refusals.
-BOOST_AUTO_TEST_CASE(successorOfTheCountingNodeGetsCrashesAndRefusals)
+BOOST_AUTO_TEST_CASE(successorOfTheOwnerGetsCrashesAndRefusals)
 {
     runtime::FiberRuntime fibers;
     core::MonotonicClock clock;
@@ -56,7 +56,7 @@
     BOOST_TEST(messenger.crashes.size() == 1U);
     BOOST_TEST(messenger.refusals.empty());
 
-    BOOST_REQUIRE(task.trySend(CountingNodeChanged()));
+    BOOST_REQUIRE(task.trySend(QuarantineOwnerChanged()));
     boost::this_fiber::sleep_for(20ms);
     BOOST_TEST_REQUIRE(messenger.crashes.size() == 2U);
     BOOST_TEST((messenger.crashes.back().fingerprint == crashing));
