--- a/packages/gateway/include/boragerack/gateway/CallerProtocol.h
+++ b/packages/gateway/include/boragerack/gateway/CallerProtocol.h
@@ -9,6 +9,7 @@
 #include "boragerack/core/Identifier.h"
 #include "boragerack/core/Result.h"
 #include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/TargetAdvice.h"
 #include "boragerack/runtime/HttpExchange.h"
 #include "boragerack/runtime/HttpMessage.h"
 
@@ -64,6 +65,7 @@
     bool didNotRun = false;
     /// The target has not loaded the model, or is not the intended target.
     bool isMisdirected = false;
+    decisions::TargetAdvice advice;
 
     friend bool operator==(const TargetAnswer &, const TargetAnswer &) = default;
 };
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -24,6 +24,7 @@
     TargetLost = 1305,
     TargetLeaving = 1306,
     TargetListSourceChanged = 1307,
+    TargetAdvised = 1308,
     RequestFailed = 1401,
     RequestQuarantined = 1402,
     ConnectionSilent = 1403,
