--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -11,6 +11,8 @@
 
 #include "boragerack/core/Clock.h"
 #include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/TargetAdvice.h"
+#include "boragerack/decisions/TargetClosures.h"
 #include "boragerack/decisions/serving/CoordinationMessages.h"
 #include "boragerack/decisions/serving/OutlierDetector.h"
 #include "boragerack/decisions/serving/TargetEntry.h"
@@ -68,6 +70,14 @@
     friend bool operator==(const Ended &, const Ended &) = default;
 };
 
+/// A target asked something of its callers in the head of a response.
+struct TargetAdvised
+{
+    TargetProcess process;
+    TargetAdvice advice;
+    friend bool operator==(const TargetAdvised &, const TargetAdvised &) = default;
+};
+
 struct TargetsChanged
 {
     std::shared_ptr<const TargetEntries> entries;
@@ -102,8 +112,8 @@
     friend bool operator==(const Tick &, const Tick &) = default;
 };
 
-using Event = std::variant<RouteRequested, Withdrawn, Ended, TargetsChanged, PlacementsChanged,
-                           PlacementsOutdated, LoadsReported, Tick>;
+using Event = std::variant<RouteRequested, Withdrawn, Ended, TargetAdvised, TargetsChanged,
+                           PlacementsChanged, PlacementsOutdated, LoadsReported, Tick>;
 
 struct Granted
 {
@@ -134,8 +144,13 @@
     /// Requests that arrived since the last call, and those that wait now, by artifact.
     std::vector<ArtifactDemand> takeDemands(core::TimePoint now);
     std::vector<ArtifactInFlight> uses() const;
-    /// False if the target, which was chosen earlier, leaves or has left.
-    bool maySend(const core::TargetId &target) const;
+    /// False if the target, which was chosen earlier, leaves or has left, or accepts no requests
+    /// from this node now.
+    bool maySend(const core::TargetId &target, core::TimePoint now) const;
+    /// Least time until a target accepts the request, if what the targets announced is known to
+    /// prevent it until then; empty if a target may accept it at any time.
+    std::optional<core::Duration> knownWait(const RouteRequirements &demand,
+                                            core::TimePoint now) const;
     /// True if a request started to wait since the last call.
     bool takeNewlyWaiting();
 
@@ -158,6 +173,7 @@
             std::vector<Action> &actions);
     void on(const routing::Withdrawn &event, core::TimePoint now, std::vector<Action> &actions);
     void on(const routing::Ended &event, core::TimePoint now, std::vector<Action> &actions);
+    void on(const routing::TargetAdvised &event, core::TimePoint now, std::vector<Action> &actions);
     void on(const routing::TargetsChanged &event, core::TimePoint now,
             std::vector<Action> &actions);
     void on(const routing::PlacementsChanged &event, core::TimePoint now,
@@ -167,6 +183,8 @@
     void on(const routing::LoadsReported &event, core::TimePoint now, std::vector<Action> &actions);
     void on(const routing::Tick &event, core::TimePoint now, std::vector<Action> &actions);
 
+    /// The entry shows that the target may run the request.
+    bool isEligible(const TargetEntry &entry, const RouteRequirements &demand) const;
     bool isUsable(const TargetEntry &entry, const RouteRequirements &demand,
                   core::TimePoint now) const;
     bool serves(const TargetEntry &entry, const Artifact &artifact) const;
@@ -192,6 +210,7 @@
     std::map<Artifact, ArrivalCounter> arrivals_;
     std::map<Key, core::TimePoint> missingUntil_;
     OutlierDetector outliers_;
+    TargetClosures closures_;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -19,6 +19,14 @@
 /// requests in flight than the least loaded one.
 constexpr std::uint32_t kMaxPrefixExtraLoad = 3;
 
+/// Longer than the deadline of any request.
+constexpr core::Duration kNever = std::chrono::hours(24);
+
+TargetProcess processOf(const TargetEntry &entry)
+{
+    return {entry.target, entry.startedAt};
+}
+
 } // namespace
 
 RequestRouter::RequestRouter(core::RandomSource &random)
@@ -75,10 +83,20 @@
         outliers_.record(event.service, event.target, event.outcome, now);
 }
 
+void RequestRouter::on(const routing::TargetAdvised &event, core::TimePoint now,
+                       std::vector<Action> &)
+{
+    closures_.record(event.process, event.advice, now);
+}
+
 void RequestRouter::on(const routing::TargetsChanged &event, core::TimePoint now,
                        std::vector<Action> &actions)
 {
     entries_ = event.entries;
+    closures_.retain([this](const TargetProcess &process) {
+        const auto position = entries_->find(process.target);
+        return position != entries_->end() && position->second.startedAt == process.startedAt;
+    });
     if (arePlacementsOutdated_ && event.hasReplicas)
         placements_.clear();
     grantWaiting(now, actions);
@@ -144,12 +162,17 @@
     return std::ranges::find(placed->second.artifacts, artifact) != placed->second.artifacts.end();
 }
 
+bool RequestRouter::isEligible(const TargetEntry &entry, const RouteRequirements &demand) const
+{
+    return entry.service == demand.service && !entry.isLeaving
+        && (demand.only.empty()
+            || std::ranges::find(demand.only, entry.target) != demand.only.end());
+}
+
 bool RequestRouter::isUsable(const TargetEntry &entry, const RouteRequirements &demand,
                              core::TimePoint now) const
 {
-    if (entry.service != demand.service || entry.isLeaving)
-        return false;
-    if (!demand.only.empty() && std::ranges::find(demand.only, entry.target) == demand.only.end())
+    if (!isEligible(entry, demand) || closures_.isClosed(processOf(entry), now))
         return false;
     if (!demand.artifact)
         return true;
@@ -252,10 +275,34 @@
     return result;
 }
 
-bool RequestRouter::maySend(const core::TargetId &target) const
+bool RequestRouter::maySend(const core::TargetId &target, core::TimePoint now) const
 {
     const auto position = entries_->find(target);
-    return position != entries_->end() && !position->second.isLeaving;
+    return position != entries_->end() && !position->second.isLeaving
+        && !closures_.isClosed(processOf(position->second), now);
+}
+
+std::optional<core::Duration> RequestRouter::knownWait(const RouteRequirements &demand,
+                                                       core::TimePoint now) const
+{
+    // The coordinator can load an artifact on another target at any time.
+    if (demand.artifact && demand.only.empty())
+        return std::nullopt;
+    // Other targets may join at any time, unless the request is bound to some.
+    std::optional<core::Duration> least;
+    if (!demand.only.empty())
+        least = kNever;
+    for (const auto &[target, entry] : *entries_) {
+        if (!isEligible(entry, demand))
+            continue;
+        const auto opensAt = closures_.opensAt(processOf(entry), now);
+        if (!opensAt)
+            continue;
+        if (*opensAt <= now)
+            return std::nullopt;
+        least = std::min(least.value_or(kNever), core::Duration(*opensAt - now));
+    }
+    return least;
 }
 
 bool RequestRouter::takeNewlyWaiting()
--- a/packages/decisions/tests/serving/RequestRouterTest.cpp
+++ b/packages/decisions/tests/serving/RequestRouterTest.cpp
@@ -51,6 +51,11 @@
         return granted.empty() ? "" : granted.front().target.value;
     }
 
+    void advise(const std::string &name, const TargetAdvice &advice)
+    {
+        router.handle(routing::TargetAdvised {{{name}, 1}, advice}, kNow);
+    }
+
     std::vector<routing::Granted> granted;
 };
 
@@ -66,6 +71,35 @@
         BOOST_TEST(ask(i) == "c");
 }
 
+// Guards against requests to a target that announced its stop to this node, also if it was selected
+// before, and against a restarted one that gets none.
+BOOST_AUTO_TEST_CASE(targetThatAnnouncedItsStopGetsNoRequestsUntilItRestarts)
+{
+    setTargets({entryOf("a", true), entryOf("b", true)});
+    advise("a", {.isLeaving = true});
+    BOOST_TEST(!router.maySend({"a"}, kNow));
+    BOOST_TEST(router.maySend({"b"}, kNow));
+    for (std::uint64_t i = 1; i <= 20; ++i)
+        BOOST_TEST(ask(i) == "b");
+    TargetEntry restarted = entryOf("a", true);
+    restarted.startedAt = 2;
+    setTargets({restarted});
+    BOOST_TEST(ask(30) == "a");
+}
+
+// Guards against a request that waits for its deadline although all its targets leave.
+BOOST_AUTO_TEST_CASE(requestBoundToLeavingTargetsIsKnownToFail)
+{
+    setTargets({entryOf("a", true), entryOf("b", true)});
+    advise("a", {.isLeaving = true});
+    RouteRequirements demand {.service = kService, .artifact = kModel, .only = {{"a"}}};
+    BOOST_TEST((router.knownWait(demand, kNow) > core::Duration(1h)));
+    demand.only = {{"a"}, {"b"}};
+    BOOST_TEST(!router.knownWait(demand, kNow).has_value());
+    demand.only.clear();
+    BOOST_TEST(!router.knownWait(demand, kNow).has_value());
+}
+
 // Guards against a request that waits although a replica has become ready, and against demand that
 // is not reported to the coordinator.
 BOOST_AUTO_TEST_CASE(waitsForAReplica)
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -77,9 +77,13 @@
 void RequestExecution::onExchange(const runtime::HttpResponseHead &event)
 {
     const TargetAnswer answer = dependencies_.protocol.decodeAnswer(event);
-    if (answer.advice != decisions::TargetAdvice())
+    if (answer.advice != decisions::TargetAdvice()) {
         runtime::logRequestEvent(runtime::LogEvent::TargetAdvised,
                                  "target=" + grant_->target.value + describe(answer.advice));
+        if (!dependencies_.routing.trySend(
+                TargetAdviceReceived {{grant_->target, grant_->startedAt}, answer.advice}))
+            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=target_advice");
+    }
     if (answer.didNotRun) {
         wasMisdirected_ = answer.isMisdirected;
         endRoute(decisions::AttemptOutcome::Refused, answer.isMisdirected);
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -57,6 +57,13 @@
     std::vector<decisions::CrashSuspect> harmless;
 };
 
+/// A target asked something of its callers in the head of its response to a request.
+struct TargetAdviceReceived
+{
+    decisions::TargetProcess process;
+    decisions::TargetAdvice advice;
+};
+
 /// Tokens of a request that did not run.
 struct TokensReturned
 {
@@ -113,8 +120,8 @@
 };
 
 using RoutingMessage =
-    std::variant<RouteRequest, RouteRequestEnded, TokensReturned, SendPermissionRequest,
-                 RequestCrashReported, TargetListChanged, ConfigurationChanged, ReportAnswered,
-                 StopAnnounced, StopRouting>;
+    std::variant<RouteRequest, RouteRequestEnded, TargetAdviceReceived, TokensReturned,
+                 SendPermissionRequest, RequestCrashReported, TargetListChanged,
+                 ConfigurationChanged, ReportAnswered, StopAnnounced, StopRouting>;
 
 } // namespace boragerack::gateway
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -149,6 +149,11 @@
     route(decisions::routing::Withdrawn {message.request});
 }
 
+void RoutingTask::on(TargetAdviceReceived &message)
+{
+    route(decisions::routing::TargetAdvised {message.process, message.advice});
+}
+
 void RoutingTask::on(TokensReturned &message)
 {
     tokenLimiter_.giveBack(message.organisation, message.tokens);
@@ -157,7 +162,7 @@
 void RoutingTask::on(SendPermissionRequest &message)
 {
     const auto grant = grants_.find(message.request);
-    if (grant == grants_.end() || !router_.maySend(grant->second.target))
+    if (grant == grants_.end() || !router_.maySend(grant->second.target, clock_.now()))
         message.reply.set(decisions::SendPermission::TargetLeft);
     else
         message.reply.set(commitRetry(message.request) ? decisions::SendPermission::Granted
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -75,6 +75,7 @@
     void run();
     void on(RouteRequest &message);
     void on(RouteRequestEnded &message);
+    void on(TargetAdviceReceived &message);
     void on(TokensReturned &message);
     void on(SendPermissionRequest &message);
     void on(RequestCrashReported &message);
--- a/packages/gateway/src/RoutingTaskQueues.cpp
+++ b/packages/gateway/src/RoutingTaskQueues.cpp
@@ -59,6 +59,16 @@
 
 void RoutingTask::requestTarget(const RouteRequest &pendingRequest)
 {
+    if (const auto wait = router_.knownWait(pendingRequest.requirements, clock_.now());
+        wait && clock_.now() + *wait >= pendingRequest.deadline) {
+        const std::uint64_t request = pendingRequest.request;
+        // Targets announce pauses to each node, so another node may serve the caller at once.
+        pendingRequest.reply.set(core::makeNotRunError(
+            core::ErrorCode::NoReadyReplica, "no target accepts the request before its deadline"));
+        pending_.erase(request);
+        releaseQueueSlot(request);
+        return;
+    }
     route(decisions::routing::RouteRequested {pendingRequest.request, pendingRequest.requirements});
     hasUrgentReport_ = router_.takeNewlyWaiting() || hasUrgentReport_;
 }
