--- a/packages/decisions/src/TargetClosures.cpp
+++ b/packages/decisions/src/TargetClosures.cpp
@@ -7,11 +7,12 @@
 bool TargetClosures::record(const TargetProcess &process, const TargetAdvice &advice,
                             core::TimePoint now)
 {
-    if (!advice.isLeaving)
+    if (!advice.isLeaving && advice.pause.count() <= 0)
         return false;
     const bool wasClosed = isClosed(process, now);
     Closure &closure = closures_[process];
     closure.isLeaving = closure.isLeaving || advice.isLeaving;
+    closure.pausedUntil = std::max(closure.pausedUntil, now + advice.pause);
     return !wasClosed;
 }
 
--- a/packages/decisions/tests/serving/RequestRouterTest.cpp
+++ b/packages/decisions/tests/serving/RequestRouterTest.cpp
@@ -87,6 +87,22 @@
     BOOST_TEST(ask(30) == "a");
 }
 
+// Guards against requests to a target within the time for which it asked for none, and against one
+// that gets none afterwards.
+BOOST_AUTO_TEST_CASE(pausedTargetGetsNoRequestsUntilThePauseEnds)
+{
+    setTargets({entryOf("a", true)});
+    advise("a", {.pause = 2s});
+    advise("a", {.pause = 1s});
+    BOOST_TEST(!router.maySend({"a"}, kNow + 1900ms));
+    BOOST_TEST(ask(1) == "");
+    BOOST_TEST(router.handle(routing::Tick(), kNow + 1900ms).empty());
+    BOOST_TEST(router.handle(routing::Tick(), kNow + 2s).size() == 1U);
+    const RouteRequirements plain {.service = kService};
+    BOOST_TEST((router.knownWait(plain, kNow) == core::Duration(2s)));
+    BOOST_TEST(!router.knownWait(plain, kNow + 2s).has_value());
+}
+
 // Guards against a request that waits for its deadline although all its targets leave.
 BOOST_AUTO_TEST_CASE(requestBoundToLeavingTargetsIsKnownToFail)
 {
