--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -10,6 +10,7 @@
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/Artifact.h"
 #include "boragerack/decisions/Quarantine.h"
+#include "boragerack/decisions/TargetRates.h"
 #include "boragerack/decisions/serving/LeaseRecord.h"
 #include "boragerack/decisions/serving/ListChange.h"
 #include "boragerack/decisions/serving/TargetEntry.h"
@@ -104,6 +105,7 @@
     std::uint64_t members = 0;
     std::uint64_t targets = 0;
     std::uint64_t placements = 0;
+    std::uint64_t rates = 0;
 
     friend auto operator<=>(const FleetVersions &, const FleetVersions &) = default;
 };
@@ -114,6 +116,7 @@
     FleetMember member;
     bool isStopping = false;
     std::vector<TokenRequest> wanted;
+    std::vector<PermitRequest> permits;
 
     friend bool operator==(const ChildReport &, const ChildReport &) = default;
 };
@@ -133,6 +136,9 @@
     /// Requests in flight of the node and of its children; empty if not reported this time.
     std::optional<std::vector<ArtifactInFlight>> uses;
     std::vector<TokenRequest> wanted;
+    std::vector<PermitRequest> permits;
+    /// Rates named by targets that the coordinator may not know yet.
+    std::vector<RateObservation> rates;
     std::vector<quarantine::CrashReport> crashes;
     /// Fingerprints of reported crashes whose requests were answered completely since.
     std::vector<quarantine::Completed> completed;
@@ -183,6 +189,8 @@
     /// Targets without their replicas, which `placements` contains.
     ListChange<core::TargetId, TargetEntry> targets;
     ListChange<core::TargetId, TargetPlacement> placements;
+    /// Targets whose rate is limited.
+    ListChange<core::TargetId, TargetRate> rates;
 
     friend bool operator==(const FleetChange &, const FleetChange &) = default;
 };
@@ -204,16 +212,18 @@
     std::optional<std::vector<TargetEntry>> targets;
     /// Only the placements that changed.
     std::vector<TargetPlacement> placements;
+    std::optional<std::vector<TargetRate>> rates;
     std::optional<std::vector<TargetLoad>> loads;
 
     friend bool operator==(const FleetUpdate &, const FleetUpdate &) = default;
 };
 
-/// Tokens granted to a node that reports through the receiver.
+/// Tokens and permits granted to a node that reports through the receiver.
 struct ChildGrant
 {
     core::InstanceId instance;
     std::vector<TokenAmount> granted;
+    std::vector<PermitGrant> permits;
 
     friend bool operator==(const ChildGrant &, const ChildGrant &) = default;
 };
@@ -231,6 +241,7 @@
     /// Empty if the node has to report through a relay.
     std::optional<TargetLoads> loads;
     std::vector<TokenAmount> granted;
+    std::vector<PermitGrant> permits;
     std::vector<ChildGrant> childGrants;
     std::vector<quarantine::Notice> quarantined;
     /// The configuration as stored by the platform. Empty unless the report has an older version;
--- a/packages/decisions/include/boragerack/decisions/serving/FleetState.h
+++ b/packages/decisions/include/boragerack/decisions/serving/FleetState.h
@@ -9,7 +9,8 @@
 
 namespace boragerack::decisions {
 
-/// State of the fleet that the coordinator distributes: members, targets, placements and loads.
+/// State of the fleet that the coordinator distributes: members, targets, placements, loads and
+/// rates.
 /// Each node keeps a copy, which it updates with changes and from which it can answer other nodes.
 class FleetState
 {
@@ -27,6 +28,7 @@
     /// Adds placements of the given version; the others are unchanged.
     void updatePlacements(std::uint64_t version, const std::vector<TargetPlacement> &placements);
     void setLoads(const std::vector<TargetLoad> &loads);
+    void setRates(const std::vector<TargetRate> &rates);
 
     /// Changes after `known`, which may belong to another term.
     FleetChange changesSince(const FleetVersions &known) const;
@@ -37,7 +39,7 @@
     /// Ignores loads for another version of the targets.
     void apply(const TargetLoads &loads);
 
-    /// Changes after `known` with complete lists of members and targets.
+    /// Changes after `known` with complete lists of members, targets and rates.
     FleetUpdate updateSince(const FleetVersions &known) const;
 
 private:
@@ -46,6 +48,7 @@
     VersionedList<core::InstanceId, FleetMember, &FleetMember::instance> members_;
     VersionedList<core::TargetId, TargetEntry, &TargetEntry::target> targets_;
     VersionedList<core::TargetId, TargetPlacement, &TargetPlacement::target> placements_;
+    VersionedList<core::TargetId, TargetRate, &TargetRate::target> rates_;
     FleetVersions versions_;
     std::optional<TargetLoads> loads_;
 };
--- a/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
+++ b/packages/decisions/include/boragerack/decisions/serving/ReportAggregator.h
@@ -41,6 +41,12 @@
         bool isNew = false;
     };
 
+    struct HeldRate
+    {
+        std::optional<double> requestsPerSecond;
+        core::TimePoint observedAt = {};
+    };
+
     struct HeldCrash
     {
         /// The ages are those at the time of receipt.
@@ -51,9 +57,13 @@
     void mergeDemands(core::TimePoint now, CoordinationReport &merged) const;
     void mergeCrashes(core::TimePoint now, CoordinationReport &merged);
     void mergeUses(CoordinationReport &merged) const;
+    void addRates(const std::vector<RateObservation> &rates, core::TimePoint now);
+    void mergeRates(core::TimePoint now, CoordinationReport &merged);
 
     core::InstanceId self_;
     std::map<core::InstanceId, Source> sources_;
+    /// The most recent observation of each process.
+    std::map<TargetProcess, HeldRate> rates_;
     std::vector<HeldCrash> crashes_;
     std::vector<quarantine::Completed> completed_;
     std::vector<quarantine::Notice> refusals_;
--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "boragerack/decisions/Artifact.h"
 #include "boragerack/decisions/TargetAdvice.h"
 #include "boragerack/decisions/TargetClosures.h"
+#include "boragerack/decisions/TargetRateLimiter.h"
 #include "boragerack/decisions/serving/CoordinationMessages.h"
 #include "boragerack/decisions/serving/OutlierDetector.h"
 #include "boragerack/decisions/serving/TargetEntry.h"
@@ -61,6 +63,7 @@
 /// An attempt whose target this router chose has ended.
 struct Ended
 {
+    std::uint64_t request = 0;
     core::TargetId target;
     core::ServiceId service;
     std::optional<Artifact> artifact;
@@ -100,6 +103,35 @@
     friend bool operator==(const PlacementsOutdated &, const PlacementsOutdated &) = default;
 };
 
+/// The coordinator has the last observations of rates and granted permits.
+struct PermitsGranted
+{
+    std::vector<PermitGrant> grants;
+    friend bool operator==(const PermitsGranted &, const PermitsGranted &) = default;
+};
+
+/// All rates that the coordinator knows; replaces the earlier ones.
+struct RatesDistributed
+{
+    std::vector<TargetRate> rates;
+    friend bool operator==(const RatesDistributed &, const RatesDistributed &) = default;
+};
+
+/// Another coordinator is followed. It knows no rates until the nodes report them.
+struct CoordinatorChanged
+{
+    friend bool operator==(const CoordinatorChanged &, const CoordinatorChanged &) = default;
+};
+
+/// No coordinator grants permits; each node accrues an equal part of the rates.
+struct CoordinatorAbsent
+{
+    /// Position of this node among the nodes.
+    std::uint32_t rank = 0;
+    std::uint32_t nodes = 0;
+    friend bool operator==(const CoordinatorAbsent &, const CoordinatorAbsent &) = default;
+};
+
 /// Requests in flight of all nodes, some hundred milliseconds old; replaces the earlier loads.
 struct LoadsReported
 {
@@ -113,7 +145,8 @@
 };
 
 using Event = std::variant<RouteRequested, Withdrawn, Ended, TargetAdvised, TargetsChanged,
-                           PlacementsChanged, PlacementsOutdated, LoadsReported, Tick>;
+                           PlacementsChanged, PlacementsOutdated, PermitsGranted, RatesDistributed,
+                           CoordinatorChanged, CoordinatorAbsent, LoadsReported, Tick>;
 
 struct Granted
 {
@@ -122,6 +155,8 @@
     std::string address;
     /// When the target's process started.
     std::uint64_t startedAt = 0;
+    /// The rate of the target is limited, so that its answer tells whether it still is.
+    bool isRateLimited = false;
     friend bool operator==(const Granted &, const Granted &) = default;
 };
 
@@ -144,13 +179,19 @@
     /// Requests that arrived since the last call, and those that wait now, by artifact.
     std::vector<ArtifactDemand> takeDemands(core::TimePoint now);
     std::vector<ArtifactInFlight> uses() const;
-    /// False if the target, which was chosen earlier, leaves or has left, or accepts no requests
-    /// from this node now.
-    bool maySend(const core::TargetId &target, core::TimePoint now) const;
+    /// Called directly before the request is written to the target that was chosen earlier; uses
+    /// the permit if the rate of the target is limited. False if the target leaves or has left, or
+    /// accepts no further request now.
+    bool claimSend(std::uint64_t request, const core::TargetId &target, core::TimePoint now);
+    /// Permits that the requests since the last call need.
+    std::vector<PermitRequest> takePermitRequests(core::TimePoint now);
+    std::vector<RateObservation> takeRateObservations(core::TimePoint now);
     /// Least time until a target accepts the request, if what the targets announced is known to
     /// prevent it until then; empty if a target may accept it at any time.
     std::optional<core::Duration> knownWait(const RouteRequirements &demand,
                                             core::TimePoint now) const;
+    /// True if what a target asks of its callers has changed since the last call.
+    bool takeNewAdvice() { return std::exchange(hasNewAdvice_, false); }
     /// True if a request started to wait since the last call.
     bool takeNewlyWaiting();
 
@@ -180,6 +221,14 @@
             std::vector<Action> &actions);
     void on(const routing::PlacementsOutdated &event, core::TimePoint now,
             std::vector<Action> &actions);
+    void on(const routing::PermitsGranted &event, core::TimePoint now,
+            std::vector<Action> &actions);
+    void on(const routing::RatesDistributed &event, core::TimePoint now,
+            std::vector<Action> &actions);
+    void on(const routing::CoordinatorChanged &event, core::TimePoint now,
+            std::vector<Action> &actions);
+    void on(const routing::CoordinatorAbsent &event, core::TimePoint now,
+            std::vector<Action> &actions);
     void on(const routing::LoadsReported &event, core::TimePoint now, std::vector<Action> &actions);
     void on(const routing::Tick &event, core::TimePoint now, std::vector<Action> &actions);
 
@@ -188,14 +237,20 @@
     bool isUsable(const TargetEntry &entry, const RouteRequirements &demand,
                   core::TimePoint now) const;
     bool serves(const TargetEntry &entry, const Artifact &artifact) const;
-    const TargetEntry *choose(const RouteRequirements &demand, core::TimePoint now) const;
+    /// Also counts the permits without which the request could not be sent to some targets.
+    const TargetEntry *choose(const RouteRequirements &demand, core::TimePoint now);
+    bool needsPermit(const TargetEntry &entry, core::TimePoint now) const;
+    /// The target whose next permit for one of its `waiting` requests is due first.
+    const TargetEntry *choosePermitTarget(const RouteRequirements &demand,
+                                          const std::map<core::TargetId, PermitRequest> &waiting,
+                                          core::TimePoint now) const;
     const TargetEntry *choosePrefixHolder(const RouteRequirements &demand,
                                           const std::vector<const TargetEntry *> &candidates) const;
     std::uint32_t outstanding(const core::TargetId &target) const;
     /// Requests in flight of all nodes, as far as known to this one.
     std::uint32_t loadOf(const core::TargetId &target) const;
     void grant(std::uint64_t request, const RouteRequirements &demand, const TargetEntry &entry,
-               std::vector<Action> &actions);
+               core::TimePoint now, std::vector<Action> &actions);
     void grantWaiting(core::TimePoint now, std::vector<Action> &actions);
 
     std::unique_ptr<ReplicaSelector> selector_;
@@ -211,6 +266,12 @@
     std::map<Key, core::TimePoint> missingUntil_;
     OutlierDetector outliers_;
     TargetClosures closures_;
+    TargetRateLimiter rates_;
+    bool hasNewAdvice_ = false;
+    /// Permits of requests whose target was chosen and that have not been sent.
+    std::map<std::uint64_t, TargetRateLimiter::Permit> heldPermits_;
+    /// Targets that could have been used with a permit since the last `takePermitRequests()`.
+    std::set<core::TargetId> missedPermits_;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/include/boragerack/decisions/serving/SwapMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapMessages.h
@@ -10,6 +10,7 @@
 
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/TargetRates.h"
 #include "boragerack/decisions/serving/CoordinationMessages.h"
 #include "boragerack/decisions/serving/ServingConfiguration.h"
 #include "boragerack/decisions/serving/TargetEntry.h"
@@ -73,6 +74,13 @@
     friend bool operator==(const TargetReportReceived &, const TargetReportReceived &) = default;
 };
 
+/// Targets that accept only so many requests per second; replaces the earlier rates.
+struct RatesChanged
+{
+    std::vector<TargetRate> rates;
+    friend bool operator==(const RatesChanged &, const RatesChanged &) = default;
+};
+
 /// Whether this node may send orders now.
 struct OrdersAllowed
 {
@@ -86,7 +94,7 @@
 };
 
 using Event = std::variant<TargetsChanged, ServicesChanged, DemandReported, NodeLeft, OrderAnswered,
-                           TargetReportReceived, OrdersAllowed, Tick>;
+                           TargetReportReceived, RatesChanged, OrdersAllowed, Tick>;
 
 // Actions.
 
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -57,8 +57,10 @@
         struct Model
         {
             core::ServiceId service;
-            /// Targets that serve it and are not leaving.
+            /// Targets that serve it, are not leaving and accept any number of requests.
             std::uint32_t ready = 0;
+            /// Targets that serve it at a limited rate.
+            std::vector<const Target *> limited;
             /// Some target loads it or is reserved for it.
             bool isBeingPlaced = false;
         };
@@ -80,8 +82,14 @@
         /// The model is ready on other targets; an additional replica only evicts models at a low
         /// cost.
         bool isAdditional = false;
-        /// Requests in flight beyond those that the existing replicas can run at the same time.
+        /// Requests beyond those that the existing replicas can run at the same time, or accept.
         std::uint32_t queued = 0;
+        /// Targets serve it, but at a limited rate; another such target would not help in time.
+        bool hasLimitedReplicas = false;
+        /// Time in which these targets accept the requests that wait.
+        double limitedSeconds = 0;
+
+        bool needsUnlimitedTarget() const { return hasLimitedReplicas || isAdditional; }
     };
 
     /// A candidate placement for a need.
@@ -100,6 +108,7 @@
     void on(const swap::NodeLeft &event, core::TimePoint now);
     void on(const swap::OrderAnswered &event, core::TimePoint now);
     void on(const swap::TargetReportReceived &event, core::TimePoint now);
+    void on(const swap::RatesChanged &event, core::TimePoint now);
     void on(const swap::OrdersAllowed &event, core::TimePoint now);
     void on(const swap::Tick &event, core::TimePoint now);
 
@@ -108,6 +117,12 @@
     Survey survey(core::TimePoint now);
     std::vector<Need> modelNeeds(const std::map<Artifact, FleetDemand> &demands,
                                  const Survey &survey) const;
+    /// Time in seconds in which the targets that serve the model at a limited rate accept its
+    /// waiting requests.
+    double limitedSeconds(const core::ModelId &model,
+                          const std::map<core::ModelId, FleetDemand> &totals,
+                          const Survey &survey) const;
+    std::optional<double> rateOf(const Target &target) const;
     void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
     void placeAdapter(const Artifact &artifact, const std::map<Artifact, FleetDemand> &demands,
                       core::TimePoint now, Actions &actions);
@@ -126,7 +141,9 @@
     const ModelFigures *figuresOf(const core::ServiceId &service, const core::ModelId &model) const;
     std::uint64_t usedMb(const Target &target) const;
     std::uint32_t usedAdapterSlots(const Target &target) const;
-    bool isCachedOnTarget(const core::ServiceId &service, const core::ModelId &model) const;
+    /// Whether a target on which the need can be met has a copy of the weights.
+    bool isCachedOnTarget(const Need &need) const;
+    bool isWorthStoreLoad(const Need &need) const;
     bool mayLoadFromStore(core::TimePoint now);
     std::uint32_t storeLoads() const;
     /// Starts an order at the target; `pending` contains its duration.
@@ -136,6 +153,7 @@
     std::shared_ptr<const TargetOrderBinding> chart_;
     std::map<core::ServiceId, Engine> engines_;
     std::map<core::TargetId, Target> targets_;
+    std::map<TargetProcess, double> rates_;
     DemandTracker demandTracker_;
     bool mayOrder_ = false;
     /// The search for targets that are due a report request starts here.
--- a/packages/decisions/src/serving/FleetState.cpp
+++ b/packages/decisions/src/serving/FleetState.cpp
@@ -16,6 +16,7 @@
     versions_.members = members_.version();
     versions_.targets = targets_.version();
     versions_.placements = placements_.version();
+    versions_.rates = rates_.version();
 }
 
 void FleetState::setMembers(const std::vector<FleetMember> &members)
@@ -54,12 +55,19 @@
     loads_ = std::move(list);
 }
 
+void FleetState::setRates(const std::vector<TargetRate> &rates)
+{
+    rates_.replace(rates);
+    updateVersions();
+}
+
 FleetChange FleetState::changesSince(const FleetVersions &known) const
 {
     const bool isSameTerm = known.term == versions_.term;
     return {versions_.term, members_.since(isSameTerm ? known.members : 0),
             targets_.since(isSameTerm ? known.targets : 0),
-            placements_.since(isSameTerm ? known.placements : 0)};
+            placements_.since(isSameTerm ? known.placements : 0),
+            rates_.since(isSameTerm ? known.rates : 0)};
 }
 
 void FleetState::apply(const FleetChange &change)
@@ -72,6 +80,7 @@
     members_.apply(change.members);
     targets_.apply(change.targets);
     placements_.apply(change.placements);
+    rates_.apply(change.rates);
     updateVersions();
 }
 
@@ -92,6 +101,8 @@
         update.targets = targets_.values();
     if (!isSameTerm || known.placements != versions_.placements)
         update.placements = placements_.since(isSameTerm ? known.placements : 0).changed;
+    if (!isSameTerm || known.rates != versions_.rates)
+        update.rates = rates_.values();
     if (loads_ && loads_->targetsVersion == targets_.version()) {
         update.loads.emplace();
         std::size_t index = 0;
--- a/packages/decisions/src/serving/ReportAggregator.cpp
+++ b/packages/decisions/src/serving/ReportAggregator.cpp
@@ -16,6 +16,9 @@
 bool hasWaitingRequests(const CoordinationReport &report)
 {
     return report.isStopping || !report.crashes.empty() || !report.refusals.empty()
+        || !report.rates.empty()
+        || std::ranges::any_of(report.permits,
+                               [](const PermitRequest &request) { return request.waiting > 0; })
         || std::ranges::any_of(report.demands,
                                [](const ArtifactDemand &demand) { return demand.waiting > 0; })
         || std::ranges::any_of(report.wanted,
@@ -50,6 +53,7 @@
         if (crashes_.size() < kMaxHeldCrashes)
             crashes_.push_back({std::move(crash), now});
     }
+    addRates(std::exchange(source.last.rates, {}), now);
     append(completed_, std::exchange(source.last.completed, {}));
     append(refusals_, std::exchange(source.last.refusals, {}));
     isUrgent_ = isUrgent_ || hasWaitingRequests(report);
@@ -64,6 +68,7 @@
     mergeDemands(now, merged);
     mergeUses(merged);
     mergeCrashes(now, merged);
+    mergeRates(now, merged);
     merged.completed = std::exchange(completed_, {});
     merged.refusals = std::exchange(refusals_, {});
     for (auto &[instance, source] : sources_) {
@@ -73,10 +78,12 @@
             merged.isStopping = last.isStopping;
             merged.configurationVersion = last.configurationVersion;
             merged.isPlatformLost = last.isPlatformLost;
-            if (source.isNew)
+            if (source.isNew) {
                 merged.wanted = last.wanted;
+                merged.permits = last.permits;
+            }
         } else if (source.isNew) {
-            merged.children.push_back({last.member, last.isStopping, last.wanted});
+            merged.children.push_back({last.member, last.isStopping, last.wanted, last.permits});
         }
         source.isNew = false;
         // Arrivals count once; requests that wait do so until the next report.
@@ -126,6 +133,25 @@
     }
 }
 
+void ReportAggregator::addRates(const std::vector<RateObservation> &rates, core::TimePoint now)
+{
+    for (const RateObservation &rate : rates) {
+        const core::TimePoint observedAt = now - rate.age;
+        const auto [position, isNew] = rates_.try_emplace(rate.process);
+        if (isNew || position->second.observedAt <= observedAt)
+            position->second = {rate.requestsPerSecond, observedAt};
+    }
+}
+
+void ReportAggregator::mergeRates(core::TimePoint now, CoordinationReport &merged)
+{
+    for (const auto &[process, rate] : std::exchange(rates_, {})) {
+        merged.rates.push_back(
+            {process, rate.requestsPerSecond,
+             std::chrono::floor<std::chrono::milliseconds>(now - rate.observedAt)});
+    }
+}
+
 void ReportAggregator::mergeUses(CoordinationReport &merged) const
 {
     std::map<std::pair<core::TargetId, Artifact>, std::uint32_t> totals;
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -19,9 +19,6 @@
 /// requests in flight than the least loaded one.
 constexpr std::uint32_t kMaxPrefixExtraLoad = 3;
 
-/// Longer than the deadline of any request.
-constexpr core::Duration kNever = std::chrono::hours(24);
-
 TargetProcess processOf(const TargetEntry &entry)
 {
     return {entry.target, entry.startedAt};
@@ -54,7 +51,7 @@
         ++counter.arrived;
     }
     if (const TargetEntry *entry = choose(demand, now)) {
-        grant(event.request, demand, *entry, actions);
+        grant(event.request, demand, *entry, now, actions);
         return;
     }
     waiting_.emplace(event.request, Waiting {demand, now});
@@ -68,6 +65,8 @@
 
 void RequestRouter::on(const routing::Ended &event, core::TimePoint now, std::vector<Action> &)
 {
+    if (const auto held = heldPermits_.extract(event.request))
+        rates_.giveBack(held.mapped(), now);
     if (const auto position = outstanding_.find(event.target);
         position != outstanding_.end() && --position->second == 0)
         outstanding_.erase(position);
@@ -84,19 +83,24 @@
 }
 
 void RequestRouter::on(const routing::TargetAdvised &event, core::TimePoint now,
-                       std::vector<Action> &)
+                       std::vector<Action> &actions)
 {
-    closures_.record(event.process, event.advice, now);
+    const bool isNewlyClosed = closures_.record(event.process, event.advice, now);
+    const bool isNewRate = rates_.record(event.process, event.advice.requestsPerSecond, now);
+    hasNewAdvice_ = hasNewAdvice_ || isNewlyClosed || isNewRate;
+    grantWaiting(now, actions);
 }
 
 void RequestRouter::on(const routing::TargetsChanged &event, core::TimePoint now,
                        std::vector<Action> &actions)
 {
     entries_ = event.entries;
-    closures_.retain([this](const TargetProcess &process) {
+    const auto isListed = [this](const TargetProcess &process) {
         const auto position = entries_->find(process.target);
         return position != entries_->end() && position->second.startedAt == process.startedAt;
-    });
+    };
+    closures_.retain(isListed);
+    rates_.retain(isListed);
     if (arePlacementsOutdated_ && event.hasReplicas)
         placements_.clear();
     grantWaiting(now, actions);
@@ -120,6 +124,35 @@
     arePlacementsOutdated_ = true;
 }
 
+void RequestRouter::on(const routing::PermitsGranted &event, core::TimePoint now,
+                       std::vector<Action> &actions)
+{
+    rates_.stopAccruing();
+    rates_.handleAccepted();
+    for (const PermitGrant &permits : event.grants)
+        rates_.credit(permits, now);
+    grantWaiting(now, actions);
+}
+
+void RequestRouter::on(const routing::RatesDistributed &event, core::TimePoint now,
+                       std::vector<Action> &actions)
+{
+    rates_.adopt(event.rates, now);
+    grantWaiting(now, actions);
+}
+
+void RequestRouter::on(const routing::CoordinatorChanged &, core::TimePoint, std::vector<Action> &)
+{
+    rates_.handleSuccessor();
+}
+
+void RequestRouter::on(const routing::CoordinatorAbsent &event, core::TimePoint now,
+                       std::vector<Action> &actions)
+{
+    rates_.accrue(now, event.rank, event.nodes);
+    grantWaiting(now, actions);
+}
+
 void RequestRouter::on(const routing::LoadsReported &event, core::TimePoint, std::vector<Action> &)
 {
     reportedLoads_.clear();
@@ -137,7 +170,7 @@
 {
     for (auto position = waiting_.begin(); position != waiting_.end();) {
         if (const TargetEntry *entry = choose(position->second.demand, now)) {
-            grant(position->first, position->second.demand, *entry, actions);
+            grant(position->first, position->second.demand, *entry, now, actions);
             position = waiting_.erase(position);
         } else {
             ++position;
@@ -146,12 +179,16 @@
 }
 
 void RequestRouter::grant(std::uint64_t request, const RouteRequirements &demand,
-                          const TargetEntry &entry, std::vector<Action> &actions)
+                          const TargetEntry &entry, core::TimePoint now,
+                          std::vector<Action> &actions)
 {
+    if (const auto permit = rates_.take(processOf(entry), now))
+        heldPermits_.insert_or_assign(request, *permit);
     ++outstanding_[entry.target];
     if (demand.artifact)
         ++uses_[Key(entry.target, *demand.artifact)];
-    actions.push_back({request, entry.target, entry.address, entry.startedAt});
+    actions.push_back({request, entry.target, entry.address, entry.startedAt,
+                       rates_.rateOf(processOf(entry)).has_value()});
 }
 
 bool RequestRouter::serves(const TargetEntry &entry, const Artifact &artifact) const
@@ -181,7 +218,13 @@
         && serves(entry, *demand.artifact);
 }
 
-const TargetEntry *RequestRouter::choose(const RouteRequirements &demand, core::TimePoint now) const
+bool RequestRouter::needsPermit(const TargetEntry &entry, core::TimePoint now) const
+{
+    const TargetProcess process = processOf(entry);
+    return rates_.rateOf(process) && !rates_.hasPermit(process, now);
+}
+
+const TargetEntry *RequestRouter::choose(const RouteRequirements &demand, core::TimePoint now)
 {
     std::vector<const TargetEntry *> candidates;
     std::vector<ReplicaCandidate> replicas;
@@ -189,6 +232,10 @@
     for (const auto &[target, entry] : *entries_) {
         if (!isUsable(entry, demand, now))
             continue;
+        if (needsPermit(entry, now)) {
+            missedPermits_.insert(target);
+            continue;
+        }
         const bool isEjected = outliers_.isEjected(target, now);
         ejectedCount += isEjected ? 1 : 0;
         candidates.push_back(&entry);
@@ -275,36 +322,6 @@
     return result;
 }
 
-bool RequestRouter::maySend(const core::TargetId &target, core::TimePoint now) const
-{
-    const auto position = entries_->find(target);
-    return position != entries_->end() && !position->second.isLeaving
-        && !closures_.isClosed(processOf(position->second), now);
-}
-
-std::optional<core::Duration> RequestRouter::knownWait(const RouteRequirements &demand,
-                                                       core::TimePoint now) const
-{
-    // The coordinator can load an artifact on another target at any time.
-    if (demand.artifact && demand.only.empty())
-        return std::nullopt;
-    // Other targets may join at any time, unless the request is bound to some.
-    std::optional<core::Duration> least;
-    if (!demand.only.empty())
-        least = kNever;
-    for (const auto &[target, entry] : *entries_) {
-        if (!isEligible(entry, demand))
-            continue;
-        const auto opensAt = closures_.opensAt(processOf(entry), now);
-        if (!opensAt)
-            continue;
-        if (*opensAt <= now)
-            return std::nullopt;
-        least = std::min(least.value_or(kNever), core::Duration(*opensAt - now));
-    }
-    return least;
-}
-
 bool RequestRouter::takeNewlyWaiting()
 {
     return std::exchange(hasNewlyWaiting_, false);
--- /dev/null
+++ b/packages/decisions/src/serving/RequestRouterPermits.cpp
@@ -0,0 +1,128 @@
+// What targets announced in their responses: permits for limited rates, pauses and stops.
+
+#include <algorithm>
+#include <chrono>
+
+#include "boragerack/decisions/serving/RequestRouter.h"
+
+namespace boragerack::decisions {
+
+namespace {
+
+/// Longer than the deadline of any request.
+constexpr core::Duration kNever = std::chrono::hours(24);
+
+TargetProcess processOf(const TargetEntry &entry)
+{
+    return {entry.target, entry.startedAt};
+}
+
+core::Duration toDuration(double seconds)
+{
+    return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+bool RequestRouter::claimSend(std::uint64_t request, const core::TargetId &target,
+                              core::TimePoint now)
+{
+    const auto held = heldPermits_.extract(request);
+    const auto position = entries_->find(target);
+    if (position == entries_->end() || position->second.isLeaving)
+        return false;
+    const TargetProcess process = processOf(position->second);
+    if (closures_.isClosed(process, now))
+        return false;
+    if (!rates_.rateOf(process))
+        return true;
+    const bool isHeld = held && held.mapped().process == process && held.mapped().expiresAt > now;
+    return isHeld || rates_.take(process, now);
+}
+
+const TargetEntry *
+RequestRouter::choosePermitTarget(const RouteRequirements &demand,
+                                  const std::map<core::TargetId, PermitRequest> &waiting,
+                                  core::TimePoint now) const
+{
+    const TargetEntry *best = nullptr;
+    double bestSeconds = 0;
+    for (const auto &[target, entry] : *entries_) {
+        if (!isUsable(entry, demand, now))
+            continue;
+        const auto rate = rates_.rateOf(processOf(entry));
+        if (!rate)
+            continue;
+        const auto ahead = waiting.find(target);
+        const double seconds = (ahead == waiting.end() ? 1 : ahead->second.waiting + 1) / *rate;
+        if (!best || seconds < bestSeconds) {
+            best = &entry;
+            bestSeconds = seconds;
+        }
+    }
+    return best;
+}
+
+std::vector<PermitRequest> RequestRouter::takePermitRequests(core::TimePoint now)
+{
+    std::map<core::TargetId, PermitRequest> requests;
+    for (const auto &[request, waiting] : waiting_) {
+        if (const TargetEntry *entry = choosePermitTarget(waiting.demand, requests, now)) {
+            PermitRequest &permits = requests[entry->target];
+            permits.target = entry->target;
+            ++permits.waiting;
+        }
+    }
+    for (const core::TargetId &target : std::exchange(missedPermits_, {}))
+        requests.try_emplace(target, PermitRequest {.target = target, .reserve = 1});
+    std::vector<PermitRequest> result;
+    for (const auto &[target, permits] : requests)
+        result.push_back(permits);
+    return result;
+}
+
+std::vector<RateObservation> RequestRouter::takeRateObservations(core::TimePoint now)
+{
+    return rates_.takeObservations(now);
+}
+
+std::optional<core::Duration> RequestRouter::knownWait(const RouteRequirements &demand,
+                                                       core::TimePoint now) const
+{
+    // The coordinator can load an artifact on another target at any time.
+    if (demand.artifact && demand.only.empty())
+        return std::nullopt;
+    // Other targets may join at any time, unless the request is bound to some.
+    std::optional<core::Duration> least;
+    if (!demand.only.empty())
+        least = kNever;
+    double rate = 0;
+    double permits = 0;
+    for (const auto &[target, entry] : *entries_) {
+        if (!isEligible(entry, demand))
+            continue;
+        const TargetProcess process = processOf(entry);
+        const auto opensAt = closures_.opensAt(process, now);
+        if (!opensAt)
+            continue;
+        if (*opensAt > now) {
+            least = std::min(least.value_or(kNever), core::Duration(*opensAt - now));
+            continue;
+        }
+        const auto limited = rates_.rateOf(process);
+        if (!limited)
+            return std::nullopt;
+        rate += *limited;
+        permits += permitCapacity(*limited);
+    }
+    if (rate > 0) {
+        const auto ahead = std::ranges::count_if(waiting_, [&](const auto &item) {
+            return item.second.demand.service == demand.service;
+        });
+        const double missing = static_cast<double>(ahead) + 1 - permits;
+        least = std::min(least.value_or(kNever), toDuration(std::max(0.0, missing / rate)));
+    }
+    return least && least->count() > 0 ? least : std::nullopt;
+}
+
+} // namespace boragerack::decisions
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -105,6 +105,13 @@
         position->second.tracker.report(event.report, now);
 }
 
+void SwapPlanner::on(const swap::RatesChanged &event, core::TimePoint)
+{
+    rates_.clear();
+    for (const TargetRate &rate : event.rates)
+        rates_[{rate.target, rate.startedAt}] = rate.requestsPerSecond;
+}
+
 void SwapPlanner::on(const swap::OrdersAllowed &event, core::TimePoint)
 {
     mayOrder_ = event.isAllowed;
@@ -175,7 +182,10 @@
                 continue;
             Survey::Model &seen = result.models[model];
             seen.service = entry.service;
-            ++seen.ready;
+            if (rateOf(target))
+                seen.limited.push_back(&target);
+            else
+                ++seen.ready;
         }
         if (!entry.isLeaving && target.tracker.isIdle(now))
             result.freeTargets.push_back(&target);
@@ -209,8 +219,18 @@
         if (seen.isBeingPlaced)
             continue;
         if (seen.ready == 0 && demand.waiting > 0) {
-            needs.push_back({demand.service, model, demand.waiting,
-                             demand.targetLatency - demand.oldestWait, false});
+            Need need {.service = demand.service,
+                       .model = model,
+                       .waiting = demand.waiting,
+                       .timeLeft = demand.targetLatency - demand.oldestWait,
+                       .queued = seen.limited.empty() ? 0 : demand.waiting,
+                       .hasLimitedReplicas = !seen.limited.empty()};
+            if (need.hasLimitedReplicas) {
+                need.limitedSeconds = limitedSeconds(model, totals, survey);
+                if (std::chrono::duration<double>(need.limitedSeconds) <= need.timeLeft)
+                    continue;
+            }
+            needs.push_back(std::move(need));
         } else if (seen.ready > 0 && demand.inFlight > kRequestsPerReplica * seen.ready) {
             const Engine *engine = engineOf(seen.service);
             const std::uint32_t running = engine ? engine->figures.slots * seen.ready : 0;
@@ -228,6 +248,33 @@
     return needs;
 }
 
+std::optional<double> SwapPlanner::rateOf(const Target &target) const
+{
+    const TargetEntry &entry = target.tracker.entry();
+    const auto position = rates_.find({entry.target, entry.startedAt});
+    return position == rates_.end() ? std::nullopt : std::optional(position->second);
+}
+
+double SwapPlanner::limitedSeconds(const core::ModelId &model,
+                                   const std::map<core::ModelId, FleetDemand> &totals,
+                                   const Survey &survey) const
+{
+    const double waiting = totals.at(model).waiting;
+    double requestsPerSecond = 0;
+    for (const Target *target : survey.models.at(model).limited) {
+        // Requests of other models that wait for the same target share its rate.
+        double sharing = 0;
+        for (const auto &[other, holding] : target->tracker.holdings()) {
+            const auto position = totals.find(other);
+            const auto seen = survey.models.find(other);
+            if (position != totals.end() && seen != survey.models.end() && seen->second.ready == 0)
+                sharing += position->second.waiting;
+        }
+        requestsPerSecond += *rateOf(*target) * waiting / std::max(sharing, 1.0);
+    }
+    return waiting / requestsPerSecond;
+}
+
 void SwapPlanner::publish()
 {
     bool isChanged = false;
@@ -294,12 +341,13 @@
     return static_cast<std::uint32_t>(used);
 }
 
-bool SwapPlanner::isCachedOnTarget(const core::ServiceId &service, const core::ModelId &model) const
+bool SwapPlanner::isCachedOnTarget(const Need &need) const
 {
     return std::ranges::any_of(targets_, [&](const auto &item) {
         const TargetEntry &entry = item.second.tracker.entry();
-        return entry.service == service && !entry.isLeaving
-            && (entry.hasInMemory(model) || entry.hasOnDisk(model));
+        return entry.service == need.service && !entry.isLeaving
+            && (entry.hasInMemory(need.model) || entry.hasOnDisk(need.model))
+            && !(need.needsUnlimitedTarget() && rateOf(item.second));
     });
 }
 
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -28,6 +28,8 @@
 constexpr double kCostPerConcurrentRequest = 10;
 /// For a model used just now; decreases with the time since its last use.
 constexpr double kRecencyCost = 200;
+/// For a target with a limited rate, which is used only if no other one has a place.
+constexpr double kLimitedTargetCost = 5000;
 /// A model with a higher eviction cost is not evicted: it is worth more than a single request.
 constexpr double kMaxVictimCost = 1500;
 
@@ -46,7 +48,8 @@
 void SwapPlanner::placeModel(const Need &need, Survey &survey, core::TimePoint now,
                              Actions &actions)
 {
-    const bool mayUseStore = !isCachedOnTarget(need.service, need.model) && mayLoadFromStore(now);
+    const bool mayUseStore =
+        !isCachedOnTarget(need) && isWorthStoreLoad(need) && mayLoadFromStore(now);
     auto best = chooseOption(need, mayUseStore, survey, now);
     // If the targets with a copy have no room, requests would queue for longer than a load takes.
     if (!best && need.isAdditional && need.queued > 0 && !mayUseStore && mayLoadFromStore(now))
@@ -55,6 +58,14 @@
         applyOption(*best, need, survey, actions);
 }
 
+bool SwapPlanner::isWorthStoreLoad(const Need &need) const
+{
+    // A target is blocked for the whole load, and evicts other models for it.
+    const ModelFigures *model = figuresOf(need.service, need.model);
+    return !need.hasLimitedReplicas || !model
+        || std::chrono::duration<double>(need.limitedSeconds) > model->loadFromStore;
+}
+
 std::optional<SwapPlanner::Option> SwapPlanner::chooseOption(const Need &need, bool mayUseStore,
                                                              const Survey &survey,
                                                              core::TimePoint now)
@@ -82,6 +93,9 @@
     const TargetEntry &entry = target.tracker.entry();
     if (entry.service != need.service || target.tracker.holdings().contains(need.model))
         return std::nullopt;
+    const bool isLimited = rateOf(target).has_value();
+    if (isLimited && need.needsUnlimitedTarget())
+        return std::nullopt;
     const Engine *engine = engineOf(need.service);
     const ModelFigures *model = figuresOf(need.service, need.model);
     if (!engine || !model)
@@ -100,7 +114,8 @@
         option.isFromStore = true;
     }
     option.cost = static_cast<double>(option.loadTime.count())
-        + kCostPerConcurrentRequest * demandTracker_.inFlight(entry.target);
+        + kCostPerConcurrentRequest * demandTracker_.inFlight(entry.target)
+        + (isLimited ? kLimitedTargetCost : 0);
 
     const std::uint64_t used = usedMb(target);
     const std::uint64_t free =
@@ -125,7 +140,7 @@
     for (const auto &[cost, model] : candidates) {
         if (freed >= missingMb)
             break;
-        if (cost > (need.isAdditional ? maxVictimCost(need.queued) : kMaxVictimCost))
+        if (cost > (need.needsUnlimitedTarget() ? maxVictimCost(need.queued) : kMaxVictimCost))
             return false;
         const ModelFigures *figures = figuresOf(need.service, model);
         freed += figures ? figures->weightsMb : 0;
@@ -188,19 +203,30 @@
     if (!engine)
         return;
     Target *best = nullptr;
+    std::pair<bool, std::uint32_t> bestCost;
+    bool isServed = false;
     for (auto &[id, target] : targets_) {
         if (target.tracker.pending() && target.tracker.pending()->order.artifact == artifact)
             return;
         if (!target.tracker.serves(artifact.model) || target.tracker.entry().isLeaving)
             continue;
-        if (target.tracker.servesAdapter(artifact))
-            return;
+        const bool isLimited = rateOf(target).has_value();
+        if (target.tracker.servesAdapter(artifact)) {
+            if (!isLimited)
+                return;
+            isServed = true;
+            continue;
+        }
         if (!target.tracker.isIdle(now) || target.reservedFor)
             continue;
-        if (!best || usedAdapterSlots(target) < usedAdapterSlots(*best))
+        const std::pair cost(isLimited, usedAdapterSlots(target));
+        if (!best || cost < bestCost) {
             best = &target;
+            bestCost = cost;
+        }
     }
-    if (!best)
+    // Another target with a limited rate would not help the requests that wait for one.
+    if (!best || (isServed && bestCost.first))
         return;
     if (usedAdapterSlots(*best) < engine->figures.adapterSlots) {
         actions.emplace_back(makeOrder(*best, swap::OrderKind::Load, artifact,
--- a/packages/decisions/tests/serving/ReportAggregatorTest.cpp
+++ b/packages/decisions/tests/serving/ReportAggregatorTest.cpp
@@ -32,6 +32,33 @@
 
 BOOST_AUTO_TEST_SUITE(ReportAggregatorTest)
 
+// Guards against rates of targets that do not reach the coordinator through a relay, or that an
+// older response of another child replaces, and against permits that no child can be granted.
+BOOST_AUTO_TEST_CASE(mostRecentRateAndAllPermitsOfChildrenAreReported)
+{
+    core::TimePoint now(1h);
+    ReportAggregator aggregator(kSelf);
+    CoordinationReport older = reportOf("a");
+    older.rates = {{{kTarget, 1}, 2.0, 300ms}};
+    older.permits = {{kTarget, 1, 0}};
+    CoordinationReport newer = reportOf("b");
+    newer.rates = {{{kTarget, 1}, std::nullopt, 100ms}};
+    newer.permits = {{kTarget, 2, 0}};
+    aggregator.add(reportOf(kSelf.value), now);
+    aggregator.add(newer, now);
+    aggregator.add(older, now);
+    BOOST_TEST(aggregator.isUrgent());
+    now += 50ms;
+    const CoordinationReport merged = aggregator.take(now);
+    BOOST_REQUIRE(merged.rates.size() == 1U);
+    BOOST_TEST(!merged.rates.front().requestsPerSecond.has_value());
+    BOOST_TEST((merged.rates.front().age == 150ms));
+    BOOST_REQUIRE(merged.children.size() == 2U);
+    BOOST_TEST((merged.children[0].permits == older.permits));
+    BOOST_TEST((merged.children[1].permits == newer.permits));
+    BOOST_TEST(aggregator.take(now).rates.empty());
+}
+
 // Guards against arrivals that count twice, and against requests that no longer count as waiting
 // because another child reported after theirs.
 BOOST_AUTO_TEST_CASE(arrivalsCountOnceAndWaitingUntilTheNextReport)
--- a/packages/decisions/tests/serving/RequestRouterTest.cpp
+++ b/packages/decisions/tests/serving/RequestRouterTest.cpp
@@ -77,8 +77,8 @@
 {
     setTargets({entryOf("a", true), entryOf("b", true)});
     advise("a", {.isLeaving = true});
-    BOOST_TEST(!router.maySend({"a"}, kNow));
-    BOOST_TEST(router.maySend({"b"}, kNow));
+    BOOST_TEST(!router.claimSend(0, {"a"}, kNow));
+    BOOST_TEST(router.claimSend(0, {"b"}, kNow));
     for (std::uint64_t i = 1; i <= 20; ++i)
         BOOST_TEST(ask(i) == "b");
     TargetEntry restarted = entryOf("a", true);
@@ -94,7 +94,7 @@
     setTargets({entryOf("a", true)});
     advise("a", {.pause = 2s});
     advise("a", {.pause = 1s});
-    BOOST_TEST(!router.maySend({"a"}, kNow + 1900ms));
+    BOOST_TEST(!router.claimSend(0, {"a"}, kNow + 1900ms));
     BOOST_TEST(ask(1) == "");
     BOOST_TEST(router.handle(routing::Tick(), kNow + 1900ms).empty());
     BOOST_TEST(router.handle(routing::Tick(), kNow + 2s).size() == 1U);
@@ -152,7 +152,7 @@
 {
     setTargets({entryOf("a", true)});
     BOOST_TEST(ask(1) == "a");
-    router.handle(routing::Ended {{"a"}, kService, kModel, AttemptOutcome::Refused, true}, kNow);
+    router.handle(routing::Ended {1, {"a"}, kService, kModel, AttemptOutcome::Refused, true}, kNow);
     BOOST_TEST(ask(2) == "");
     BOOST_TEST(router.handle(routing::Tick(), kNow + 1s).size() == 1U);
 }
@@ -165,7 +165,8 @@
         for (const char *target : {"a", "b", "c"}) {
             const bool isFailing = std::string(target) == "a";
             router.handle(
-                routing::Ended {{target},
+                routing::Ended {0,
+                                {target},
                                 kService,
                                 std::nullopt,
                                 isFailing ? AttemptOutcome::Failed : AttemptOutcome::Succeeded,
--- a/packages/decisions/tests/serving/SwapPlannerTest.cpp
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -405,15 +405,25 @@
         dispatch(swap::OrdersAllowed {true});
     }
 
-    /// Orders within five seconds with this number of requests in flight on the busy model.
-    std::vector<swap::SendOrder> orders(std::uint32_t inFlight)
+    /// Limits the rate of the target that serves the busy model.
+    void limitRate(double requestsPerSecond)
     {
+        dispatch(swap::RatesChanged {{{{"t0"}, 1, requestsPerSecond}}});
+    }
+
+    /// Orders within five seconds with these numbers of requests in flight on the busy model and
+    /// of requests that wait for it.
+    std::vector<swap::SendOrder> orders(std::uint32_t inFlight, std::uint32_t waiting = 0)
+    {
+        std::vector<ArtifactDemand> demands;
+        if (waiting > 0)
+            demands = {{{kBusy, {}, {}}, kService, waiting, 0, 500ms, 2500ms}};
         orders_.clear();
         for (int step = 0; step < 50; ++step) {
             now_ += 100ms;
             dispatch(swap::DemandReported {
                 {"node"},
-                {},
+                demands,
                 std::vector<ArtifactInFlight> {{{"t0"}, {kBusy, {}, {}}, inFlight},
                                                {{"t1"}, {kVictim, {}, {}}, 2},
                                                {{"t1"}, {kOther, {}, {}}, 2}}});
@@ -470,6 +480,28 @@
     BOOST_TEST(orders.front().target.value == "t1");
 }
 
+// Guards against requests that wait for permits of a target with a limited rate although another
+// target can load their model, and against loads for requests that get a permit in time.
+BOOST_AUTO_TEST_CASE(requestsBeyondTheRateOfATargetAreWorthAnotherReplica)
+{
+    OverloadedModel load(true);
+    load.limitRate(2);
+    BOOST_TEST(load.orders(1, 1).empty());
+    const auto orders = load.orders(1, 30);
+    BOOST_REQUIRE(!orders.empty());
+    BOOST_TEST(orders.front().target.value == "t1");
+}
+
+// Guards against a queue at a target with a limited rate that only a load from the store can serve,
+// and against such loads for a few requests, which the target serves sooner.
+BOOST_AUTO_TEST_CASE(longQueueAtALimitedTargetIsWorthALoadFromTheStore)
+{
+    OverloadedModel load(false);
+    load.limitRate(2);
+    BOOST_TEST(load.orders(1, 8).empty());
+    BOOST_TEST(!load.orders(1, 30).empty());
+}
+
 // Guards against the same if the only copies outside the weight store are on targets without room.
 BOOST_AUTO_TEST_CASE(queuedRequestsAreWorthALoadFromTheStore)
 {
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -118,11 +118,13 @@
                                                  decisions::SwapPlanner(chart_),
                                                  decisions::FleetTokenLimiter(quotaTolerance_),
                                                  {},
+                                                 {},
                                                  decisions::Quarantine(kQuarantineLimits),
                                                  false,
                                                  decisions::FleetState(fence),
                                                  0,
                                                  0,
+                                                 0,
                                                  {},
                                                  {}});
             term_->members.seed(knownNodes(), clock_.now());
@@ -141,7 +143,9 @@
         term_->tree.remove(node);
         plan(swap::NodeLeft {node});
     }
-    term_->tokenLimiter.setRateFraction(term_->members.liveShare(clock_.now()), clock_.now());
+    const double liveShare = term_->members.liveShare(clock_.now());
+    term_->tokenLimiter.setRateFraction(liveShare, clock_.now());
+    term_->permitIssuer.setRateFraction(liveShare, clock_.now());
 }
 
 std::vector<decisions::FleetMember> CoordinatorTask::knownNodes() const
@@ -176,6 +180,10 @@
     if (!entries_ || !term_)
         return;
     plan(swap::TargetsChanged {entries_});
+    term_->permitIssuer.retain([this](const decisions::TargetProcess &process) {
+        const auto position = entries_->find(process.target);
+        return position != entries_->end() && position->second.startedAt == process.startedAt;
+    });
     std::vector<decisions::TargetEntry> listed;
     listed.reserve(entries_->size());
     for (const auto &[target, entry] : *entries_)
@@ -202,6 +210,11 @@
         term.state.updatePlacements(version, term.planner.placementsSince(term.placementVersion));
         term.placementVersion = version;
     }
+    if (const std::uint64_t version = term.permitIssuer.version(); version != term.ratesVersion) {
+        term.ratesVersion = version;
+        term.state.setRates(term.permitIssuer.rates());
+        plan(swap::RatesChanged {term.permitIssuer.rates()});
+    }
     if (const core::TimePoint now = clock_.now(); now - term.loadsAt >= kLoadsInterval) {
         term.loadsAt = now;
         term.state.setLoads(term.planner.loads());
@@ -282,6 +295,7 @@
     for (const decisions::quarantine::CrashReport &crash : report.crashes)
         logRefusals(term_->quarantine.handle(crash, now));
     logRefusals(term_->quarantine.handle(decisions::quarantine::Tick(), now));
+    recordRates(report.rates);
     plan(swap::DemandReported {report.member.instance, report.demands, report.uses,
                                std::move(children)});
 }
@@ -295,16 +309,43 @@
     }
 }
 
+void CoordinatorTask::recordRates(const std::vector<decisions::RateObservation> &rates)
+{
+    for (const decisions::RateObservation &rate : rates) {
+        const std::uint64_t before = term_->permitIssuer.version();
+        term_->permitIssuer.record(rate, clock_.now());
+        if (term_->permitIssuer.version() != before)
+            runtime::logEvent(
+                runtime::LogEvent::TargetRateChanged,
+                "target=" + rate.process.target.value + " rate="
+                    + (rate.requestsPerSecond ? std::to_string(*rate.requestsPerSecond) : "none")
+                    + " age_ms=" + std::to_string(rate.age.count()));
+    }
+}
+
+std::vector<decisions::PermitGrant>
+CoordinatorTask::grantPermits(const std::vector<decisions::PermitRequest> &requests)
+{
+    std::vector<decisions::PermitGrant> grants;
+    for (const decisions::PermitRequest &request : requests) {
+        const decisions::PermitGrant grant = term_->permitIssuer.grant(request, clock_.now());
+        if (grant.permits > 0)
+            grants.push_back(grant);
+    }
+    return grants;
+}
+
 void CoordinatorTask::grantTokens(const decisions::CoordinationReport &report,
                                   decisions::CoordinationAnswer &answer)
 {
     const core::TimePoint now = clock_.now();
     for (const decisions::TokenRequest &tokenRequest : report.wanted)
         answer.granted.push_back(term_->tokenLimiter.grant(tokenRequest, now));
+    answer.permits = grantPermits(report.permits);
     for (const decisions::ChildReport &child : report.children) {
-        if (child.wanted.empty())
+        if (child.wanted.empty() && child.permits.empty())
             continue;
-        decisions::ChildGrant grant {child.member.instance, {}};
+        decisions::ChildGrant grant {child.member.instance, {}, grantPermits(child.permits)};
         for (const decisions::TokenRequest &tokenRequest : child.wanted)
             grant.granted.push_back(term_->tokenLimiter.grant(tokenRequest, now));
         answer.childGrants.push_back(std::move(grant));
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -18,6 +18,7 @@
 #include "boragerack/decisions/serving/MembershipTracker.h"
 #include "boragerack/decisions/serving/ReportTree.h"
 #include "boragerack/decisions/serving/SwapPlanner.h"
+#include "boragerack/decisions/serving/TargetPermitIssuer.h"
 #include "boragerack/gateway/TargetControl.h"
 #include "boragerack/runtime/FiberGroup.h"
 #include "boragerack/runtime/Mailbox.h"
@@ -55,6 +56,7 @@
         std::uint64_t fence = 0;
         decisions::SwapPlanner planner;
         decisions::FleetTokenLimiter tokenLimiter;
+        decisions::TargetPermitIssuer permitIssuer;
         decisions::MembershipTracker members;
         decisions::Quarantine quarantine;
         bool mayOrder = false;
@@ -62,6 +64,7 @@
         decisions::FleetState state;
         std::uint64_t membersVersion = 0;
         std::uint64_t placementVersion = 0;
+        std::uint64_t ratesVersion = 0;
         core::TimePoint loadsAt = {};
         decisions::ReportTree tree;
     };
@@ -76,8 +79,11 @@
 
     void recordReport(const decisions::CoordinationReport &report);
     void logRefusals(const std::vector<decisions::Quarantine::Action> &actions) const;
+    void recordRates(const std::vector<decisions::RateObservation> &rates);
     void grantTokens(const decisions::CoordinationReport &report,
                      decisions::CoordinationAnswer &answer);
+    std::vector<decisions::PermitGrant>
+    grantPermits(const std::vector<decisions::PermitRequest> &requests);
     void updateState();
     void updateTerm();
     std::vector<decisions::FleetMember> knownNodes() const;
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -374,8 +374,10 @@
     result.reportAfter = decisions::reportInterval(aggregator_.childCount());
     const auto grant = std::ranges::find(answer->childGrants, report.member.instance,
                                          &decisions::ChildGrant::instance);
-    if (grant != answer->childGrants.end())
+    if (grant != answer->childGrants.end()) {
         result.granted = grant->granted;
+        result.permits = grant->permits;
+    }
     const RouteTablePointer table = configuration_.table();
     if (report.isPlatformLost && table
         && report.configurationVersion < table->configuration().version)
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -2,8 +2,6 @@
 
 #include "RequestExecution.h"
 
-#include <string>
-
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -28,14 +26,6 @@
         || status == kUnavailable;
 }
 
-std::string describe(const decisions::TargetAdvice &advice)
-{
-    return (advice.requestsPerSecond ? " rate=" + std::to_string(*advice.requestsPerSecond)
-                                     : std::string(" rate=none"))
-        + " leaving=" + (advice.isLeaving ? "yes" : "no")
-        + " pause_ms=" + std::to_string(advice.pause.count());
-}
-
 bool isSuccess(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -77,13 +67,10 @@
 void RequestExecution::onExchange(const runtime::HttpResponseHead &event)
 {
     const TargetAnswer answer = dependencies_.protocol.decodeAnswer(event);
-    if (answer.advice != decisions::TargetAdvice()) {
-        runtime::logRequestEvent(runtime::LogEvent::TargetAdvised,
-                                 "target=" + grant_->target.value + describe(answer.advice));
-        if (!dependencies_.routing.trySend(
-                TargetAdviceReceived {{grant_->target, grant_->startedAt}, answer.advice}))
-            runtime::logEvent(runtime::LogEvent::MessageDropped, "message=target_advice");
-    }
+    if ((grant_->isRateLimited || answer.advice != decisions::TargetAdvice())
+        && !dependencies_.routing.trySend(
+            TargetAdviceReceived {{grant_->target, grant_->startedAt}, answer.advice}))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=target_advice");
     if (answer.didNotRun) {
         wasMisdirected_ = answer.isMisdirected;
         endRoute(decisions::AttemptOutcome::Refused, answer.isMisdirected);
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -24,6 +24,8 @@
     std::string address;
     /// When the target's process started.
     std::uint64_t startedAt = 0;
+    /// The answer is needed to learn whether the target still limits its rate.
+    bool isRateLimited = false;
 
     friend auto operator<=>(const RouteGrant &, const RouteGrant &) = default;
 };
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -1,6 +1,7 @@
 #include "RoutingTask.h"
 
 #include <algorithm>
+#include <string>
 
 #include "boragerack/decisions/DeficitRoundRobinPolicy.h"
 #include "boragerack/decisions/serving/FleetSize.h"
@@ -28,6 +29,14 @@
 /// Without a coordinator, a request that waits for tokens is refused after this time.
 constexpr std::chrono::milliseconds kMaxTokenWait(250);
 
+std::string describe(const decisions::TargetAdvice &advice)
+{
+    return " rate="
+        + (advice.requestsPerSecond ? std::to_string(*advice.requestsPerSecond) : "none")
+        + " leaving=" + (advice.isLeaving ? "yes" : "no")
+        + " pause_ms=" + std::to_string(advice.pause.count());
+}
+
 } // namespace
 
 RoutingTask::RoutingTask(const decisions::FleetMember &self, const Limits &limits,
@@ -121,7 +130,8 @@
         const RouteRequest &pendingRequest = position->second;
         grants_[granted.request] = {granted.target, pendingRequest.requirements.service,
                                     pendingRequest.requirements.artifact};
-        pendingRequest.reply.set(RouteGrant {granted.target, granted.address, granted.startedAt});
+        pendingRequest.reply.set(
+            RouteGrant {granted.target, granted.address, granted.startedAt, granted.isRateLimited});
         pending_.erase(position);
     }
 }
@@ -132,9 +142,9 @@
     if (!message.harmless.empty())
         crashReporter_.handleCompletion(message.harmless, clock_.now());
     if (const auto grant = grants_.find(message.request); grant != grants_.end()) {
-        route(decisions::routing::Ended {grant->second.target, grant->second.service,
-                                         grant->second.artifact, message.outcome,
-                                         message.isMissing});
+        route(decisions::routing::Ended {message.request, grant->second.target,
+                                         grant->second.service, grant->second.artifact,
+                                         message.outcome, message.isMissing});
         grants_.erase(grant);
         releaseQueueSlot(message.request);
         return;
@@ -152,6 +162,11 @@
 void RoutingTask::on(TargetAdviceReceived &message)
 {
     route(decisions::routing::TargetAdvised {message.process, message.advice});
+    if (!router_.takeNewAdvice())
+        return;
+    hasUrgentReport_ = true;
+    runtime::logRequestEvent(runtime::LogEvent::TargetAdvised,
+                             "target=" + message.process.target.value + describe(message.advice));
 }
 
 void RoutingTask::on(TokensReturned &message)
@@ -162,7 +177,8 @@
 void RoutingTask::on(SendPermissionRequest &message)
 {
     const auto grant = grants_.find(message.request);
-    if (grant == grants_.end() || !router_.maySend(grant->second.target, clock_.now()))
+    if (grant == grants_.end()
+        || !router_.claimSend(message.request, grant->second.target, clock_.now()))
         message.reply.set(decisions::SendPermission::TargetLeft);
     else
         message.reply.set(commitRetry(message.request) ? decisions::SendPermission::Granted
@@ -272,6 +288,9 @@
     for (const decisions::TokenAmount &grant : answer.granted)
         tokenLimiter_.credit(grant);
     serveTokenQueue(true);
+    // An answer that names a relay has no state, so the rates are reported again to the relay.
+    if (answer.change)
+        route(decisions::routing::PermitsGranted {answer.permits});
     applyUpdate(message.update);
     // A list that was not relayed has to be in the next update as well.
     known_.targets = relayedTargets;
@@ -345,6 +364,7 @@
     if (update.versions.term != known_.term) {
         known_ = {.term = update.versions.term};
         route(decisions::routing::PlacementsOutdated());
+        route(decisions::routing::CoordinatorChanged());
         runtime::logEvent(runtime::LogEvent::CoordinatorFollowed,
                           "term=" + std::to_string(update.versions.term));
     }
@@ -355,6 +375,8 @@
         setNodes(update.members->size());
         fleet_.set(std::move(view));
     }
+    if (update.rates)
+        route(decisions::routing::RatesDistributed {*update.rates});
     if (update.versions.placements != known_.placements)
         route(decisions::routing::PlacementsChanged {update.placements});
     known_ = update.versions;
@@ -400,6 +422,7 @@
         if (known_.term != 0)
             handleCoordinatorTimeout();
         tokenLimiter_.accrue(now, nodeCount());
+        route(decisions::routing::CoordinatorAbsent {rank(), nodeCount()});
         serveTokenQueue(false);
         if (!tokenQueue_.empty() && now - lastReport_ > kMaxTokenWait) {
             reportedTokenQueueSize_ = tokenQueue_.size();
@@ -429,6 +452,8 @@
     report.demands = router_.takeDemands(now);
     report.uses = router_.uses();
     report.wanted = tokenLimiter_.wanted(now);
+    report.permits = router_.takePermitRequests(now);
+    report.rates = router_.takeRateObservations(now);
     reportCrashes(report);
     sendReport_(std::move(report));
 }
@@ -438,6 +463,15 @@
     return peakNodes_ == 0 ? decisions::kAssumedNodes : peakNodes_;
 }
 
+std::uint32_t RoutingTask::rank() const
+{
+    const auto fleet = fleet_.get();
+    return static_cast<std::uint32_t>(
+        std::ranges::count_if(fleet->members, [this](const decisions::FleetMember &member) {
+            return member.instance < self_.instance;
+        }));
+}
+
 decisions::RetryBudget &RoutingTask::retryBudgetFor(const core::ServiceId &service)
 {
     const auto [position, isNew] = retries_.try_emplace(service, retryLimits_, startedAt_);
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -113,6 +113,8 @@
     void tick();
     void report();
     std::uint32_t nodeCount() const;
+    /// Position of this node among the members that the last coordinator confirmed.
+    std::uint32_t rank() const;
 
     decisions::FleetMember self_;
     decisions::RetryLimits retryLimits_;
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -331,6 +331,35 @@
     return entry;
 }
 
+decisions::TargetRate read(const wire::TargetRate &in)
+{
+    return {{in.target()}, in.started_at(), in.requests_per_second()};
+}
+
+decisions::RateObservation read(const wire::RateObservation &in)
+{
+    return {{{in.target()}, in.started_at()},
+            in.limited() ? std::optional(in.requests_per_second()) : std::nullopt,
+            milliseconds(in.age_ms())};
+}
+
+decisions::PermitRequest read(const wire::PermitRequest &in)
+{
+    return {{in.target()}, in.waiting(), in.reserve()};
+}
+
+decisions::PermitGrant read(const wire::PermitGrant &in)
+{
+    return {{in.target()}, in.permits()};
+}
+
+template<typename Value, typename WireValues>
+void read(const WireValues &in, std::vector<Value> &values)
+{
+    for (const auto &record : in)
+        values.push_back(read(record));
+}
+
 std::vector<decisions::TokenAmount>
 read(const google::protobuf::RepeatedPtrField<wire::TokenAmount> &in)
 {
@@ -356,7 +385,8 @@
     decisions::CoordinationReport body;
     body.member = read(in.member());
     body.isStopping = in.stopping();
-    body.known = {in.term(), in.members_version(), in.targets_version(), in.placement_version()};
+    body.known = {in.term(), in.members_version(), in.targets_version(), in.placement_version(),
+                  in.rates_version()};
     body.configurationVersion = in.configuration_version();
     body.isPlatformLost = in.platform_lost();
     for (const wire::ArtifactDemand &record : in.demands()) {
@@ -375,6 +405,8 @@
     }
     for (const wire::TokenAsk &record : in.wanted())
         body.wanted.push_back(read(record));
+    read(in.permits(), body.permits);
+    read(in.rates(), body.rates);
     bool isValid = true;
     for (const wire::CrashReport &record : in.crashes())
         isValid = readInto(record, body.crashes) && isValid;
@@ -386,6 +418,7 @@
         decisions::ChildReport child {read(record.member()), record.stopping(), {}};
         for (const wire::TokenAsk &request : record.wanted())
             child.wanted.push_back(read(request));
+        read(record.permits(), child.permits);
         body.children.push_back(std::move(child));
     }
     body.unresponsiveRelay.value = in.unresponsive_relay();
@@ -402,6 +435,7 @@
         read(in.change().members(), body.change->members);
         read(in.change().targets(), body.change->targets);
         read(in.change().placements(), body.change->placements);
+        read(in.change().rates(), body.change->rates);
     }
     if (in.has_relay())
         body.relay = read(in.relay());
@@ -414,8 +448,12 @@
         body.loads = {in.loads().targets_version(),
                       {in.loads().in_flight().begin(), in.loads().in_flight().end()}};
     body.granted = read(in.granted());
-    for (const wire::ChildGrant &record : in.child_grants())
-        body.childGrants.push_back({{record.instance()}, read(record.granted())});
+    read(in.permits(), body.permits);
+    for (const wire::ChildGrant &record : in.child_grants()) {
+        decisions::ChildGrant grant {{record.instance()}, read(record.granted()), {}};
+        read(record.permits(), grant.permits);
+        body.childGrants.push_back(std::move(grant));
+    }
     bool isValid = wire::CoordinationAnswer::Standing_IsValid(in.standing());
     for (const wire::QuarantineNotice &record : in.refusals())
         isValid = readInto(record, body.quarantined) && isValid;
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -76,6 +76,35 @@
     out.set_version(observation.version);
 }
 
+void write(const decisions::TargetRate &rate, wire::TargetRate &out)
+{
+    out.set_target(rate.target.value);
+    out.set_started_at(rate.startedAt);
+    out.set_requests_per_second(rate.requestsPerSecond);
+}
+
+void write(const decisions::RateObservation &observation, wire::RateObservation &out)
+{
+    out.set_target(observation.process.target.value);
+    out.set_started_at(observation.process.startedAt);
+    out.set_limited(observation.requestsPerSecond.has_value());
+    out.set_requests_per_second(observation.requestsPerSecond.value_or(0));
+    out.set_age_ms(ageMilliseconds(observation.age));
+}
+
+void write(const decisions::PermitRequest &request, wire::PermitRequest &out)
+{
+    out.set_target(request.target.value);
+    out.set_waiting(request.waiting);
+    out.set_reserve(request.reserve);
+}
+
+void write(const decisions::PermitGrant &grant, wire::PermitGrant &out)
+{
+    out.set_target(grant.target.value);
+    out.set_permits(grant.permits);
+}
+
 void write(const decisions::TokenRequest &request, wire::TokenAsk &out)
 {
     out.set_organisation(request.organisation.value);
@@ -370,6 +399,7 @@
     out.set_members_version(body.known.members);
     out.set_placement_version(body.known.placements);
     out.set_targets_version(body.known.targets);
+    out.set_rates_version(body.known.rates);
     out.set_configuration_version(body.configurationVersion);
     out.set_platform_lost(body.isPlatformLost);
     for (const decisions::ArtifactDemand &demand : body.demands) {
@@ -391,6 +421,10 @@
     }
     for (const decisions::TokenRequest &request : body.wanted)
         write(request, *out.add_wanted());
+    for (const decisions::PermitRequest &request : body.permits)
+        write(request, *out.add_permits());
+    for (const decisions::RateObservation &observation : body.rates)
+        write(observation, *out.add_rates());
     for (const decisions::quarantine::CrashReport &crash : body.crashes)
         write(crash, *out.add_crashes());
     for (const decisions::quarantine::Completed &completed : body.completed)
@@ -403,6 +437,8 @@
         record.set_stopping(child.isStopping);
         for (const decisions::TokenRequest &request : child.wanted)
             write(request, *record.add_wanted());
+        for (const decisions::PermitRequest &request : child.permits)
+            write(request, *record.add_permits());
     }
     out.set_unresponsive_relay(body.unresponsiveRelay.value);
 }
@@ -417,6 +453,7 @@
         write(body.change->members, *change.mutable_members());
         write(body.change->targets, *change.mutable_targets());
         write(body.change->placements, *change.mutable_placements());
+        write(body.change->rates, *change.mutable_rates());
     }
     if (body.relay)
         write(*body.relay, *out.mutable_relay());
@@ -434,11 +471,15 @@
     }
     for (const decisions::TokenAmount &amount : body.granted)
         write(amount, *out.add_granted());
+    for (const decisions::PermitGrant &grant : body.permits)
+        write(grant, *out.add_permits());
     for (const decisions::ChildGrant &grant : body.childGrants) {
         wire::ChildGrant &record = *out.add_child_grants();
         record.set_instance(grant.instance.value);
         for (const decisions::TokenAmount &amount : grant.granted)
             write(amount, *record.add_granted());
+        for (const decisions::PermitGrant &permits : grant.permits)
+            write(permits, *record.add_permits());
     }
     for (const decisions::quarantine::Notice &notice : body.quarantined)
         write(notice, *out.add_refusals());
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -25,6 +25,7 @@
     TargetLeaving = 1306,
     TargetListSourceChanged = 1307,
     TargetAdvised = 1308,
+    TargetRateChanged = 1309,
     RequestFailed = 1401,
     RequestQuarantined = 1402,
     ConnectionSilent = 1403,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -64,6 +64,8 @@
         return {Severity::Warning, "target lost"};
     case LogEvent::TargetLeaving:
         return {Severity::Info, "target is leaving"};
+    case LogEvent::TargetRateChanged:
+        return {Severity::Info, "target changed its request rate"};
     case LogEvent::TargetAdvised:
         return {Severity::Info, "target advises its callers"};
     case LogEvent::TargetListSourceChanged:
