--- a/packages/gateway/include/boragerack/gateway/ServingSource.h
+++ b/packages/gateway/include/boragerack/gateway/ServingSource.h
@@ -13,14 +13,15 @@
 
 namespace boragerack::gateway {
 
-/// The configuration at a platform revision; empty if none has been written.
+/// The configuration at a version of the platform's store; empty if none has been written.
 struct ConfigurationRead
 {
+    /// Number of a core::StoreVersion.
     std::uint64_t revision = 0;
     std::optional<decisions::ServingConfiguration> configuration;
     /// The text stored in the platform, for nodes that cannot read the platform themselves.
     std::string text;
-    /// The platform no longer has the changes since the requested revision.
+    /// The platform does not have the changes since the requested revision, or was restored since.
     bool isExpired = false;
 
     friend bool operator==(const ConfigurationRead &, const ConfigurationRead &) = default;
