--- a/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinatorLease.h
@@ -50,6 +50,8 @@
 {
     std::optional<LeaseRecord> record;
     std::uint64_t version = 0;
+    /// Era of the store at the read; see core::StoreVersion.
+    std::uint64_t era = 0;
     friend bool operator==(const ReadFinished &, const ReadFinished &) = default;
 };
 
@@ -141,7 +143,9 @@
 /// Decides when this node is the coordinator of the fleet. The holder renews the lease by
 /// conditional writes. A successor acquires it only if it has remained unchanged for longer than
 /// its validity, and then waits until `LeaseTimes::orderHandover` has passed since any order of its
-/// predecessor. Times must come from a clock that includes the time of system suspension.
+/// predecessor. A record of the time before a restore of the store does not show the last holder,
+/// so the waits then count from the first read in the new era. Times must come from a clock that
+/// includes the time of system suspension.
 class CoordinatorLease
 {
 public:
@@ -174,6 +178,7 @@
               std::vector<lease::Action> &actions);
     void perform(CoordinatorChartAction action, core::TimePoint now,
                  std::vector<lease::Action> &actions);
+    void onApplied(std::uint64_t version, core::TimePoint now, std::vector<lease::Action> &actions);
     void onRead(const lease::ReadFinished &read, core::TimePoint now,
                 std::vector<lease::Action> &actions);
     void onHolderReported(const LeaseObservation &reported, core::TimePoint now,
@@ -182,6 +187,9 @@
     core::Duration pollInterval() const;
     bool isOwn(const LeaseRecord &record) const;
     bool isFree(core::TimePoint now);
+    bool isFreeAfterRestore(core::TimePoint now);
+    /// The store was restored since the record was written, or without a record, at any time.
+    bool isRestored() const;
     core::TimePoint lastRenewalBefore() const;
 
     charts::ChartInstance<CoordinatorState, CoordinatorChartEvent, CoordinatorChartAction> chart_;
@@ -191,6 +199,8 @@
     std::optional<std::uint64_t> knownVersion_;
     /// When the known version was first read.
     core::TimePoint knownSince_ = {};
+    /// Era of the store to which the known version belongs; empty before the first read.
+    std::optional<std::uint64_t> storeEra_;
     /// When the coordinator last responded with a valid lease.
     std::optional<core::TimePoint> coordinatorAnsweredAt_;
     lease::CoordinatorAnswered coordinatorAnswer_;
--- a/packages/decisions/include/boragerack/decisions/serving/LeaseRecord.h
+++ b/packages/decisions/include/boragerack/decisions/serving/LeaseRecord.h
@@ -27,12 +27,15 @@
     /// Largest number of nodes known to the holder. A starting process divides limits by it until a
     /// coordinator reports a larger number.
     std::uint32_t nodes = 0;
+    /// Era of the store as known to the holder at the write. A record that is read in another era
+    /// was written before a restore of the store, and other nodes may have held the lease since.
+    std::uint64_t era = 0;
 
     friend auto operator<=>(const LeaseRecord &, const LeaseRecord &) = default;
 };
 
-/// The record as read by some node. The platform increases the version with each write, so the
-/// observation with the larger version is newer.
+/// The record as read by some node. The version is the number of a core::StoreVersion and increases
+/// with each write, so the observation with the larger version is newer.
 struct LeaseObservation
 {
     LeaseRecord record;
--- a/packages/decisions/src/serving/CoordinatorLease.cpp
+++ b/packages/decisions/src/serving/CoordinatorLease.cpp
@@ -3,11 +3,19 @@
 #include <algorithm>
 
 #include "boragerack/core/RendezvousHash.h"
+#include "boragerack/core/StoreVersion.h"
 #include "boragerack/decisions/serving/FleetSize.h"
 #include "boragerack/decisions/serving/ReportTree.h"
 
 namespace boragerack::decisions {
 
+namespace {
+
+/// Era of a store that has not been restored. Stores that do not report an era have a lower one.
+constexpr std::uint64_t kFirstEra = 1;
+
+} // namespace
+
 CoordinatorLease::CoordinatorLease(std::shared_ptr<const CoordinatorBinding> chart,
                                    LeaseRecord self, const LeaseTimes &times)
     : chart_(std::move(chart))
@@ -24,9 +32,7 @@
     if (const auto *read = std::get_if<lease::ReadFinished>(&event)) {
         onRead(*read, now, actions);
     } else if (const auto *applied = std::get_if<lease::WriteApplied>(&event)) {
-        knownVersion_ = applied->version;
-        known_ = self_;
-        fire(CoordinatorChartEvent::Applied, now, actions);
+        onApplied(applied->version, now, actions);
     } else if (std::holds_alternative<lease::WriteConflict>(event)) {
         fire(CoordinatorChartEvent::Conflict, now, actions);
     } else if (std::holds_alternative<lease::Unanswered>(event)) {
@@ -63,11 +69,29 @@
     return isHolding(now + times_.orderTimeout) && now >= ordersFrom_ && !isStopRequested_;
 }
 
+void CoordinatorLease::onApplied(std::uint64_t version, core::TimePoint now,
+                                 std::vector<lease::Action> &actions)
+{
+    const std::uint64_t era = core::toStoreVersion(version).era;
+    // In another era, the condition of the write may have referred to another record with the same
+    // revision, so that the write proves nothing.
+    const bool isSameEra = storeEra_ == era;
+    if (!isSameEra)
+        knownSince_ = now;
+    storeEra_ = era;
+    knownVersion_ = version;
+    known_ = self_;
+    fire(isSameEra ? CoordinatorChartEvent::Applied : CoordinatorChartEvent::Unanswered, now,
+         actions);
+}
+
 void CoordinatorLease::onRead(const lease::ReadFinished &read, core::TimePoint now,
                               std::vector<lease::Action> &actions)
 {
-    if (knownVersion_ != read.version || known_.has_value() != read.record.has_value())
+    const auto version = read.record ? std::optional(read.version) : std::nullopt;
+    if (storeEra_ != read.era || knownVersion_ != version)
         knownSince_ = now;
+    storeEra_ = read.era;
     known_ = read.record;
     if (known_ && known_->nodes > self_.nodes) {
         const bool isFirst = self_.nodes == 0;
@@ -75,9 +99,11 @@
         if (isFirst)
             nextPollAt_ = std::min(nextPollAt_, now + pollInterval());
     }
-    knownVersion_ = read.record ? std::optional(read.version) : std::nullopt;
+    knownVersion_ = version;
     if (chart_.state() == CoordinatorState::Verifying) {
-        const bool isOwnTerm = known_ && isOwn(*known_) && known_->incarnation == self_.incarnation;
+        // If the lease has lapsed, another node may have held it before the store was restored.
+        const bool isOwnTerm = known_ && isOwn(*known_) && known_->incarnation == self_.incarnation
+            && (!isRestored() || isHolding(now));
         // A pending write may still take effect. The next renewal is conditional on the version
         // read here, so at most one of the two writes succeeds.
         fire(isOwnTerm ? CoordinatorChartEvent::FoundOwn : CoordinatorChartEvent::FoundOther, now,
@@ -141,6 +167,7 @@
         return;
     known_ = reported.record;
     knownVersion_ = reported.version;
+    storeEra_ = core::toStoreVersion(reported.version).era;
     // The record may have been read much earlier; measuring its age from now is conservative.
     knownSince_ = now;
     const bool isOwnTerm = isOwn(*known_) && known_->incarnation == self_.incarnation;
@@ -164,6 +191,7 @@
         break;
     case CoordinatorChartAction::WriteLease:
         ++self_.renewal;
+        self_.era = storeEra_.value_or(0);
         self_.ordersAfter = std::chrono::ceil<std::chrono::milliseconds>(
             std::max(core::Duration(0), ordersFrom_ - now));
         // A validity reduced within a term would let a successor act before the longer one ends.
@@ -221,11 +249,26 @@
             std::chrono::floor<std::chrono::milliseconds>(now - confirmedAt_)};
 }
 
+bool CoordinatorLease::isRestored() const
+{
+    return known_ ? known_->era != storeEra_ : storeEra_ > kFirstEra;
+}
+
+bool CoordinatorLease::isFreeAfterRestore(core::TimePoint now)
+{
+    const core::TimePoint lapsesAt =
+        knownSince_ + std::max(times_.validity, times_.largeFleetValidity) + times_.margin;
+    ordersFrom_ = lapsesAt + times_.orderHandover;
+    return now >= lapsesAt + times_.acquireDelay;
+}
+
 bool CoordinatorLease::isFree(core::TimePoint now)
 {
     if (isStopAnnounced_)
         return false;
     lapsedHolder_.reset();
+    if (isRestored())
+        return isFreeAfterRestore(now);
     if (!known_) {
         ordersFrom_ = now;
         return now >= *startedAt_ + times_.acquireDelay;
--- a/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
+++ b/packages/decisions/tests/serving/CoordinatorLeaseTest.cpp
@@ -7,6 +7,7 @@
 
 #include "RequestCharts.h"
 #include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/core/StoreVersion.h"
 #include "boragerack/decisions/serving/CoordinatorLease.h"
 
 namespace boragerack::decisions::testing {
@@ -37,7 +38,8 @@
 }
 
 /// Simulates the platform object with conditional writes. A response may be lost, and the write may
-/// then still take effect seconds later if its condition holds.
+/// then still take effect seconds later if its condition holds. The store may be restored from a
+/// copy that is some seconds old.
 class Store
 {
 public:
@@ -47,13 +49,27 @@
         lease::Write write;
     };
 
-    explicit Store(core::RandomSource &random)
+    Store(core::RandomSource &random, bool isRestored)
         : random_(random)
+        , isRestored_(isRestored)
     {
     }
 
     void tick(core::TimePoint now)
     {
+        copies_.push_back({record_, objectRevision_, revision_});
+        if (copies_.size() > kMaxCopies)
+            copies_.pop_front();
+        // Other objects are written as well.
+        revision_ += random_.next() % 2;
+        if (isRestored_ && random_.next() % 400 == 0) {
+            const Copy copy = copies_[random_.next() % copies_.size()];
+            record_ = copy.record;
+            objectRevision_ = copy.objectRevision;
+            revision_ = copy.revision;
+            copies_.clear();
+            ++era_;
+        }
         while (!delayed_.empty() && delayed_.front().at <= now) {
             apply(delayed_.front().write);
             delayed_.pop_front();
@@ -66,7 +82,7 @@
     {
         if (now < downUntil_)
             return lease::Unanswered();
-        return lease::ReadFinished {record_, version_};
+        return lease::ReadFinished {record_, record_ ? version() : 0, era_};
     }
 
     lease::Event write(const lease::Write &write, core::TimePoint now)
@@ -84,24 +100,42 @@
         default:
             if (!apply(write))
                 return lease::WriteConflict();
-            return lease::WriteApplied {version_};
+            return lease::WriteApplied {version()};
         }
     }
 
 private:
+    /// Copies of the last 15 s.
+    static constexpr std::size_t kMaxCopies = 600;
+
+    struct Copy
+    {
+        std::optional<LeaseRecord> record;
+        std::uint64_t objectRevision = 0;
+        std::uint64_t revision = 0;
+    };
+
+    std::uint64_t version() const { return core::toVersionNumber({era_, objectRevision_}); }
+
     bool apply(const lease::Write &write)
     {
-        const bool holds = write.ifVersion ? record_ && *write.ifVersion == version_ : !record_;
+        const bool holds = write.ifVersion
+            ? record_ && core::toStoreVersion(*write.ifVersion).revision == objectRevision_
+            : !record_;
         if (!holds)
             return false;
         record_ = write.record;
-        version_ += 1 + random_.next() % 5;
+        objectRevision_ = ++revision_;
         return true;
     }
 
     core::RandomSource &random_;
+    bool isRestored_;
     std::optional<LeaseRecord> record_;
-    std::uint64_t version_ = 10;
+    std::uint64_t objectRevision_ = 0;
+    std::uint64_t revision_ = 10;
+    std::uint64_t era_ = 1;
+    std::deque<Copy> copies_;
     std::deque<DelayedWrite> delayed_;
     core::TimePoint downUntil_ = {};
 };
@@ -118,9 +152,9 @@
 class Fleet
 {
 public:
-    Fleet(std::uint64_t seed, bool hasHandover)
+    Fleet(std::uint64_t seed, bool hasHandover, bool isRestored = false)
         : random_(seed)
-        , store_(random_)
+        , store_(random_, isRestored)
         , times_(timesFor(hasHandover))
     {
         for (int node = 0; node < kNodes; ++node)
@@ -244,6 +278,26 @@
     BOOST_TEST(passed);
 }
 
+// Guards against the same if the store is restored from older copies, so that nodes find records of
+// earlier terms again.
+BOOST_AUTO_TEST_CASE(holdersKeepApartAfterRestoresOfTheStore)
+{
+    const bool passed = rc::check([](std::uint64_t seed) {
+        const std::vector<Order> orders = Fleet(seed, true, true).run();
+        RC_ASSERT(countViolations(orders) == 0U);
+    });
+    BOOST_TEST(passed);
+}
+
+// Guards against nodes that take no lease after a restore although the record is free.
+BOOST_AUTO_TEST_CASE(ordersGoOnAfterRestoresOfTheStore)
+{
+    std::size_t orders = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+        orders += Fleet(seed, true, true).run().size();
+    BOOST_TEST(orders > 0U);
+}
+
 // Verifies that the check above detects a missing handover.
 BOOST_AUTO_TEST_CASE(checkFindsMissingHandover)
 {
--- a/packages/gateway/src/LeaseJson.cpp
+++ b/packages/gateway/src/LeaseJson.cpp
@@ -18,7 +18,8 @@
                                          {"isReleased", record.isReleased},
                                          {"ordersAfterMs", record.ordersAfter.count()},
                                          {"validityMs", record.validity.count()},
-                                         {"nodes", record.nodes}});
+                                         {"nodes", record.nodes},
+                                         {"era", record.era}});
 }
 
 core::Result<decisions::LeaseRecord> parseLease(std::string_view text)
@@ -36,6 +37,9 @@
         record.validity =
             std::chrono::milliseconds(value.at("validityMs").to_number<std::int64_t>());
         record.nodes = value.at("nodes").to_number<std::uint32_t>();
+        // Missing in records of earlier releases.
+        if (const json::value *era = value.as_object().if_contains("era"))
+            record.era = era->to_number<std::uint64_t>();
         return record;
     } catch (const std::exception &exception) {
         return core::makeNotRunError(core::ErrorCode::ProtocolViolation,
--- a/packages/gateway/src/LeaseTask.cpp
+++ b/packages/gateway/src/LeaseTask.cpp
@@ -1,6 +1,7 @@
 #include "LeaseTask.h"
 
 #include "LeaseJson.h"
+#include "boragerack/core/StoreVersion.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -85,7 +86,7 @@
     }
     const auto &object = core::valueOf(read);
     if (!object) {
-        handle(decisions::lease::ReadFinished {});
+        handle(decisions::lease::ReadFinished {std::nullopt, 0, store_.era()});
         return;
     }
     const auto record = parseLease(object->value);
@@ -94,7 +95,8 @@
         handle(decisions::lease::Unanswered());
         return;
     }
-    handle(decisions::lease::ReadFinished {core::valueOf(record), object->version});
+    handle(decisions::lease::ReadFinished {core::valueOf(record), object->version,
+                                           core::toStoreVersion(object->version).era});
 }
 
 void LeaseTask::perform(const decisions::lease::Write &action)
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -299,7 +299,8 @@
              in.released(),
              milliseconds(in.orders_after_ms()),
              milliseconds(in.validity_ms()),
-             in.nodes()},
+             in.nodes(),
+             in.era()},
             in.version()};
 }
 
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -73,6 +73,7 @@
     out.set_orders_after_ms(clampMilliseconds(observation.record.ordersAfter));
     out.set_validity_ms(clampMilliseconds(observation.record.validity));
     out.set_nodes(observation.record.nodes);
+    out.set_era(observation.record.era);
     out.set_version(observation.version);
 }
 
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -139,7 +139,7 @@
             {{digest, milliseconds(16)}},
             "{}",
             decisions::LeaseObservation {
-                {kSender, "10.0.0.1:2", 1, 2, true, milliseconds(3), milliseconds(5), 6}, 4},
+                {kSender, "10.0.0.1:2", 1, 2, true, milliseconds(3), milliseconds(5), 6, 7}, 4},
             milliseconds(14)},
         error};
     std::set<std::size_t> kinds;
--- a/packages/platform/include/boragerack/platform/HttpPlatformStore.h
+++ b/packages/platform/include/boragerack/platform/HttpPlatformStore.h
@@ -27,6 +27,7 @@
     core::Result<ChangeList> watch(const std::string &prefix, std::uint64_t afterRevision,
                                    std::chrono::milliseconds wait) override;
     core::Result<std::vector<InstanceRecord>> listInstances() override;
+    std::uint64_t era() const override { return era_; }
 
 private:
     core::Result<runtime::HttpResponse>
@@ -37,6 +38,7 @@
     runtime::HttpClient &client_;
     std::string address_;
     std::chrono::milliseconds callTimeout_;
+    std::uint64_t era_ = 0;
 };
 
 } // namespace boragerack::platform
--- a/packages/platform/include/boragerack/platform/InstrumentedPlatformStore.h
+++ b/packages/platform/include/boragerack/platform/InstrumentedPlatformStore.h
@@ -25,6 +25,7 @@
     core::Result<ChangeList> watch(const std::string &prefix, std::uint64_t afterRevision,
                                    std::chrono::milliseconds wait) override;
     core::Result<std::vector<InstanceRecord>> listInstances() override;
+    std::uint64_t era() const override { return store_.era(); }
 
 private:
     void count(std::string_view operation, std::string_view result);
--- a/packages/platform/include/boragerack/platform/PlatformStore.h
+++ b/packages/platform/include/boragerack/platform/PlatformStore.h
@@ -12,7 +12,8 @@
 
 /// The platform's object API. Calls suspend the calling fiber and return within the store's
 /// call timeout, plus `wait` for a watch. Calls are not retried; the caller handles unknown
-/// outcomes.
+/// outcomes. Versions and revisions are numbers of a core::StoreVersion, so they increase across
+/// restores of the store; a watch from a revision of an earlier era is answered as expired.
 class PlatformStore
 {
 public:
@@ -34,6 +35,10 @@
     virtual core::Result<ChangeList> watch(const std::string &prefix, std::uint64_t afterRevision,
                                            std::chrono::milliseconds wait) = 0;
     virtual core::Result<std::vector<InstanceRecord>> listInstances() = 0;
+
+    /// Era of the store as of its last response; see core::StoreVersion. Zero if the store does not
+    /// report it.
+    virtual std::uint64_t era() const = 0;
 };
 
 } // namespace boragerack::platform
