--- a/packages/platform/src/HttpPlatformStore.cpp
+++ b/packages/platform/src/HttpPlatformStore.cpp
@@ -1,5 +1,6 @@
 #include "boragerack/platform/HttpPlatformStore.h"
 
+#include <charconv>
 #include <utility>
 
 #include <boost/url/encode.hpp>
@@ -7,6 +8,7 @@
 #include <boost/url/rfc/unreserved_chars.hpp>
 
 #include "PlatformJson.h"
+#include "boragerack/core/StoreVersion.h"
 #include "boragerack/platform/CallError.h"
 #include "boragerack/runtime/HttpClient.h"
 
@@ -23,6 +25,37 @@
     return "/objects/" + urls::encode(key, urls::unreserved_chars + '/');
 }
 
+std::uint64_t eraOf(const runtime::HttpResponse &response)
+{
+    const std::string_view text = runtime::findHeader(response.headers, "X-Store-Era");
+    std::uint64_t era = 0;
+    std::from_chars(text.data(), text.data() + text.size(), era);
+    return era;
+}
+
+/// Number of the version that a response with this era contains.
+std::uint64_t toVersion(std::uint64_t era, std::uint64_t revision)
+{
+    return core::toVersionNumber({era, revision});
+}
+
+std::string revisionText(std::uint64_t version)
+{
+    return std::to_string(core::toStoreVersion(version).revision);
+}
+
+/// Adds the era to the version of a parsed object.
+core::Result<std::optional<PlatformObject>>
+withEra(core::Result<std::optional<PlatformObject>> object, std::uint64_t era)
+{
+    if (core::isOk(object) && core::valueOf(object)) {
+        PlatformObject parsed = *core::valueOf(object);
+        parsed.version = toVersion(era, parsed.version);
+        return std::optional(std::move(parsed));
+    }
+    return object;
+}
+
 std::string encodeParameter(const std::string &value)
 {
     return urls::encode(value, urls::unreserved_chars + '/');
@@ -57,6 +90,7 @@
         error.retryAfter = std::chrono::seconds(1);
         return error;
     }
+    era_ = eraOf(core::valueOf(result));
     return result;
 }
 
@@ -70,7 +104,7 @@
         return std::optional<PlatformObject>();
     if (answer.status != Status::Ok)
         return makeStatusError(answer.status);
-    return parseObject(answer.body);
+    return withEra(parseObject(answer.body), eraOf(answer));
 }
 
 core::Result<ObjectList> HttpPlatformStore::list(const std::string &prefix)
@@ -81,7 +115,15 @@
     const auto &answer = core::valueOf(response);
     if (answer.status != Status::Ok)
         return makeStatusError(answer.status);
-    return parseObjectList(answer.body);
+    auto parsed = parseObjectList(answer.body);
+    if (!core::isOk(parsed))
+        return core::errorOf(parsed);
+    ObjectList objects = core::takeValue(std::move(parsed));
+    const std::uint64_t era = eraOf(answer);
+    objects.revision = toVersion(era, objects.revision);
+    for (PlatformObject &object : objects.objects)
+        object.version = toVersion(era, object.version);
+    return objects;
 }
 
 WriteResult HttpPlatformStore::write(const std::string &key, const std::string &value,
@@ -90,7 +132,7 @@
     runtime::HttpRequest request {
         "PUT", objectTarget(key), {{"Content-Type", "application/json"}}, value};
     if (ifVersion)
-        request.headers.push_back({"If-Match", std::to_string(*ifVersion)});
+        request.headers.push_back({"If-Match", revisionText(*ifVersion)});
     else
         request.headers.push_back({"If-None-Match", "*"});
     return change(std::move(request));
@@ -98,7 +140,7 @@
 
 WriteResult HttpPlatformStore::remove(const std::string &key, std::uint64_t ifVersion)
 {
-    return change({"DELETE", objectTarget(key), {{"If-Match", std::to_string(ifVersion)}}, ""});
+    return change({"DELETE", objectTarget(key), {{"If-Match", revisionText(ifVersion)}}, ""});
 }
 
 WriteResult HttpPlatformStore::change(runtime::HttpRequest request)
@@ -111,13 +153,13 @@
         const auto version = parseWrittenVersion(answer.body);
         if (!core::isOk(version))
             return core::errorOf(version);
-        return WriteApplied {core::valueOf(version)};
+        return WriteApplied {toVersion(eraOf(answer), core::valueOf(version))};
     }
     if (answer.status == Status::NotFound)
         return WriteConflict();
     if (answer.status != Status::PreconditionFailed)
         return makeStatusError(answer.status);
-    const auto current = parseObject(answer.body);
+    const auto current = withEra(parseObject(answer.body), eraOf(answer));
     if (!core::isOk(current))
         return core::errorOf(current);
     return WriteConflict {core::valueOf(current)};
@@ -128,16 +170,26 @@
                                                   std::chrono::milliseconds wait)
 {
     const std::string target = "/watch?prefix=" + encodeParameter(prefix)
-        + "&after=" + std::to_string(afterRevision) + "&waitMs=" + std::to_string(wait.count());
+        + "&after=" + revisionText(afterRevision) + "&waitMs=" + std::to_string(wait.count());
     const auto response = call({"GET", target, {}, ""}, wait);
     if (!core::isOk(response))
         return core::errorOf(response);
     const auto &answer = core::valueOf(response);
-    if (answer.status == Status::Gone)
+    const std::uint64_t era = eraOf(answer);
+    // A restored platform gives revisions out again and may answer without the changes before.
+    if (answer.status == Status::Gone
+        || (answer.status == Status::Ok && era != core::toStoreVersion(afterRevision).era))
         return ChangeList {.isExpired = true};
     if (answer.status != Status::Ok)
         return makeStatusError(answer.status);
-    return parseChangeList(answer.body);
+    auto parsed = parseChangeList(answer.body);
+    if (!core::isOk(parsed))
+        return core::errorOf(parsed);
+    ChangeList changes = core::takeValue(std::move(parsed));
+    changes.revision = toVersion(era, changes.revision);
+    for (ObjectChange &change : changes.changes)
+        change.version = toVersion(era, change.version);
+    return changes;
 }
 
 core::Result<std::vector<InstanceRecord>> HttpPlatformStore::listInstances()
