--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -16,12 +16,16 @@
 struct Listed
 {
     std::vector<TargetEntry> entries;
+    /// Number of times that each target has written its entry since its start.
+    std::map<core::TargetId, std::uint64_t> heartbeats = {};
     friend bool operator==(const Listed &, const Listed &) = default;
 };
 
 struct Updated
 {
     TargetEntry entry;
+    /// Number of times that the target has written its entry since its start; zero if unknown.
+    std::uint64_t heartbeat = 0;
     friend bool operator==(const Updated &, const Updated &) = default;
 };
 
@@ -54,19 +58,28 @@
     friend bool operator==(const PlatformFailed &, const PlatformFailed &) = default;
 };
 
+/// The platform was restored from an older copy. Entries written since the copy are missing until
+/// the targets write them again, and those of targets that have left since are back.
+struct PlatformRestored
+{
+    friend bool operator==(const PlatformRestored &, const PlatformRestored &) = default;
+};
+
 struct Tick
 {
     friend bool operator==(const Tick &, const Tick &) = default;
 };
 
-using Event = std::variant<Listed, Updated, Removed, Confirmed, Relayed, PlatformFailed, Tick>;
+using Event = std::variant<Listed, Updated, Removed, Confirmed, Relayed, PlatformFailed,
+                           PlatformRestored, Tick>;
 
 } // namespace targets
 
 /// Targets that may be used. An entry that is removed during or shortly after a platform outage may
 /// have lapsed although its target is live, so it remains usable for at least `kLapseGrace`, marked
-/// as unconfirmed. A relayed list is used only if it is more recent than what this node has read
-/// itself.
+/// as unconfirmed. An entry that a restore of the platform brings back is not used unless its
+/// target has written it since. A relayed list is used only if it is more recent than what this
+/// node has read itself.
 class TargetDirectory
 {
 public:
@@ -84,14 +97,28 @@
     bool isRelayed() const { return isRelayed_; }
 
 private:
-    bool update(const TargetEntry &updated);
-    bool replace(const std::vector<TargetEntry> &entries, core::TimePoint now);
+    /// The last process of a target that the platform has listed.
+    struct Process
+    {
+        std::uint64_t startedAt = 0;
+        std::uint64_t heartbeat = 0;
+        bool isLeaving = false;
+        /// When its entry was removed; empty while it is listed.
+        std::optional<core::TimePoint> removedAt;
+    };
+
+    bool update(const TargetEntry &updated, std::uint64_t heartbeat);
+    /// The entry is older than what the platform has listed for the target before.
+    bool isOutdated(const TargetEntry &entry, std::uint64_t heartbeat) const;
+    bool replace(const std::vector<TargetEntry> &entries,
+                 const std::map<core::TargetId, std::uint64_t> &heartbeats, core::TimePoint now);
     bool relay(const targets::Relayed &event, core::TimePoint now);
     bool removeLapsed(core::TimePoint now);
     bool remove(const core::TargetId &target, core::TimePoint now);
     bool hadRecentOutage(core::TimePoint now) const;
 
     TargetEntries entries_;
+    std::map<core::TargetId, Process> processes_;
     core::TimePoint contentAt_ = {};
     bool isRelayed_ = false;
     /// The last relayed list, which later confirmations refer to, even if it is not in use.
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -12,6 +12,10 @@
 /// last failed call may be an effect of the outage.
 constexpr std::chrono::milliseconds kOutageEffectDuration(3000);
 
+/// Removed entries are remembered for longer than the age of a copy from which the platform is
+/// restored.
+constexpr std::chrono::minutes kMaxCopyAge(5);
+
 } // namespace
 
 bool TargetDirectory::handle(const targets::Event &event, core::TimePoint now)
@@ -21,6 +25,10 @@
         isPlatformLost_ = true;
         return false;
     }
+    if (std::holds_alternative<targets::PlatformRestored>(event)) {
+        platformFailedAt_ = now;
+        return false;
+    }
     if (std::holds_alternative<targets::Tick>(event))
         return removeLapsed(now);
     if (const auto *relayed = std::get_if<targets::Relayed>(&event))
@@ -28,9 +36,9 @@
     // All others come from a call to the platform that succeeded.
     isPlatformLost_ = false;
     if (const auto *listed = std::get_if<targets::Listed>(&event))
-        return replace(listed->entries, now);
+        return replace(listed->entries, listed->heartbeats, now);
     if (const auto *updated = std::get_if<targets::Updated>(&event))
-        return update(updated->entry);
+        return update(updated->entry, updated->heartbeat);
     if (const auto *removed = std::get_if<targets::Removed>(&event))
         return remove(removed->target, now);
     contentAt_ = std::max(contentAt_, std::get<targets::Confirmed>(event).contentAt);
@@ -38,26 +46,48 @@
     return false;
 }
 
-bool TargetDirectory::update(const TargetEntry &updated)
+bool TargetDirectory::isOutdated(const TargetEntry &entry, std::uint64_t heartbeat) const
 {
+    const auto position = processes_.find(entry.target);
+    if (position == processes_.end())
+        return false;
+    const Process &process = position->second;
+    if (entry.startedAt != process.startedAt)
+        return entry.startedAt < process.startedAt;
+    if (heartbeat == 0)
+        return false;
+    // A target whose entry lapsed writes it again, with the next heartbeat.
+    return process.removedAt ? heartbeat <= process.heartbeat : heartbeat < process.heartbeat;
+}
+
+bool TargetDirectory::update(const TargetEntry &updated, std::uint64_t heartbeat)
+{
+    if (isOutdated(updated, heartbeat))
+        return false;
     lapsing_.erase(updated.target);
-    TargetEntry &entry = entries_[updated.target];
+    Process &process = processes_[updated.target];
     // A leaving target stays leaving until its process restarts.
-    const bool staysLeaving = entry.isLeaving && entry.startedAt == updated.startedAt;
+    const bool staysLeaving = process.isLeaving && process.startedAt == updated.startedAt;
+    process = {updated.startedAt, heartbeat, updated.isLeaving || staysLeaving, std::nullopt};
+    TargetEntry &entry = entries_[updated.target];
     if (entry == updated)
         return false;
     entry = updated;
-    entry.isLeaving = entry.isLeaving || staysLeaving;
+    entry.isLeaving = process.isLeaving;
     return true;
 }
 
-bool TargetDirectory::replace(const std::vector<TargetEntry> &entries, core::TimePoint now)
+bool TargetDirectory::replace(const std::vector<TargetEntry> &entries,
+                              const std::map<core::TargetId, std::uint64_t> &heartbeats,
+                              core::TimePoint now)
 {
     bool isChanged = false;
     std::set<core::TargetId> present;
     for (const TargetEntry &entry : entries) {
         present.insert(entry.target);
-        isChanged = update(entry) || isChanged;
+        const auto heartbeat = heartbeats.find(entry.target);
+        isChanged =
+            update(entry, heartbeat == heartbeats.end() ? 0 : heartbeat->second) || isChanged;
     }
     std::vector<core::TargetId> missing;
     for (const auto &[target, entry] : entries_) {
@@ -76,7 +106,7 @@
     if (!relayedEntries_ || event.contentAt <= contentAt_)
         return false;
     const bool wasRelayed = std::exchange(isRelayed_, true);
-    const bool isChanged = (event.entries || !wasRelayed) && replace(*relayedEntries_, now);
+    const bool isChanged = (event.entries || !wasRelayed) && replace(*relayedEntries_, {}, now);
     contentAt_ = event.contentAt;
     isPlatformLost_ = isPlatformLost_ && contentAt_ <= *platformFailedAt_;
     return isChanged;
@@ -84,6 +114,9 @@
 
 bool TargetDirectory::removeLapsed(core::TimePoint now)
 {
+    std::erase_if(processes_, [now](const auto &item) {
+        return item.second.removedAt && now - *item.second.removedAt >= kMaxCopyAge;
+    });
     // While calls to the platform fail, it is unknown whether lapsed entries are live.
     if (isPlatformLost_)
         return false;
@@ -102,6 +135,8 @@
     const auto position = entries_.find(target);
     if (position == entries_.end())
         return false;
+    if (Process &process = processes_[target]; !process.removedAt)
+        process.removedAt = now;
     // A target that announced its stop has left, regardless of the platform's state.
     if (hadRecentOutage(now) && !position->second.isLeaving) {
         // The last list had the entry. Lists before the failure say nothing about its time.
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -136,6 +136,55 @@
     }
 }
 
+// Guards against requests to a target that left, whose entry a restored platform lists again, and
+// against the loss of one that is live.
+BOOST_AUTO_TEST_CASE(entryFromACopyIsNotUsedUntilItsTargetWritesIt)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Updated {entryOf("a"), 7}, kNow);
+    directory.handle(targets::Updated {entryOf("b"), 7}, kNow);
+    directory.handle(targets::Removed {{"a"}}, kNow);
+    directory.handle(targets::Removed {{"b"}}, kNow);
+
+    directory.handle(targets::PlatformRestored(), kNow + 5s);
+    BOOST_TEST(!directory.handle(
+        targets::Listed {{entryOf("a"), entryOf("b")}, {{{"a"}, 5}, {{"b"}, 7}}}, kNow + 5s));
+    BOOST_TEST(directory.entries().empty());
+    BOOST_TEST(directory.handle(targets::Updated {entryOf("b"), 8}, kNow + 6s));
+    BOOST_TEST(directory.entries().contains({"b"}));
+    // Another process of the target has not left.
+    BOOST_TEST(directory.handle(targets::Updated {entryOf("a", 2), 1}, kNow + 6s));
+}
+
+// Guards against a target that is used again because the copy is older than the announcement of its
+// stop, and against the entry of an earlier process of it.
+BOOST_AUTO_TEST_CASE(entryFromACopyDoesNotReplaceANewerOne)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Updated {entryOf("a", 2, true), 7}, kNow);
+    directory.handle(targets::Updated {entryOf("b", 2), 7}, kNow);
+    directory.handle(targets::PlatformRestored(), kNow + 5s);
+    directory.handle(
+        targets::Listed {{entryOf("a", 2), entryOf("b", 1)}, {{{"a"}, 5}, {{"b"}, 90}}}, kNow + 5s);
+    BOOST_TEST(directory.entries().at({"a"}).isLeaving);
+    BOOST_TEST(directory.entries().at({"b"}).startedAt == 2U);
+    directory.handle(targets::Removed {{"a"}}, kNow + 6s);
+    directory.handle(targets::Updated {entryOf("a", 2), 9}, kNow + 7s);
+    BOOST_TEST(directory.entries().at({"a"}).isLeaving);
+}
+
+// Guards against the loss of targets that joined after the copy was made.
+BOOST_AUTO_TEST_CASE(entryThatIsMissingAfterARestoreStaysForAShortTime)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("a"), entryOf("b")}}, kNow);
+    directory.handle(targets::PlatformRestored(), kNow + 5s);
+    directory.handle(targets::Listed {{entryOf("a")}}, kNow + 5s);
+    BOOST_TEST(directory.entries().contains({"b"}));
+    directory.handle(targets::Tick(), kNow + 5s + TargetDirectory::kLapseGrace);
+    BOOST_TEST(!directory.entries().contains({"b"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "ReadDelay.h"
+#include "boragerack/core/StoreVersion.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -198,6 +199,12 @@
         return false;
     }
     revision_ = targets.revision;
+    const std::uint64_t era = core::toStoreVersion(targets.revision).era;
+    if (const auto before = std::exchange(era_, era); before && *before != era) {
+        runtime::logEvent(runtime::LogEvent::PlatformRestored,
+                          "list=targets era=" + std::to_string(era));
+        directory_.handle(decisions::targets::PlatformRestored(), now);
+    }
     bool isChanged = false;
     for (const decisions::targets::Event &event : targets.events)
         isChanged = directory_.handle(event, now) || isChanged;
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -77,6 +77,8 @@
     bool hasReplicas_ = true;
     bool isAccepted_ = true;
     std::uint64_t revision_ = 0;
+    /// Era of the platform's store at the last read; empty before it.
+    std::optional<std::uint64_t> era_;
     runtime::Mailbox<RelayedTargets> mailbox_;
     /// Time up to which the last relayed list includes all changes.
     core::TimePoint relayedAt_ = {};
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -17,6 +17,7 @@
     PlatformUnavailable = 1201,
     PlatformAvailable = 1202,
     PlatformHistoryLost = 1203,
+    PlatformRestored = 1204,
     LoadOrdered = 1301,
     LoadFinished = 1302,
     LoadRefused = 1303,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -52,6 +52,8 @@
         return {Severity::Info, "platform is available"};
     case LogEvent::PlatformHistoryLost:
         return {Severity::Info, "platform's history is lost"};
+    case LogEvent::PlatformRestored:
+        return {Severity::Warning, "platform was restored from an older copy"};
     case LogEvent::LoadOrdered:
         return {Severity::Info, "load ordered"};
     case LogEvent::LoadFinished:
