--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -14,6 +14,7 @@
 #include "LeaseTask.h"
 #include "LifecycleTask.h"
 #include "MetricsHandler.h"
+#include "ProcessIncarnation.h"
 #include "ReportHandler.h"
 #include "ReportTask.h"
 #include "RoutingTask.h"
@@ -48,8 +49,8 @@
 /// the coordinator receives the reports of the whole fleet.
 constexpr double kMinCoordinatorShare = 0.2;
 constexpr std::chrono::milliseconds kSmallNodeDelay(800);
-/// Number of low bits of the incarnation that are random; the store's revision is above them.
-constexpr unsigned kIncarnationBits = 16;
+/// Random bits that are left out of the incarnation of a lease holder.
+constexpr unsigned kUnusedIncarnationBits = 16;
 
 std::string textOf(const config::SocketAddress &address)
 {
@@ -135,7 +136,7 @@
         , lease(store, clock, charts.coordinator,
                 decisions::LeaseRecord {settings.instance,
                                         textOf(settings.peerListen),
-                                        random.next() >> kIncarnationBits,
+                                        random.next() >> kUnusedIncarnationBits,
                                         0,
                                         false,
                                         {}},
@@ -270,11 +271,8 @@
     }
     if (isStopping)
         return;
-    // The store's revision grows between two starts of a process, because targets write to it
-    // continuously. The random part distinguishes two starts at the same revision.
-    const std::uint64_t incarnation = (configuration.firstRevision() << kIncarnationBits)
-        | (random.next() >> (64 - kIncarnationBits));
-    auto authenticator = peer::MessageAuthenticator::make(*secret, settings.instance, incarnation);
+    auto authenticator = peer::MessageAuthenticator::make(
+        *secret, settings.instance, makeIncarnation(configuration.firstRevision(), random.next()));
     if (!core::isOk(authenticator)) {
         runtime::logEvent(runtime::LogEvent::PeerRejected, core::errorOf(authenticator).message);
         return;
