--- a/packages/platform/tests/HttpPlatformStoreTest.cpp
+++ b/packages/platform/tests/HttpPlatformStoreTest.cpp
@@ -62,6 +62,30 @@
     BOOST_TEST((std::get<core::Error>(refused).verdict == core::Verdict::NotRun));
 }
 
+// Guards against versions that go back, and against a watch that goes on from a revision of the
+// time before, when the platform is restored from an older copy.
+BOOST_FIXTURE_TEST_CASE(versionsIncreaseAcrossARestore, PlatformFixture)
+{
+    store.write("a", "1", std::nullopt);
+    control("/control/copy", "{}");
+    for (int i = 0; i < 10; ++i)
+        store.write("b" + std::to_string(i), "1", std::nullopt);
+    const auto before = core::valueOf(store.list(""));
+    const std::uint64_t version = core::valueOf(store.read("b9"))->version;
+
+    control("/control/restore", "{}");
+    BOOST_TEST(!core::valueOf(store.read("b9")).has_value());
+    BOOST_TEST(core::valueOf(store.list("")).revision > before.revision);
+    BOOST_TEST(core::valueOf(store.watch("", before.revision, 10ms)).isExpired);
+    const auto written = store.write("b9", "2", std::nullopt);
+    BOOST_REQUIRE(std::holds_alternative<platform::WriteApplied>(written));
+    const std::uint64_t rewritten = std::get<platform::WriteApplied>(written).version;
+    BOOST_TEST(rewritten > version);
+    BOOST_TEST(core::valueOf(store.read("b9"))->version == rewritten);
+    BOOST_TEST(std::holds_alternative<platform::WriteApplied>(store.write("b9", "3", rewritten)));
+    BOOST_TEST(store.era() == 1U);
+}
+
 // Guards against a watch that misses a change or returns objects of other prefixes.
 BOOST_FIXTURE_TEST_CASE(watchReturnsChangesUnderPrefix, PlatformFixture)
 {
--- a/packages/standins/include/boragerack/standins/PlatformStandin.h
+++ b/packages/standins/include/boragerack/standins/PlatformStandin.h
@@ -17,7 +17,8 @@
 
 /// Stand-in for the platform's object API (docs/design.md, section 12). POST /control/faults
 /// {"outage","delayMs","loseAnswers"} injects faults, POST /control/instances adds or replaces one
-/// instance ("state":"gone" removes it), GET /control/counters returns call counts.
+/// instance ("state":"gone" removes it), POST /control/copy makes a copy of the objects and
+/// POST /control/restore returns to it, GET /control/counters returns call counts.
 class PlatformStandin final : public runtime::HttpHandler
 {
 public:
@@ -45,6 +46,10 @@
     std::deque<boost::json::value> events_;
     std::map<std::string, boost::json::value> instances_;
     std::uint64_t revision_ = 0;
+    /// Increases with each restore.
+    std::uint64_t era_ = 0;
+    std::map<std::string, Object> copiedObjects_;
+    std::uint64_t copiedRevision_ = 0;
     std::map<std::string, std::int64_t> counters_;
     bool isUnavailable_ = false;
     std::chrono::milliseconds delay_ = std::chrono::milliseconds(0);
--- a/packages/standins/src/PlatformStandin.cpp
+++ b/packages/standins/src/PlatformStandin.cpp
@@ -50,7 +50,8 @@
     }
     if (delay_.count() > 0)
         boost::this_fiber::sleep_for(delay_);
-    const HttpResponse response = handleApiRequest(request);
+    HttpResponse response = handleApiRequest(request);
+    response.headers.push_back({"X-Store-Era", std::to_string(era_)});
     const bool isWrite = request.method == "PUT" || request.method == "DELETE";
     if (isWrite)
         ++counters_["writes"];
@@ -77,6 +78,15 @@
             instances_.erase(instance);
         else
             instances_[instance] = body;
+    } else if (request.target == "/control/copy") {
+        copiedObjects_ = objects_;
+        copiedRevision_ = revision_;
+    } else if (request.target == "/control/restore") {
+        objects_ = copiedObjects_;
+        revision_ = copiedRevision_;
+        events_.clear();
+        ++era_;
+        changed_.notify_all();
     } else if (request.target == "/control/counters") {
         json::object counters;
         for (const auto &[name, count] : counters_)
