--- a/packages/gateway/src/ConfigurationTask.cpp
+++ b/packages/gateway/src/ConfigurationTask.cpp
@@ -1,8 +1,10 @@
 #include "ConfigurationTask.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "ReadDelay.h"
+#include "boragerack/core/StoreVersion.h"
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -186,6 +188,10 @@
                           "list=configuration failures=" + std::to_string(failures_));
     failures_ = 0;
     revision_ = read.revision;
+    const std::uint64_t era = core::toStoreVersion(read.revision).era;
+    if (std::exchange(era_, era) != era && firstRevision_ != 0)
+        runtime::logEvent(runtime::LogEvent::PlatformRestored,
+                          "list=configuration era=" + std::to_string(era));
     if (firstRevision_ == 0)
         firstRevision_ = read.revision;
     const std::uint64_t version = table_ ? table_->configuration().version : 0;
--- a/packages/gateway/src/ConfigurationTask.h
+++ b/packages/gateway/src/ConfigurationTask.h
@@ -62,6 +62,8 @@
     const std::string &text() const { return text_; }
     /// Whether the last platform call of this node failed.
     bool isPlatformLost() const { return failures_ > 0; }
+    /// Era of the platform's store as of this node's last read; see core::StoreVersion.
+    std::uint64_t era() const { return era_; }
     /// Store revision at the first read; zero before it.
     std::uint64_t firstRevision() const { return firstRevision_; }
 
@@ -92,6 +94,7 @@
     std::string text_;
     std::uint64_t revision_ = 0;
     std::uint64_t firstRevision_ = 0;
+    std::uint64_t era_ = 0;
     runtime::Mailbox<RelayedConfiguration> mailbox_;
     RelayedConfiguration relayed_;
     /// Relayed version whose text was read without proof.
--- a/packages/gateway/src/FleetSecret.cpp
+++ b/packages/gateway/src/FleetSecret.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <cstdio>
 
+#include "boragerack/runtime/EventLog.h"
+
 namespace boragerack::gateway {
 
 namespace {
@@ -22,6 +24,11 @@
     return secret;
 }
 
+std::string quote(const std::string &secret)
+{
+    return "\"" + secret + "\"";
+}
+
 /// Removes the quotes of a JSON string. The secret contains no escape sequences.
 std::string unquote(const std::string &value)
 {
@@ -39,11 +46,21 @@
     if (const auto &object = core::valueOf(read))
         return unquote(object->value);
     const std::string secret = makeSecret(random);
-    const auto written = store.write(kSecretKey, "\"" + secret + "\"", std::nullopt);
+    const auto written = store.write(kSecretKey, quote(secret), std::nullopt);
     if (std::holds_alternative<platform::WriteApplied>(written))
         return secret;
     // Another node wrote it first, or the outcome is unknown; the next read resolves both.
     return std::nullopt;
 }
 
+bool restoreFleetSecret(platform::PlatformStore &store, const std::string &secret)
+{
+    const auto written = store.write(kSecretKey, quote(secret), std::nullopt);
+    if (const auto *conflict = std::get_if<platform::WriteConflict>(&written);
+        conflict && conflict->current && unquote(conflict->current->value) != secret)
+        runtime::logEvent(runtime::LogEvent::PeerRejected,
+                          "the platform has another fleet secret since it was restored");
+    return !std::holds_alternative<core::Error>(written);
+}
+
 } // namespace boragerack::gateway
--- a/packages/gateway/src/FleetSecret.h
+++ b/packages/gateway/src/FleetSecret.h
@@ -14,4 +14,9 @@
 std::optional<std::string> readFleetSecret(platform::PlatformStore &store,
                                            core::RandomSource &random);
 
+/// Writes the secret again if the platform does not have one, because its store was restored from a
+/// copy of the time before. A node that starts would otherwise make another one and would not be
+/// understood by the others. False if the call failed.
+bool restoreFleetSecret(platform::PlatformStore &store, const std::string &secret);
+
 } // namespace boragerack::gateway
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -164,6 +164,7 @@
     void startTasks();
     bool relayToTasks(RoutingTask::Relay relay);
     void connectPeers();
+    void keepFleetSecret(const std::string &secret);
 
     runtime::FiberRuntime &fibers;
     config::GatewaySettings settings;
@@ -287,6 +288,19 @@
         runtime::logEvent(runtime::LogEvent::StartFailed, core::errorOf(listening).message);
     reports.setNetwork(network.get());
     lease.start();
+    keepFleetSecret(*secret);
+}
+
+void Gateway::Parts::keepFleetSecret(const std::string &secret)
+{
+    constexpr std::chrono::milliseconds kCheckInterval(250);
+    std::uint64_t era = configuration.era();
+    while (!isStopping) {
+        boost::this_fiber::sleep_for(kCheckInterval);
+        if (const std::uint64_t current = configuration.era();
+            current != era && restoreFleetSecret(store, secret))
+            era = current;
+    }
 }
 
 Gateway::Gateway(runtime::FiberRuntime &fiberRuntime, const config::GatewaySettings &settings,
