--- a/packages/platform/src/PlatformJson.cpp
+++ b/packages/platform/src/PlatformJson.cpp
@@ -1,9 +1,13 @@
 #include "PlatformJson.h"
 
+#include <optional>
+
 #include <utility>
 
 #include <boost/json.hpp>
 
+#include "boragerack/platform/LenientJson.h"
+
 namespace boragerack::platform {
 
 namespace json = boost::json;
@@ -62,13 +66,26 @@
     return record;
 }
 
-/// Parses the text and applies `reader` to it. Exceptions, which Boost.JSON throws on a syntax
+std::optional<InstanceRecord> tryReadInstance(const json::value &value)
+{
+    try {
+        return readInstance(value);
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+/// Levels at which the parts of a record stand in a list: the list, the record, its parts.
+constexpr int kListLevels = 3;
+
+/// Parses the text and applies `reader` to it. Parts of records that cannot be read are null.
+/// Exceptions, which Boost.JSON throws on a syntax
 /// error, a missing member or a wrong type, become a ProtocolViolation error.
 template<class T, class Reader>
 core::Result<T> parseWith(const std::string &text, Reader reader)
 {
     try {
-        return reader(json::parse(text));
+        return reader(parseLenient(text, kListLevels));
     } catch (const std::exception &exception) {
         return core::Error {core::ErrorCode::ProtocolViolation, core::Verdict::MayHaveRun,
                             std::string("platform answer is not understood: ") + exception.what(),
@@ -113,8 +130,11 @@
     using Records = std::vector<InstanceRecord>;
     return parseWith<Records>(text, [](const json::value &value) {
         Records records;
-        for (const json::value &instance : value.at("instances").as_array())
-            records.push_back(readInstance(instance));
+        for (const json::value &instance : value.at("instances").as_array()) {
+            // A record of another writer must not hide the other instances.
+            if (auto record = tryReadInstance(instance))
+                records.push_back(std::move(*record));
+        }
         return records;
     });
 }
