--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -67,6 +67,14 @@
 void RequestExecution::onExchange(const runtime::HttpResponseHead &event)
 {
     const TargetAnswer answer = dependencies_.protocol.decodeAnswer(event);
+    // A faulty target may send an earlier answer again on a kept connection. What it says, also
+    // that the request did not run, holds only for its own attempt.
+    const bool isOtherAttempt = answer.attempt != admitted_.decoded.callerAttemptId
+        && (answer.didNotRun || !answer.attempt.empty());
+    if (isOtherAttempt) {
+        failAttempt();
+        return;
+    }
     if ((grant_->isRateLimited || answer.advice != decisions::TargetAdvice())
         && !dependencies_.routing.trySend(
             TargetAdviceReceived {{grant_->target, grant_->startedAt}, answer.advice}))
@@ -77,13 +85,11 @@
         fire(attempt::TargetRefused {attemptId()});
         return;
     }
-    const bool isOtherAttempt =
-        !answer.attempt.empty() && answer.attempt != admitted_.decoded.callerAttemptId;
     // A repeatable request that failed is retried while attempts are left.
     const bool isFailure = event.status >= kServerError;
     const bool mayRetry = isFailure && admitted_.route.kind == decisions::RequestKind::Repeatable
         && attemptId().number < admitted_.route.maxAttempts;
-    if (isOtherAttempt || impliesNotRun(event.status) || mayRetry) {
+    if (impliesNotRun(event.status) || mayRetry) {
         failAttempt();
         return;
     }
