--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -85,6 +85,11 @@
         fire(attempt::TargetRefused {attemptId()});
         return;
     }
+    // The caller has the head of a stream that another target began, so a failure cannot follow.
+    if (isHeadSent_ && !isSuccess(event.status)) {
+        failAttempt();
+        return;
+    }
     // A repeatable request that failed is retried while attempts are left.
     const bool isFailure = event.status >= kServerError;
     const bool mayRetry = isFailure && admitted_.route.kind == decisions::RequestKind::Repeatable
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -284,6 +284,12 @@
     }
     if (!framer_->isStream())
         return;
+    // The caller has the head of a stream that another target began, so a failure cannot follow.
+    if (constexpr unsigned kMultipleChoices = 300;
+        result_.hasStarted && event.status >= kMultipleChoices) {
+        fire(attempt::ConnectionLost {connectionAttempt_, false});
+        return;
+    }
     const auto echoed = decisions::parseAttemptId(runtime::findHeader(event.headers, "X-Attempt"));
     fire(attempt::AnswerStarted {connectionAttempt_, echoed});
 }
