--- a/packages/decisions/src/TargetRateLimiter.cpp
+++ b/packages/decisions/src/TargetRateLimiter.cpp
@@ -136,10 +136,14 @@
     const double seconds =
         accruedAt_ ? std::chrono::duration<double>(now - *accruedAt_).count() : 0;
     accruedAt_ = now;
+    const double lifetime = std::chrono::duration<double>(kPermitLifetime).count();
     for (auto &[process, target] : targets_) {
         if (!target.accrued)
             target.accrued = (rank % std::max(1U, nodes)) / parts;
-        *target.accrued += target.rate().value_or(0) * seconds / parts;
+        const double rate = target.rate().value_or(0) / parts;
+        // Permits that accrued earlier have expired.
+        *target.accrued =
+            std::min(*target.accrued + rate * seconds, std::max(1.0, rate * lifetime));
         for (; *target.accrued >= 1; *target.accrued -= 1)
             target.permitExpiries.push_back(now + kPermitLifetime);
     }
--- a/packages/decisions/tests/serving/TargetRateTest.cpp
+++ b/packages/decisions/tests/serving/TargetRateTest.cpp
@@ -177,6 +177,19 @@
     BOOST_TEST(!node.take(kTarget, kStart + kPermitLifetime).has_value());
 }
 
+// Guards against permits that accrue for the time since a call that was long ago.
+BOOST_AUTO_TEST_CASE(permitsDoNotAddUpBetweenTwoCalls)
+{
+    TargetRateLimiter node;
+    node.record(kTarget, 3, kStart);
+    node.accrue(kStart, 0, 1);
+    node.accrue(kStart + 60s, 0, 1);
+    int permits = 0;
+    while (node.take(kTarget, kStart + 60s))
+        ++permits;
+    BOOST_TEST(permits == 3);
+}
+
 // Guards against a target that is never asked again because it accepted no requests.
 BOOST_AUTO_TEST_CASE(targetWithARateOfZeroIsAskedAgain)
 {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -252,7 +252,7 @@
         quarantine_->start();
         placement_->start();
         budget_->start();
-        routing_->start();
+        routing_->start(fleet_->members());
         targets_->start();
         fleet_->start(self);
         fibers_.start([this] { watchConfiguration(); });
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -1,5 +1,7 @@
 #include "RequestForwarder.h"
 
+#include "TargetAdviceHeaders.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -275,6 +277,9 @@
 {
     fireConnection(connection::Progress());
     head_ = event;
+    if (const decisions::TargetAdvice advice = parseTargetAdvice(event);
+        route_->isRateLimited || advice != decisions::TargetAdvice())
+        static_cast<void>(routing_.trySend(TargetAdviceReceived {route_->target, advice}));
     if (isDeclined(event.status)) {
         if (const auto *artifact = std::get_if<decisions::Artifact>(&job_.destination);
             artifact && event.status == kNotFound)
--- a/packages/node/src/RoutingTask.cpp
+++ b/packages/node/src/RoutingTask.cpp
@@ -1,5 +1,6 @@
 #include "RoutingTask.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/fiber/operations.hpp>
@@ -34,8 +35,9 @@
 {
 }
 
-void RoutingTask::start()
+void RoutingTask::start(const runtime::Published<MembershipSnapshot> &members)
 {
+    members_ = &members;
     fibers_.start([this] { run(); });
 }
 
@@ -60,6 +62,7 @@
 
 void RoutingTask::on(const SelectTarget &message)
 {
+    accruePermits();
     auto replicas = makeReplicas(message.destination);
     // If the replicas of a model are unreachable, the planner can load another one; it knows which
     // targets are reachable.
@@ -79,7 +82,27 @@
 
 void RoutingTask::on(const ConfirmTarget &message)
 {
-    message.reply.set(sendPermission(*table_.get(), message.target));
+    message.reply.set(closures_.isClosed({message.target}, clock_.now())
+                          ? decisions::SendPermission::TargetLeft
+                          : sendPermission(*table_.get(), message.target));
+}
+
+bool RoutingTask::isAccepting(const core::TargetId &target) const
+{
+    const core::TimePoint now = clock_.now();
+    const decisions::TargetProcess process {target};
+    return !closures_.isClosed(process, now)
+        && (!rates_.rateOf(process) || rates_.hasPermit(process, now));
+}
+
+void RoutingTask::accruePermits()
+{
+    const auto &members = members_->get()->members;
+    const auto rank = std::ranges::count_if(members, [this](const Member &member) {
+        return member.record.instance < identity_.instance;
+    });
+    rates_.accrue(clock_.now(), static_cast<std::uint32_t>(rank),
+                  static_cast<std::uint32_t>(members.size()));
 }
 
 std::vector<decisions::ReplicaCandidate>
@@ -99,6 +122,7 @@
         }
     }
     std::vector<decisions::ReplicaCandidate> replicas;
+    std::erase_if(targets, [this](const core::TargetId &target) { return !isAccepting(target); });
     for (const core::TargetId &target : targets) {
         decisions::ReplicaCandidate replica;
         replica.target = target;
@@ -120,11 +144,13 @@
             core::makeNotRunError(core::ErrorCode::NoReadyReplica, "target has left", kRetryAfter));
         return;
     }
+    const bool isRateLimited = rates_.rateOf({target}).has_value();
+    rates_.take({target}, clock_.now());
     ++outstanding_[target];
     if (const auto *artifact = std::get_if<decisions::Artifact>(&request.destination))
         ++inFlight_[{target, *artifact}];
     reportUse(request.destination, target);
-    request.reply.set(SelectedTarget {target, found->second.address});
+    request.reply.set(SelectedTarget {target, found->second.address, isRateLimited});
 }
 
 void RoutingTask::requestColdStart(const SelectTarget &request, const decisions::Artifact &artifact)
@@ -172,13 +198,20 @@
         return;
     }
     const core::TargetId &target = core::valueOf(message.outcome);
-    if (!health_.isUnreachable(target, clock_.now())
-        || clock_.now() + kColdStartRetryDelay >= request.deadline) {
+    const bool isLastTry = clock_.now() + kColdStartRetryDelay >= request.deadline;
+    accruePermits();
+    if (isAccepting(target) && (isLastTry || !health_.isUnreachable(target, clock_.now()))) {
         replyWithTarget(request, target);
         return;
     }
+    if (isLastTry) {
+        request.reply.set(core::makeNotRunError(core::ErrorCode::NoReadyReplica,
+                                                "no target accepts the request before its deadline",
+                                                kRetryAfter));
+        return;
+    }
     // The planner has not yet detected that the target is unreachable; its next reports will show
-    // it.
+    // it. Permits of a target that limits its rate accrue.
     fibers_.start([this, request] {
         boost::this_fiber::sleep_for(kColdStartRetryDelay);
         static_cast<void>(mailbox_.send(request));
@@ -211,6 +244,26 @@
         placement_.trySend(decisions::ReplicaUsed {identity_.instance, *artifact, target, count}));
 }
 
+void RoutingTask::on(const TargetAdviceReceived &message)
+{
+    const auto table = table_.get();
+    const auto isListed = [&](const decisions::TargetProcess &process) {
+        return table->targets.contains(process.target);
+    };
+    closures_.retain(isListed);
+    rates_.retain(isListed);
+    const core::TimePoint now = clock_.now();
+    const bool isNewlyClosed = closures_.record({message.target}, message.advice, now);
+    if (!rates_.record({message.target}, message.advice.requestsPerSecond, now) && !isNewlyClosed)
+        return;
+    runtime::logEvent(runtime::LogEvent::TargetAdvised,
+                      "target=" + message.target.value + " rate="
+                          + (message.advice.requestsPerSecond
+                                 ? std::to_string(*message.advice.requestsPerSecond)
+                                 : "none")
+                          + " pause_ms=" + std::to_string(message.advice.pause.count()));
+}
+
 void RoutingTask::on(const TargetUnreachable &message)
 {
     health_.handle(decisions::health::Unreachable {message.target}, clock_.now());
--- a/packages/node/src/RoutingTask.h
+++ b/packages/node/src/RoutingTask.h
@@ -7,13 +7,16 @@
 #include <variant>
 #include <vector>
 
+#include "MembershipSnapshot.h"
 #include "NodeIdentity.h"
 #include "PlacementTask.h"
 #include "TargetWatchTask.h"
 #include "boragerack/core/RandomSource.h"
 #include "boragerack/decisions/AttemptId.h"
 #include "boragerack/decisions/ReplicaSelector.h"
+#include "boragerack/decisions/TargetClosures.h"
 #include "boragerack/decisions/TargetHealth.h"
+#include "boragerack/decisions/TargetRateLimiter.h"
 #include "boragerack/runtime/Metrics.h"
 
 namespace boragerack::node {
@@ -26,6 +29,8 @@
 {
     core::TargetId target;
     std::string address;
+    /// The answer is needed to learn whether the target still limits its rate.
+    bool isRateLimited = false;
 
     friend auto operator<=>(const SelectedTarget &, const SelectedTarget &) = default;
 };
@@ -54,6 +59,13 @@
     core::TargetId target;
 };
 
+/// A target asked something of its callers in the head of its response to a request.
+struct TargetAdviceReceived
+{
+    core::TargetId target;
+    decisions::TargetAdvice advice;
+};
+
 struct TargetUnreachable
 {
     core::TargetId target;
@@ -84,9 +96,9 @@
 {
 };
 
-using RoutingMessage =
-    std::variant<SelectTarget, ConfirmTarget, TargetReleased, TargetUnreachable, ReplicaNotLoaded,
-                 CancelAttempt, ColdStartFinished, StopRouting>;
+using RoutingMessage = std::variant<SelectTarget, ConfirmTarget, TargetReleased,
+                                    TargetAdviceReceived, TargetUnreachable, ReplicaNotLoaded,
+                                    CancelAttempt, ColdStartFinished, StopRouting>;
 
 /// Selects targets for attempts. Owns the counts of requests in flight and the health state of
 /// targets.
@@ -97,7 +109,8 @@
                 PlacementTask &placement, runtime::HttpClient &client, core::RandomSource &random,
                 const core::Clock &clock, runtime::Metrics &metrics);
 
-    void start();
+    /// The rates of targets are divided among the members.
+    void start(const runtime::Published<MembershipSnapshot> &members);
     void stop();
     [[nodiscard]] bool trySend(RoutingMessage message);
 
@@ -113,12 +126,16 @@
     void on(const SelectTarget &message);
     void on(const ConfirmTarget &message);
     void on(const TargetReleased &message);
+    void on(const TargetAdviceReceived &message);
     void on(const TargetUnreachable &message);
     void on(const ReplicaNotLoaded &message);
     void on(const CancelAttempt &message);
     void on(const ColdStartFinished &message);
     void on(const StopRouting &message);
 
+    /// False if what the target announced prevents another request now.
+    bool isAccepting(const core::TargetId &target) const;
+    void accruePermits();
     std::vector<decisions::ReplicaCandidate> makeReplicas(const Destination &destination) const;
     void replyWithTarget(const SelectTarget &request, const core::TargetId &target);
     void requestColdStart(const SelectTarget &request, const decisions::Artifact &artifact);
@@ -132,6 +149,9 @@
     runtime::Metrics &metrics_;
     decisions::PowerOfTwoSelector selector_;
     decisions::TargetHealth health_;
+    decisions::TargetClosures closures_;
+    decisions::TargetRateLimiter rates_;
+    const runtime::Published<MembershipSnapshot> *members_ = nullptr;
     runtime::Mailbox<RoutingMessage> mailbox_;
     std::map<core::TargetId, std::uint32_t> outstanding_;
     std::map<std::pair<core::TargetId, decisions::Artifact>, std::uint32_t> inFlight_;
--- a/packages/standins/src/ServiceStandin.cpp
+++ b/packages/standins/src/ServiceStandin.cpp
@@ -25,6 +25,7 @@
     }
     if (request.target == "/control/faults") {
         const json::value body = parseJsonBody(request);
+        rateLimit_ = integerOr(body, "rateLimit", rateLimit_);
         closesAfterExecution_ = flagOr(body, "cutAfterRun", closesAfterExecution_);
         delay_ = std::chrono::milliseconds(integerOr(body, "delayMs", delay_.count()));
         responder.send(makeJsonResponse(200, json::object()));
@@ -39,11 +40,14 @@
         responder.abortConnection();
         return;
     }
-    responder.send(makeJsonResponse(200,
-                                    json::object {{"method", request.method},
-                                                  {"target", request.target},
-                                                  {"body", request.body},
-                                                  {"execution", count}}));
+    runtime::HttpResponse response = makeJsonResponse(200,
+                                                      json::object {{"method", request.method},
+                                                                    {"target", request.target},
+                                                                    {"body", request.body},
+                                                                    {"execution", count}});
+    if (rateLimit_ > 0)
+        response.headers.push_back({"X-Rate-Limit", std::to_string(rateLimit_)});
+    responder.send(response);
 }
 
 } // namespace boragerack::standins
