--- a/packages/decisions/include/boragerack/decisions/serving/SendPermission.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SendPermission.h
@@ -6,7 +6,8 @@
 /// first byte is written, because the target was chosen before its connection was opened.
 enum class SendPermission {
     Granted,
-    TargetLeft, ///< The target leaves or has left; another one has to be chosen.
+    /// The target leaves, has left, or accepts no further request now; another one has to be chosen.
+    TargetLeft,
     NoRetryBudget, ///< The service has no retries left in this window.
 };
 
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -88,7 +88,8 @@
     const bool isNewlyClosed = closures_.record(event.process, event.advice, now);
     const bool isNewRate = rates_.record(event.process, event.advice.requestsPerSecond, now);
     hasNewAdvice_ = hasNewAdvice_ || isNewlyClosed || isNewRate;
-    grantWaiting(now, actions);
+    if (isNewRate)
+        grantWaiting(now, actions);
 }
 
 void RequestRouter::on(const routing::TargetsChanged &event, core::TimePoint now,
