--- a/packages/decisions/include/boragerack/decisions/serving/SendPermission.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SendPermission.h
@@ -6,7 +6,7 @@
 /// first byte is written, because the target was chosen before its connection was opened.
 enum class SendPermission {
     Granted,
-    /// The target leaves, has left, or accepts no further request now; another one has to be chosen.
+    /// The target leaves, has left, or accepts no further request now; another one is needed.
     TargetLeft,
     NoRetryBudget, ///< The service has no retries left in this window.
 };
