--- a/packages/platform/src/HttpPlatformStore.cpp
+++ b/packages/platform/src/HttpPlatformStore.cpp
@@ -1,6 +1,5 @@
 #include "boragerack/platform/HttpPlatformStore.h"
 
-#include <charconv>
 #include <utility>
 
 #include <boost/url/encode.hpp>
@@ -10,6 +9,7 @@
 #include "PlatformJson.h"
 #include "boragerack/core/StoreVersion.h"
 #include "boragerack/platform/CallError.h"
+#include "boragerack/platform/StoreEra.h"
 #include "boragerack/runtime/HttpClient.h"
 
 namespace boragerack::platform {
@@ -27,10 +27,7 @@
 
 std::uint64_t eraOf(const runtime::HttpResponse &response)
 {
-    const std::string_view text = runtime::findHeader(response.headers, "X-Store-Era");
-    std::uint64_t era = 0;
-    std::from_chars(text.data(), text.data() + text.size(), era);
-    return era;
+    return parseEra(response, "X-Store-Era");
 }
 
 /// Number of the version that a response with this era contains.
