--- a/packages/decisions/include/boragerack/decisions/TargetAdvice.h
+++ b/packages/decisions/include/boragerack/decisions/TargetAdvice.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "boragerack/core/Identifier.h"
 
@@ -31,4 +32,7 @@
     friend auto operator<=>(const TargetAdvice &, const TargetAdvice &) = default;
 };
 
+/// Text of a rate for the log.
+std::string describeRate(std::optional<double> requestsPerSecond);
+
 } // namespace boragerack::decisions
--- a/packages/decisions/include/boragerack/decisions/TargetClosures.h
+++ b/packages/decisions/include/boragerack/decisions/TargetClosures.h
@@ -8,7 +8,7 @@
 
 namespace boragerack::decisions {
 
-/// Targets that told this node in a response to send no requests, for a time or at all. The
+/// Targets whose responses asked this node to send no requests, for a time or at all. The
 /// platform's list may show neither, or only later.
 class TargetClosures
 {
--- a/packages/decisions/include/boragerack/decisions/TargetRateLimiter.h
+++ b/packages/decisions/include/boragerack/decisions/TargetRateLimiter.h
@@ -28,7 +28,7 @@
                 core::TimePoint now);
     /// Replaces the rates that the coordinator distributes.
     void adopt(const std::vector<TargetRate> &rates, core::TimePoint now);
-    /// Another coordinator is followed; it learns the rates from the nodes.
+    /// Another coordinator is followed; it receives the rates from the nodes.
     void handleSuccessor();
 
     /// Observations that the coordinator does not have yet.
--- a/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/RequestRouter.h
@@ -155,7 +155,7 @@
     std::string address;
     /// When the target's process started.
     std::uint64_t startedAt = 0;
-    /// The rate of the target is limited, so that its answer tells whether it still is.
+    /// The rate of the target is limited, so that its answer shows whether it still is.
     bool isRateLimited = false;
     friend bool operator==(const Granted &, const Granted &) = default;
 };
--- a/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetEntry.h
@@ -10,6 +10,7 @@
 #include "boragerack/core/Clock.h"
 #include "boragerack/core/Identifier.h"
 #include "boragerack/decisions/Artifact.h"
+#include "boragerack/decisions/TargetAdvice.h"
 
 namespace boragerack::decisions {
 
@@ -46,12 +47,16 @@
     bool holds(const Artifact &artifact) const;
     bool hasInMemory(const core::ModelId &model) const;
     bool hasOnDisk(const core::ModelId &model) const;
+    TargetProcess process() const { return {target, startedAt}; }
 
     friend auto operator<=>(const TargetEntry &, const TargetEntry &) = default;
 };
 
 using TargetEntries = std::map<core::TargetId, TargetEntry>;
 
+/// Whether the entries contain this process of the target.
+bool isListed(const TargetEntries &entries, const TargetProcess &process);
+
 /// Response of a target to a request for its current state; may be some hundred milliseconds old.
 struct TargetReport
 {
--- a/packages/decisions/include/boragerack/decisions/serving/TargetPermitIssuer.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetPermitIssuer.h
@@ -11,7 +11,7 @@
 namespace boragerack::decisions {
 
 /// Rates that targets accept from all nodes together, held by the coordinator, which grants each
-/// request a permit from one bucket a target. A new coordinator learns the rates from the nodes and
+/// request a permit from one bucket a target. A new coordinator gets the rates from the nodes and
 /// starts with empty buckets, since it does not know what its predecessor granted.
 class TargetPermitIssuer
 {
--- a/packages/decisions/src/serving/RequestRouter.cpp
+++ b/packages/decisions/src/serving/RequestRouter.cpp
@@ -19,11 +19,6 @@
 /// requests in flight than the least loaded one.
 constexpr std::uint32_t kMaxPrefixExtraLoad = 3;
 
-TargetProcess processOf(const TargetEntry &entry)
-{
-    return {entry.target, entry.startedAt};
-}
-
 } // namespace
 
 RequestRouter::RequestRouter(core::RandomSource &random)
@@ -96,12 +91,11 @@
                        std::vector<Action> &actions)
 {
     entries_ = event.entries;
-    const auto isListed = [this](const TargetProcess &process) {
-        const auto position = entries_->find(process.target);
-        return position != entries_->end() && position->second.startedAt == process.startedAt;
+    const auto isKept = [this](const TargetProcess &process) {
+        return isListed(*entries_, process);
     };
-    closures_.retain(isListed);
-    rates_.retain(isListed);
+    closures_.retain(isKept);
+    rates_.retain(isKept);
     if (arePlacementsOutdated_ && event.hasReplicas)
         placements_.clear();
     grantWaiting(now, actions);
@@ -183,13 +177,13 @@
                           const TargetEntry &entry, core::TimePoint now,
                           std::vector<Action> &actions)
 {
-    if (const auto permit = rates_.take(processOf(entry), now))
+    if (const auto permit = rates_.take(entry.process(), now))
         heldPermits_.insert_or_assign(request, *permit);
     ++outstanding_[entry.target];
     if (demand.artifact)
         ++uses_[Key(entry.target, *demand.artifact)];
     actions.push_back({request, entry.target, entry.address, entry.startedAt,
-                       rates_.rateOf(processOf(entry)).has_value()});
+                       rates_.rateOf(entry.process()).has_value()});
 }
 
 bool RequestRouter::serves(const TargetEntry &entry, const Artifact &artifact) const
@@ -210,7 +204,7 @@
 bool RequestRouter::isUsable(const TargetEntry &entry, const RouteRequirements &demand,
                              core::TimePoint now) const
 {
-    if (!isEligible(entry, demand) || closures_.isClosed(processOf(entry), now))
+    if (!isEligible(entry, demand) || closures_.isClosed(entry.process(), now))
         return false;
     if (!demand.artifact)
         return true;
@@ -221,7 +215,7 @@
 
 bool RequestRouter::needsPermit(const TargetEntry &entry, core::TimePoint now) const
 {
-    const TargetProcess process = processOf(entry);
+    const TargetProcess process = entry.process();
     return rates_.rateOf(process) && !rates_.hasPermit(process, now);
 }
 
--- a/packages/decisions/src/serving/RequestRouterPermits.cpp
+++ b/packages/decisions/src/serving/RequestRouterPermits.cpp
@@ -12,11 +12,6 @@
 /// Longer than the deadline of any request.
 constexpr core::Duration kNever = std::chrono::hours(24);
 
-TargetProcess processOf(const TargetEntry &entry)
-{
-    return {entry.target, entry.startedAt};
-}
-
 core::Duration toDuration(double seconds)
 {
     return std::chrono::duration_cast<core::Duration>(std::chrono::duration<double>(seconds));
@@ -31,7 +26,7 @@
     const auto position = entries_->find(target);
     if (position == entries_->end() || position->second.isLeaving)
         return false;
-    const TargetProcess process = processOf(position->second);
+    const TargetProcess process = position->second.process();
     if (closures_.isClosed(process, now))
         return false;
     if (!rates_.rateOf(process))
@@ -50,7 +45,7 @@
     for (const auto &[target, entry] : *entries_) {
         if (!isUsable(entry, demand, now))
             continue;
-        const auto rate = rates_.rateOf(processOf(entry));
+        const auto rate = rates_.rateOf(entry.process());
         if (!rate)
             continue;
         const auto ahead = waiting.find(target);
@@ -101,7 +96,7 @@
     for (const auto &[target, entry] : *entries_) {
         if (!isEligible(entry, demand))
             continue;
-        const TargetProcess process = processOf(entry);
+        const TargetProcess process = entry.process();
         const auto opensAt = closures_.opensAt(process, now);
         if (!opensAt)
             continue;
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -250,8 +250,7 @@
 
 std::optional<double> SwapPlanner::rateOf(const Target &target) const
 {
-    const TargetEntry &entry = target.tracker.entry();
-    const auto position = rates_.find({entry.target, entry.startedAt});
+    const auto position = rates_.find(target.tracker.entry().process());
     return position == rates_.end() ? std::nullopt : std::optional(position->second);
 }
 
--- a/packages/decisions/src/serving/TargetEntry.cpp
+++ b/packages/decisions/src/serving/TargetEntry.cpp
@@ -23,4 +23,10 @@
     return std::ranges::find(onDisk, model) != onDisk.end();
 }
 
+bool isListed(const TargetEntries &entries, const TargetProcess &process)
+{
+    const auto position = entries.find(process.target);
+    return position != entries.end() && position->second.startedAt == process.startedAt;
+}
+
 } // namespace boragerack::decisions
--- a/packages/decisions/tests/serving/TargetRateTest.cpp
+++ b/packages/decisions/tests/serving/TargetRateTest.cpp
@@ -117,7 +117,7 @@
     RC_ASSERT(static_cast<double>(simulation.sent.size()) >= rate * 10 * 0.8 - 2);
 }
 
-// Guards against a rate that nodes forget when another coordinator, which does not know it, is
+// Guards against a rate that nodes discard when another coordinator, which does not know it, is
 // followed.
 BOOST_AUTO_TEST_CASE(nextCoordinatorLearnsTheRatesFromTheNodes)
 {
--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -181,8 +181,7 @@
         return;
     plan(swap::TargetsChanged {entries_});
     term_->permitIssuer.retain([this](const decisions::TargetProcess &process) {
-        const auto position = entries_->find(process.target);
-        return position != entries_->end() && position->second.startedAt == process.startedAt;
+        return decisions::isListed(*entries_, process);
     });
     std::vector<decisions::TargetEntry> listed;
     listed.reserve(entries_->size());
@@ -212,8 +211,9 @@
     }
     if (const std::uint64_t version = term.permitIssuer.version(); version != term.ratesVersion) {
         term.ratesVersion = version;
-        term.state.setRates(term.permitIssuer.rates());
-        plan(swap::RatesChanged {term.permitIssuer.rates()});
+        const auto rates = term.permitIssuer.rates();
+        term.state.setRates(rates);
+        plan(swap::RatesChanged {rates});
     }
     if (const core::TimePoint now = clock_.now(); now - term.loadsAt >= kLoadsInterval) {
         term.loadsAt = now;
@@ -315,11 +315,10 @@
         const std::uint64_t before = term_->permitIssuer.version();
         term_->permitIssuer.record(rate, clock_.now());
         if (term_->permitIssuer.version() != before)
-            runtime::logEvent(
-                runtime::LogEvent::TargetRateChanged,
-                "target=" + rate.process.target.value + " rate="
-                    + (rate.requestsPerSecond ? std::to_string(*rate.requestsPerSecond) : "none")
-                    + " age_ms=" + std::to_string(rate.age.count()));
+            runtime::logEvent(runtime::LogEvent::TargetRateChanged,
+                              "target=" + rate.process.target.value
+                                  + " rate=" + decisions::describeRate(rate.requestsPerSecond)
+                                  + " age_ms=" + std::to_string(rate.age.count()));
     }
 }
 
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -24,7 +24,7 @@
     std::string address;
     /// When the target's process started.
     std::uint64_t startedAt = 0;
-    /// The answer is needed to learn whether the target still limits its rate.
+    /// The answer shows whether the target still limits its rate.
     bool isRateLimited = false;
 
     friend auto operator<=>(const RouteGrant &, const RouteGrant &) = default;
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -31,10 +31,8 @@
 
 std::string describe(const decisions::TargetAdvice &advice)
 {
-    return " rate="
-        + (advice.requestsPerSecond ? std::to_string(*advice.requestsPerSecond) : "none")
-        + " leaving=" + (advice.isLeaving ? "yes" : "no")
-        + " pause_ms=" + std::to_string(advice.pause.count());
+    return " rate=" + decisions::describeRate(advice.requestsPerSecond) + " leaving="
+        + (advice.isLeaving ? "yes" : "no") + " pause_ms=" + std::to_string(advice.pause.count());
 }
 
 } // namespace
--- a/packages/node/src/RoutingTask.cpp
+++ b/packages/node/src/RoutingTask.cpp
@@ -257,10 +257,8 @@
     if (!rates_.record({message.target}, message.advice.requestsPerSecond, now) && !isNewlyClosed)
         return;
     runtime::logEvent(runtime::LogEvent::TargetAdvised,
-                      "target=" + message.target.value + " rate="
-                          + (message.advice.requestsPerSecond
-                                 ? std::to_string(*message.advice.requestsPerSecond)
-                                 : "none")
+                      "target=" + message.target.value
+                          + " rate=" + decisions::describeRate(message.advice.requestsPerSecond)
                           + " pause_ms=" + std::to_string(message.advice.pause.count()));
 }
 
--- a/packages/node/src/RoutingTask.h
+++ b/packages/node/src/RoutingTask.h
@@ -29,7 +29,7 @@
 {
     core::TargetId target;
     std::string address;
-    /// The answer is needed to learn whether the target still limits its rate.
+    /// The answer shows whether the target still limits its rate.
     bool isRateLimited = false;
 
     friend auto operator<=>(const SelectedTarget &, const SelectedTarget &) = default;
--- a/packages/node/tests/TargetAdviceTest.cpp
+++ b/packages/node/tests/TargetAdviceTest.cpp
@@ -30,7 +30,7 @@
     fleet.startNodes(2);
     fleet.post(fleet.service().address(), "/control/faults",
                R"({"rateLimit":)" + std::to_string(kRate) + "}");
-    // The nodes learn the rate from their first responses.
+    // The nodes get the rate from their first responses.
     const auto sendFor = [&](std::chrono::milliseconds time) {
         const auto end = std::chrono::steady_clock::now() + time;
         int served = 0;
