--- a/review/standins/Deployment.cc
+++ b/review/standins/Deployment.cc
@@ -84,23 +84,28 @@
 }
 
 Node::Node(const std::string &directory, const std::string &name, const std::string &store)
-    : name_(name)
+    : directory_(directory)
+    , name_(name)
     , callers_(freeAddress())
     , ready_(freeAddress())
 {
-    const std::string settings = directory + "/" + name + ".json";
-    std::ofstream(settings) << settingsOf(name, callers_, ready_, store);
-    start(settings, directory + "/" + name + ".log");
+    std::ofstream(directory_ + "/" + name_ + ".json") << settingsOf(name, callers_, ready_, store);
+    start();
 }
 
 Node::~Node()
 {
-    // A stopped process ends only after it is continued, except by SIGKILL.
-    kill(process_, SIGKILL);
+    kill();
+}
+
+void Node::kill()
+{
+    // Also ends a stopped process.
+    ::kill(process_, SIGKILL);
     waitpid(process_, nullptr, 0);
 }
 
-void Node::start(const std::string &settings, const std::string &log)
+void Node::start()
 {
     const std::vector<std::string> command = deployedCommand();
     process_ = fork();
@@ -108,8 +113,9 @@
         throw std::runtime_error("cannot start a process");
     if (process_ > 0)
         return;
-    setenv("BORAGERACK_SETTINGS", settings.c_str(), 1);
-    const int output = open(log.c_str(), O_CREAT | O_WRONLY | O_TRUNC | O_CLOEXEC, 0600);
+    setenv("BORAGERACK_SETTINGS", (directory_ + "/" + name_ + ".json").c_str(), 1);
+    const std::string log = directory_ + "/" + name_ + ".log";
+    const int output = open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND | O_CLOEXEC, 0600);
     dup2(output, STDOUT_FILENO);
     dup2(output, STDERR_FILENO);
     std::vector<char *> arguments;
@@ -126,9 +132,19 @@
         == 200;
 }
 
+void Node::waitUntilReady() const
+{
+    const auto end = SteadyClock::now() + kStartTimeout;
+    while (!isReady()) {
+        if (SteadyClock::now() >= end)
+            throw std::runtime_error("the node " + name_ + " does not become ready");
+        std::this_thread::sleep_for(kPollInterval);
+    }
+}
+
 void Node::signal(int number) const
 {
-    kill(process_, number);
+    ::kill(process_, number);
 }
 
 Deployment::Deployment()
@@ -151,12 +167,7 @@
 Node &Deployment::addNode(const std::string &name)
 {
     nodes_.push_back(std::make_unique<Node>(directory_, name, store_.address()));
-    const auto end = SteadyClock::now() + kStartTimeout;
-    while (!nodes_.back()->isReady()) {
-        if (SteadyClock::now() >= end)
-            throw std::runtime_error("the node " + name + " does not become ready");
-        std::this_thread::sleep_for(kPollInterval);
-    }
+    nodes_.back()->waitUntilReady();
     return *nodes_.back();
 }
 
--- a/review/standins/Deployment.hh
+++ b/review/standins/Deployment.hh
@@ -43,11 +43,16 @@
     const std::string &name() const { return name_; }
     const std::string &callers() const { return callers_; }
     bool isReady() const;
+    /// Throws if the node does not become ready.
+    void waitUntilReady() const;
     void signal(int number) const;
+    /// Kills the process.
+    void kill();
+    /// Starts the process, with the same settings each time.
+    void start();
 
 private:
-    void start(const std::string &settings, const std::string &log);
-
+    std::string directory_;
     std::string name_;
     std::string callers_;
     std::string ready_;
--- a/review/standins/Http.cc
+++ b/review/standins/Http.cc
@@ -38,14 +38,16 @@
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
-int listenOnFreePort()
+int listenOn(const std::string &text)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in address = parseAddress("127.0.0.1:0");
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in address = parseAddress(text);
     if (socket < 0
         || bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
         || listen(socket, SOMAXCONN) != 0)
-        throw std::runtime_error("cannot listen on a loopback port");
+        throw std::runtime_error("cannot listen on " + text);
     return socket;
 }
 
@@ -222,9 +224,9 @@
     shutdown(socket_, SHUT_RD);
 }
 
-Server::Server(Handler handler)
+Server::Server(Handler handler, const std::string &address)
     : handler_(std::move(handler))
-    , socket_(listenOnFreePort())
+    , socket_(listenOn(address))
     , address_(addressOf(socket_))
     , acceptThread_([this] { accept(); })
 {
@@ -297,7 +299,7 @@
 
 std::string freeAddress()
 {
-    const int socket = listenOnFreePort();
+    const int socket = listenOn("127.0.0.1:0");
     const std::string address = addressOf(socket);
     close(socket);
     return address;
--- a/review/standins/Replica.cc
+++ b/review/standins/Replica.cc
@@ -11,6 +11,12 @@
 
 constexpr Milliseconds kHeartbeatInterval(1200);
 
+std::uint64_t unixTime()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count());
+}
+
 } // namespace
 
 Replica::Replica(Store &store, std::string id, std::string service, unsigned slots, Run run,
@@ -21,11 +27,9 @@
     , slots_(slots)
     , run_(std::move(run))
     , engine_(std::move(engine))
-    , startedAt_(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(
-                                                std::chrono::system_clock::now().time_since_epoch())
-                                                .count()))
-    , server_([this](Connection &connection) { serve(connection); })
+    , startedAt_(unixTime())
 {
+    startServer("127.0.0.1:0");
     beat();
     heartbeatThread_ = std::thread([this] { sendHeartbeats(); });
 }
@@ -36,7 +40,7 @@
         const std::lock_guard lock(mutex_);
         isStopping_ = true;
     }
-    stopped_.notify_all();
+    changed_.notify_all();
     heartbeatThread_.join();
 }
 
@@ -44,7 +48,7 @@
 {
     json::object entry {{"service", service_}, {"address", address()},  {"zone", "zone-a"},
                         {"version", "v1"},     {"slots", slots_},       {"state", "ready"},
-                        {"born", startedAt_},  {"cold-remaining-ms", 0}};
+                        {"born", startedAt()}, {"cold-remaining-ms", 0}};
     if (engine_.describe) {
         for (const auto &[name, value] : engine_.describe())
             entry[name] = value;
@@ -54,18 +58,55 @@
     store_.put("servers", id_, std::move(entry));
 }
 
+void Replica::startServer(const std::string &address)
+{
+    server_ =
+        std::make_unique<Server>([this](Connection &connection) { serve(connection); }, address);
+    address_ = server_->address();
+}
+
 void Replica::sendHeartbeats()
 {
     while (true) {
         {
             std::unique_lock lock(mutex_);
-            if (stopped_.wait_for(lock, kHeartbeatInterval, [this] { return isStopping_; }))
+            changed_.wait_for(lock, kHeartbeatInterval,
+                              [this] { return isStopping_ || restartAt_; });
+            if (isStopping_)
                 return;
         }
+        if (!waitForRestart())
+            return;
         beat();
     }
 }
 
+bool Replica::waitForRestart()
+{
+    std::unique_lock lock(mutex_);
+    if (!restartAt_)
+        return true;
+    lock.unlock();
+    // Waits for the threads of its connections, one of which may hold the lock.
+    server_.reset();
+    lock.lock();
+    if (changed_.wait_until(lock, *restartAt_, [this] { return isStopping_; }))
+        return false;
+    restartAt_.reset();
+    lock.unlock();
+    startedAt_ = unixTime();
+    startServer(address_);
+    return true;
+}
+
+void Replica::crash(Milliseconds downtime)
+{
+    const std::lock_guard lock(mutex_);
+    ++crashes_;
+    restartAt_ = SteadyClock::now() + downtime;
+    changed_.notify_all();
+}
+
 void Replica::serve(Connection &connection)
 {
     while (const auto request = connection.readRequest()) {
--- a/review/standins/Replica.hh
+++ b/review/standins/Replica.hh
@@ -4,7 +4,9 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -35,15 +37,22 @@
     ~Replica();
 
     const std::string &id() const { return id_; }
-    const std::string &address() const { return server_.address(); }
+    const std::string &address() const { return address_; }
     /// Unix time of the start in milliseconds.
     std::uint64_t startedAt() const { return startedAt_; }
     /// Writes the entry in the store at once instead of with the next heartbeat.
     void beat();
+    /// Ends all connections. A new process starts after this time, with the same id and address.
+    void crash(Milliseconds downtime);
+    /// Number of crashes; a run that sees it change is lost.
+    int crashes() const { return crashes_; }
 
 private:
+    void startServer(const std::string &address);
     void serve(Connection &connection);
     void sendHeartbeats();
+    /// False if the replica is destroyed meanwhile.
+    bool waitForRestart();
 
     Store &store_;
     std::string id_;
@@ -51,12 +60,15 @@
     unsigned slots_;
     Run run_;
     Engine engine_;
-    std::uint64_t startedAt_;
+    std::atomic<std::uint64_t> startedAt_;
+    std::atomic<int> crashes_ = 0;
+    std::string address_;
     std::mutex mutex_;
-    std::condition_variable stopped_;
+    std::condition_variable changed_;
     bool isStopping_ = false;
+    std::optional<SteadyClock::time_point> restartAt_;
     std::uint64_t heartbeats_ = 0;
-    Server server_;
+    std::unique_ptr<Server> server_;
     std::thread heartbeatThread_;
 };
 
