Replace review case 5: a stopping node accepts streams that it then cuts

A stopping node accepts requests for up to 0.1 s longer than the 3 s after its SIGTERM, since the end of that time is checked on a tick, and ends 7.3 s after the SIGTERM with their streams unfinished. Ruled out: the same traffic and configuration changes without stops.

--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,77 +1,36 @@
-// A request crashes each replica that runs it, and its client sends it again and again. After the
-// third crash all processes of the system are killed at the same moment and start again, twice.
-// Counts how often the request reaches replicas later.
+// Nodes are stopped in turn while clients send long streams on connections that they have kept
+// open. Counts accepted requests that end without a complete answer and that the rule does not
+// excuse.
 
 #include <atomic>
 #include <csignal>
+#include <map>
 #include <thread>
 
 #include <boost/json/array.hpp>
 
-#include "Replica.hh"
+#include "ModelReplica.hh"
 
 namespace {
 
 using namespace review;
 
-constexpr unsigned kDeadlineMs = 1500;
-constexpr Milliseconds kWork(60);
-constexpr Milliseconds kHoldPause(100);
-/// How long a replica is away after a crash.
-constexpr Milliseconds kDowntime(3000);
-/// The client repeats the request in this interval.
-constexpr Milliseconds kInterval(4000);
-/// `contact-ms`: processes that ran for this long count as in touch.
-constexpr Milliseconds kContact(3000);
-constexpr Milliseconds kMargin(500);
-constexpr Milliseconds kKillLength(1000);
-constexpr Milliseconds kCountedLength(12000);
-constexpr int kCrashesBefore = 3;
-constexpr int kKills = 2;
-constexpr int kHoldClientsPerNode = 2;
-/// Retries that are allowed later than `contact-ms` after the third crash.
-constexpr int kAllowedRetries = 3;
-const std::string kCrashingPath = "/stock/crashing";
-
-class Yardbook
-{
-public:
-    Yardbook(Store &store, Record &record, const std::string &id)
-        : record_(record)
-        , replica_(store, id, "yardbook", 6,
-                   [this](Connection &connection, const Request &request) {
-                       return serve(connection, request);
-                   })
-    {
-    }
-
-    int crashes() const { return replica_.crashes(); }
-    int lostRuns() const { return lostRuns_; }
-
-private:
-    bool serve(Connection &connection, const Request &request)
-    {
-        const std::string attempt = header(request.headers, "X-Attempt-Id");
-        const int crashesBefore = replica_.crashes();
-        if (request.target == kCrashingPath) {
-            record_.write("replica " + replica_.id() + " runs " + attempt + " and crashes");
-            replica_.crash(kDowntime);
-        } else {
-            std::this_thread::sleep_for(kWork);
-        }
-        if (replica_.crashes() == crashesBefore)
-            return connection.send(render(200, answerHeaders(replica_, request), "done"));
-        if (request.target != kCrashingPath) {
-            ++lostRuns_;
-            record_.write("run of " + attempt + " is lost");
-        }
-        return false;
-    }
-
-    Record &record_;
-    std::atomic<int> lostRuns_ = 0;
-    Replica replica_;
-};
+constexpr int kNodes = 3;
+constexpr int kClientsPerNode = 110;
+constexpr int kRounds = 6;
+constexpr Milliseconds kRoundInterval(16000);
+constexpr Milliseconds kStopInterval(2000);
+constexpr Milliseconds kConfigurationInterval(1700);
+/// `grace-s`, and the span after a SIGTERM that is planned work.
+constexpr Milliseconds kGrace(8000);
+constexpr Milliseconds kPlannedWork(9000);
+/// A request that was sent up to this time after the SIGTERM is excused if its replica was still at
+/// work in the last sixth of the grace period.
+constexpr Milliseconds kExcusedSendTime(3000);
+constexpr Milliseconds kLastSixth(6667);
+/// The client pauses between two requests for longer than a stopping node accepts requests.
+constexpr Milliseconds kPause(3200);
+constexpr unsigned kDeadlineMs = 17000;
 
 class Case
 {
@@ -79,121 +38,134 @@
     explicit Case(Record &record)
         : record_(record)
     {
-        deployment_.store().put("config", "main",
-                                makeConfiguration({{.name = "stock-check",
-                                                    .prefix = "/stock/",
-                                                    .kind = "safe",
-                                                    .service = "yardbook",
-                                                    .maxAttempts = 2},
-                                                   {.name = "stack-hold",
-                                                    .prefix = "/holds/",
-                                                    .kind = "unsafe",
-                                                    .service = "yardbook"}},
-                                                  {plainService("yardbook")}));
-        for (const char *id : {"i-1", "i-2", "i-3", "i-4"})
-            replicas_.push_back(std::make_unique<Yardbook>(deployment_.store(), record_, id));
-        for (const char *name : {"front-1", "front-2"})
-            nodes_.push_back(&deployment_.addNode(name));
+        service_.models = {{"m0", 42700, 0}};
+        service_.events = 12;
+        service_.eventGap = Milliseconds(400);
+        writeConfiguration();
+        for (const char *id : {"i-1", "i-2", "i-3"}) {
+            replicas_.push_back(std::make_unique<ModelReplica>(
+                deployment_.store(), record_, service_,
+                std::map<std::string, std::set<std::string>> {{"m0", {}}}, id));
+        }
+        for (int i = 0; i < kNodes; ++i)
+            deployment_.addNode("front-" + std::to_string(i + 1));
     }
 
     Outcome run()
     {
         std::vector<std::thread> clients;
-        for (const Node *node : nodes_) {
-            for (int i = 0; i < kHoldClientsPerNode; ++i)
-                clients.emplace_back([this, node, i] { sendHolds(*node, i); });
+        for (int node = 0; node < kNodes; ++node) {
+            for (int client = 0; client < kClientsPerNode; ++client)
+                clients.emplace_back([this, node, client] { sendRequests(node, client); });
         }
-        std::this_thread::sleep_for(kContact + kMargin);
-        while (crashes() < kCrashesBefore && sent_ < 3 * kCrashesBefore)
-            sendCrashingRequest();
-        std::this_thread::sleep_for(kContact + kMargin);
-        const int before = crashes();
-        record_.write("later than contact-ms after the third crash");
-        int retries = 0;
-        for (int i = 0; i < kKills; ++i) {
-            if (hasTrouble())
-                killAll();
-            const auto end = SteadyClock::now() + kCountedLength;
-            while (SteadyClock::now() < end)
-                retries += sendCrashingRequest() ? 1 : 0;
+        std::thread operators([this] {
+            while (isRunning_) {
+                std::this_thread::sleep_for(kConfigurationInterval);
+                writeConfiguration();
+            }
+        });
+        for (int round = 0; round < kRounds; ++round) {
+            const auto end = SteadyClock::now() + kRoundInterval;
+            std::vector<std::thread> stops;
+            for (int node = 0; hasTrouble() && node < kNodes; ++node) {
+                stops.emplace_back([this, node] { stop(node); });
+                std::this_thread::sleep_for(kStopInterval);
+            }
+            for (std::thread &stop : stops)
+                stop.join();
+            std::this_thread::sleep_until(end);
         }
-        areClientsRunning_ = false;
+        isRunning_ = false;
+        operators.join();
         for (std::thread &client : clients)
             client.join();
-
-        int lostRuns = 0;
-        for (const auto &replica : replicas_)
-            lostRuns += replica->lostRuns();
-        record_.write("crashes before " + std::to_string(before) + ", later "
-                      + std::to_string(crashes() - before) + " in " + std::to_string(retries)
-                      + " retries that reached replicas, lost runs of other requests "
-                      + std::to_string(lostRuns));
-        if (before < kCrashesBefore)
+        record_.write("served " + std::to_string(served_) + ", cut and excused "
+                      + std::to_string(excused_) + ", lost " + std::to_string(lost_));
+        if (served_ == 0)
             return NotRun;
-        return retries > kAllowedRetries ? Broken : Held;
+        return lost_ > 0 ? Broken : Held;
     }
 
 private:
-    int crashes() const
+    void writeConfiguration()
     {
-        int sum = 0;
-        for (const auto &replica : replicas_)
-            sum += replica->crashes();
-        return sum;
+        const unsigned version = ++version_;
+        auto configuration = makeConfiguration({{.name = "lot-offer",
+                                                 .prefix = "/offers/",
+                                                 .kind = "streaming",
+                                                 .service = service_.name,
+                                                 .timeoutMs = kDeadlineMs - version % 2}},
+                                               {service_.configuration()});
+        configuration["version"] = version;
+        deployment_.store().put("config", "main", std::move(configuration));
     }
 
-    /// Whether the request reached a replica.
-    bool sendCrashingRequest()
+    /// Stops the node as the platform does, and starts it again.
+    void stop(int number)
     {
-        const int crashesBefore = crashes();
-        const Node &node = *nodes_[sent_ % nodes_.size()];
-        const std::string attempt = "crashing-" + std::to_string(++sent_);
-        const auto next = SteadyClock::now() + kInterval;
-        const Response response =
-            call(node.callers(), clientRequest("GET", kCrashingPath, attempt, kDeadlineMs),
-                 Milliseconds(kDeadlineMs));
-        record_.write("client gets " + std::to_string(response.status) + " for " + attempt
-                      + " from " + node.name());
-        std::this_thread::sleep_until(next);
-        return crashes() > crashesBefore;
+        Node &node = deployment_.node(static_cast<std::size_t>(number));
+        record_.write("SIGTERM to " + node.name());
+        const auto stoppedAt = SteadyClock::now();
+        stoppedAt_[number] = stoppedAt;
+        node.signal(SIGTERM);
+        if (!node.waitForEnd(kGrace))
+            node.kill();
+        record_.write(node.name() + " has ended");
+        // Requests are attributed to this stop until the planned work has ended.
+        std::this_thread::sleep_until(stoppedAt + kPlannedWork);
+        node.start();
+        node.waitUntilReady();
     }
 
-    void killAll()
+    void sendRequests(int number, int client)
     {
-        record_.write("all processes of the system are killed");
-        for (Node *node : nodes_)
-            node->signal(SIGKILL);
-        std::this_thread::sleep_for(kKillLength);
-        for (Node *node : nodes_) {
-            node->kill();
-            node->start();
+        const Node &node = deployment_.node(static_cast<std::size_t>(number));
+        Client connection(node.callers());
+        // Spreads the clients over the time of a request and a pause.
+        std::this_thread::sleep_for(client * (kPause + service_.events * service_.eventGap)
+                                    / kClientsPerNode);
+        for (int i = 0; isRunning_; ++i) {
+            const std::string attempt =
+                node.name() + "-offer-" + std::to_string(client) + "-" + std::to_string(i);
+            const auto sentAt = SteadyClock::now();
+            const Response response = connection.send(
+                clientRequest("POST", "/offers/new", attempt, kDeadlineMs,
+                              {{"X-Model", "m0"}, {"X-Token-Usage", "646,80"}}, "an offer"),
+                Milliseconds(kDeadlineMs));
+            judge(number, attempt, sentAt, response);
+            std::this_thread::sleep_for(kPause);
         }
-        for (const Node *node : nodes_)
-            node->waitUntilReady();
-        record_.write("the processes are ready again");
-        std::this_thread::sleep_for(kContact + kMargin);
     }
 
-    void sendHolds(const Node &node, int number)
+    void judge(int number, const std::string &attempt, SteadyClock::time_point sentAt,
+               const Response &response)
     {
-        Client client(node.callers());
-        for (int i = 0; areClientsRunning_; ++i) {
-            const std::string attempt =
-                node.name() + "-hold-" + std::to_string(number) + "-" + std::to_string(i);
-            const Response response =
-                client.send(clientRequest("POST", "/holds/new", attempt, kDeadlineMs, {}, "stack"),
-                            Milliseconds(kDeadlineMs));
-            record_.write("client gets " + std::to_string(response.status) + " for " + attempt);
-            std::this_thread::sleep_for(kHoldPause);
-        }
+        served_ += response.status == 200 && response.isComplete ? 1 : 0;
+        if (response.status != 200 || response.isComplete)
+            return;
+        // The answer began, so a replica had the request, and the node ended it.
+        const SteadyClock::time_point stoppedAt = stoppedAt_[number];
+        const auto sentAfter = std::chrono::floor<Milliseconds>(sentAt - stoppedAt);
+        const auto cutAfter = std::chrono::floor<Milliseconds>(SteadyClock::now() - stoppedAt);
+        const bool isExcused = sentAfter <= kExcusedSendTime && cutAfter >= kLastSixth;
+        const bool isPlannedWork = cutAfter <= kPlannedWork;
+        (isExcused || !isPlannedWork ? excused_ : lost_) += 1;
+        if (!isExcused && isPlannedWork)
+            record_.write("broken: " + attempt + " was sent " + std::to_string(sentAfter.count())
+                          + " ms after the SIGTERM, began, and was cut "
+                          + std::to_string(cutAfter.count()) + " ms after it");
     }
 
     Record &record_;
     Deployment deployment_;
-    std::vector<std::unique_ptr<Yardbook>> replicas_;
-    std::vector<Node *> nodes_;
-    std::size_t sent_ = 0;
-    std::atomic<bool> areClientsRunning_ = true;
+    ModelService service_;
+    std::vector<std::unique_ptr<ModelReplica>> replicas_;
+    std::atomic<SteadyClock::time_point> stoppedAt_[kNodes] = {};
+    std::atomic<unsigned> version_ = 0;
+    std::atomic<bool> isRunning_ = true;
+    std::atomic<int> served_ = 0;
+    std::atomic<int> excused_ = 0;
+    std::atomic<int> lost_ = 0;
 };
 
 Outcome run(Record &record)
--- a/review/standins/Deployment.cc
+++ b/review/standins/Deployment.cc
@@ -100,9 +100,24 @@
 
 void Node::kill()
 {
+    if (process_ < 0)
+        return;
     // Also ends a stopped process.
     ::kill(process_, SIGKILL);
     waitpid(process_, nullptr, 0);
+    process_ = -1;
+}
+
+bool Node::waitForEnd(Milliseconds timeout)
+{
+    const auto end = SteadyClock::now() + timeout;
+    while (waitpid(process_, nullptr, WNOHANG) == 0) {
+        if (SteadyClock::now() >= end)
+            return false;
+        std::this_thread::sleep_for(kPollInterval);
+    }
+    process_ = -1;
+    return true;
 }
 
 void Node::start()
@@ -144,7 +159,8 @@
 
 void Node::signal(int number) const
 {
-    ::kill(process_, number);
+    if (process_ > 0)
+        ::kill(process_, number);
 }
 
 Deployment::Deployment()
--- a/review/standins/Deployment.hh
+++ b/review/standins/Deployment.hh
@@ -48,6 +48,8 @@
     void signal(int number) const;
     /// Kills the process.
     void kill();
+    /// Waits for the end of the process; false if it still runs after this time.
+    bool waitForEnd(Milliseconds timeout);
     /// Starts the process, with the same settings each time.
     void start();
 
--- a/review/standins/ModelReplica.cc
+++ b/review/standins/ModelReplica.cc
@@ -34,7 +34,8 @@
 }
 
 ModelReplica::ModelReplica(Store &store, Record &record, ModelService service,
-                           const std::map<std::string, std::set<std::string>> &held)
+                           const std::map<std::string, std::set<std::string>> &held,
+                           const std::string &id)
     : record_(record)
     , service_(std::move(service))
 {
@@ -44,7 +45,7 @@
             parts_[{model, adapter}] = {};
     }
     replica_ = std::make_unique<Replica>(
-        store, "i-1", service_.name, 64,
+        store, id, service_.name, 64,
         [this](Connection &connection, const Request &request) {
             return serve(connection, request);
         },
--- a/review/standins/ModelReplica.hh
+++ b/review/standins/ModelReplica.hh
@@ -46,7 +46,8 @@
 public:
     /// Holds the models with these adapters from its start, and has a copy of all on its disk.
     ModelReplica(Store &store, Record &record, ModelService service,
-                 const std::map<std::string, std::set<std::string>> &held);
+                 const std::map<std::string, std::set<std::string>> &held,
+                 const std::string &id = "i-1");
 
     /// Whether it was ordered to load more than it can hold; it crashes then.
     bool isOverLimit() const { return isOverLimit_; }
