Review: take ports of the nodes outside the range of outgoing connections

An outgoing connection could take the port of a node while it restarts, so that the node would not start. The stand-in of a replica loses the code for crashes, which only the replaced case used.

--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -81,7 +81,7 @@
             client.join();
         record_.write("served " + std::to_string(served_) + ", cut and excused "
                       + std::to_string(excused_) + ", lost " + std::to_string(lost_));
-        if (served_ == 0)
+        if (served_ == 0 || hasFailed_)
             return NotRun;
         return lost_ > 0 ? Broken : Held;
     }
@@ -113,8 +113,13 @@
         record_.write(node.name() + " has ended");
         // Requests are attributed to this stop until the planned work has ended.
         std::this_thread::sleep_until(stoppedAt + kPlannedWork);
-        node.start();
-        node.waitUntilReady();
+        try {
+            node.start();
+            node.waitUntilReady();
+        } catch (const std::exception &error) {
+            record_.write(error.what());
+            hasFailed_ = true;
+        }
     }
 
     void sendRequests(int number, int client)
@@ -163,6 +168,7 @@
     std::atomic<SteadyClock::time_point> stoppedAt_[kNodes] = {};
     std::atomic<unsigned> version_ = 0;
     std::atomic<bool> isRunning_ = true;
+    std::atomic<bool> hasFailed_ = false;
     std::atomic<int> served_ = 0;
     std::atomic<int> excused_ = 0;
     std::atomic<int> lost_ = 0;
--- a/review/standins/Http.cc
+++ b/review/standins/Http.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstring>
 #include <memory>
+#include <random>
 #include <stdexcept>
 
 #include <arpa/inet.h>
@@ -38,16 +39,23 @@
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
-int listenOn(const std::string &text)
+/// Negative if the address is in use.
+int tryListenOn(const std::string &text)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const sockaddr_in address = parseAddress(text);
-    if (socket < 0
-        || bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
-        || listen(socket, SOMAXCONN) != 0)
-        throw std::runtime_error("cannot listen on " + text);
+    if (bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0
+        && listen(socket, SOMAXCONN) == 0)
+        return socket;
+    close(socket);
+    return -1;
+}
+
+int listenOnFreePort()
+{
+    const int socket = tryListenOn("127.0.0.1:0");
+    if (socket < 0)
+        throw std::runtime_error("cannot listen on a loopback port");
     return socket;
 }
 
@@ -224,9 +232,9 @@
     shutdown(socket_, SHUT_RD);
 }
 
-Server::Server(Handler handler, const std::string &address)
+Server::Server(Handler handler)
     : handler_(std::move(handler))
-    , socket_(listenOn(address))
+    , socket_(listenOnFreePort())
     , address_(addressOf(socket_))
     , acceptThread_([this] { accept(); })
 {
@@ -299,10 +307,25 @@
 
 std::string freeAddress()
 {
-    const int socket = listenOn("127.0.0.1:0");
-    const std::string address = addressOf(socket);
-    close(socket);
-    return address;
+    // Below the range from which the system takes ports for outgoing connections, so that none of
+    // these takes the port before the server listens, or while it restarts.
+    constexpr int kFirstPort = 15000;
+    constexpr int kLastPort = 31999;
+    constexpr int kMaxTries = 1000;
+    static std::mt19937 random {std::random_device()()};
+    static std::set<int> taken;
+    std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
+    for (int i = 0; i < kMaxTries; ++i) {
+        const int port = ports(random);
+        const std::string address = "127.0.0.1:" + std::to_string(port);
+        if (!taken.insert(port).second)
+            continue;
+        if (const int socket = tryListenOn(address); socket >= 0) {
+            close(socket);
+            return address;
+        }
+    }
+    throw std::runtime_error("no free port");
 }
 
 } // namespace review
--- a/review/standins/Http.hh
+++ b/review/standins/Http.hh
@@ -76,13 +76,13 @@
     std::string buffer_;
 };
 
-/// Listens on a loopback address, on a free port if its port is 0.
+/// Listens on a free loopback port.
 class Server
 {
 public:
     using Handler = std::function<void(Connection &)>;
 
-    explicit Server(Handler handler, const std::string &address = "127.0.0.1:0");
+    explicit Server(Handler handler);
     ~Server();
 
     const std::string &address() const { return address_; }
--- a/review/standins/Replica.cc
+++ b/review/standins/Replica.cc
@@ -28,8 +28,8 @@
     , run_(std::move(run))
     , engine_(std::move(engine))
     , startedAt_(unixTime())
+    , server_([this](Connection &connection) { serve(connection); })
 {
-    startServer("127.0.0.1:0");
     beat();
     heartbeatThread_ = std::thread([this] { sendHeartbeats(); });
 }
@@ -40,7 +40,7 @@
         const std::lock_guard lock(mutex_);
         isStopping_ = true;
     }
-    changed_.notify_all();
+    stopped_.notify_all();
     heartbeatThread_.join();
 }
 
@@ -58,55 +58,18 @@
     store_.put("servers", id_, std::move(entry));
 }
 
-void Replica::startServer(const std::string &address)
-{
-    server_ =
-        std::make_unique<Server>([this](Connection &connection) { serve(connection); }, address);
-    address_ = server_->address();
-}
-
 void Replica::sendHeartbeats()
 {
     while (true) {
         {
             std::unique_lock lock(mutex_);
-            changed_.wait_for(lock, kHeartbeatInterval,
-                              [this] { return isStopping_ || restartAt_; });
-            if (isStopping_)
+            if (stopped_.wait_for(lock, kHeartbeatInterval, [this] { return isStopping_; }))
                 return;
         }
-        if (!waitForRestart())
-            return;
         beat();
     }
 }
 
-bool Replica::waitForRestart()
-{
-    std::unique_lock lock(mutex_);
-    if (!restartAt_)
-        return true;
-    lock.unlock();
-    // Waits for the threads of its connections, one of which may hold the lock.
-    server_.reset();
-    lock.lock();
-    if (changed_.wait_until(lock, *restartAt_, [this] { return isStopping_; }))
-        return false;
-    restartAt_.reset();
-    lock.unlock();
-    startedAt_ = unixTime();
-    startServer(address_);
-    return true;
-}
-
-void Replica::crash(Milliseconds downtime)
-{
-    const std::lock_guard lock(mutex_);
-    ++crashes_;
-    restartAt_ = SteadyClock::now() + downtime;
-    changed_.notify_all();
-}
-
 void Replica::serve(Connection &connection)
 {
     while (const auto request = connection.readRequest()) {
--- a/review/standins/Replica.hh
+++ b/review/standins/Replica.hh
@@ -1,13 +1,9 @@
 // Stand-in for a replica of a service: registers itself in the store, and runs requests.
 #pragma once
 
-#include <atomic>
 #include <condition_variable>
 #include <functional>
-#include <memory>
 #include <mutex>
-#include <optional>
-#include <set>
 #include <string>
 #include <thread>
 
@@ -37,22 +33,15 @@
     ~Replica();
 
     const std::string &id() const { return id_; }
-    const std::string &address() const { return address_; }
+    const std::string &address() const { return server_.address(); }
     /// Unix time of the start in milliseconds.
     std::uint64_t startedAt() const { return startedAt_; }
     /// Writes the entry in the store at once instead of with the next heartbeat.
     void beat();
-    /// Ends all connections. A new process starts after this time, with the same id and address.
-    void crash(Milliseconds downtime);
-    /// Number of crashes; a run that sees it change is lost.
-    int crashes() const { return crashes_; }
 
 private:
-    void startServer(const std::string &address);
     void serve(Connection &connection);
     void sendHeartbeats();
-    /// False if the replica is destroyed meanwhile.
-    bool waitForRestart();
 
     Store &store_;
     std::string id_;
@@ -60,15 +49,12 @@
     unsigned slots_;
     Run run_;
     Engine engine_;
-    std::atomic<std::uint64_t> startedAt_;
-    std::atomic<int> crashes_ = 0;
-    std::string address_;
+    std::uint64_t startedAt_;
     std::mutex mutex_;
-    std::condition_variable changed_;
+    std::condition_variable stopped_;
     bool isStopping_ = false;
-    std::optional<SteadyClock::time_point> restartAt_;
     std::uint64_t heartbeats_ = 0;
-    std::unique_ptr<Server> server_;
+    Server server_;
     std::thread heartbeatThread_;
 };
 
