--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -56,7 +56,7 @@
         bool isSentAgain = false;
         {
             const std::lock_guard lock(mutex_);
-            earlier = std::exchange(unsent_[&connection], {});
+            earlier = std::exchange(unsent_[connection.number()], {});
             isFull = share_(random_) < kFullShare;
             isSentAgain = share_(random_) < kRepeatedShare && isFaultyNow();
             runs_[attempt] += isFull ? 0 : 1;
@@ -74,7 +74,7 @@
             : render(200, answerHeaders(replica_, request), "held " + attempt);
         if (isSentAgain) {
             const std::lock_guard lock(mutex_);
-            unsent_[&connection] = answer;
+            unsent_[connection.number()] = answer;
         }
         return connection.send(answer);
     }
@@ -86,7 +86,7 @@
     std::mt19937 random_ {30};
     std::uniform_real_distribution<double> share_ {0, 1};
     std::map<std::string, int> runs_;
-    std::map<const Connection *, std::string> unsent_;
+    std::map<std::uint64_t, std::string> unsent_;
     Replica replica_;
 };
 
--- a/review/standins/Http.cc
+++ b/review/standins/Http.cc
@@ -100,6 +100,8 @@
 Connection::Connection(int socket)
     : socket_(socket)
 {
+    static std::atomic<std::uint64_t> connections = 0;
+    number_ = ++connections;
     const int on = 1;
     setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 }
--- a/review/standins/Http.hh
+++ b/review/standins/Http.hh
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -63,7 +64,8 @@
     bool isClosedByPeer() const;
     /// Sends a reset instead of an orderly close.
     void reset();
-    int socket() const { return socket_; }
+    /// Differs from that of all other connections of the process.
+    std::uint64_t number() const { return number_; }
 
 private:
     bool fill(std::optional<SteadyClock::time_point> deadline);
@@ -73,6 +75,7 @@
     bool readChunks(std::string &body, std::optional<SteadyClock::time_point> deadline);
 
     int socket_;
+    std::uint64_t number_;
     std::string buffer_;
 };
 
