End admission on time in a planned stop

Cause: admission depended on the state of the lifecycle, which changed when the lifecycle task handled its timer, up to 100 ms late, and the period began when the stop request was handled. The node of the product's own interface published its admission in the same way. Requests that waited for a target were sent until 0.8 s before the termination.

Change: NodeLifecycle compares the time of each request with the end of the period, and events carry the time at which they occurred, for both front ends. StopTimes holds the periods of admission, dispatch and termination. The stop request waits for space in the mailbox. Idle connections are closed and the last refusals written before the process ends.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -14,6 +14,7 @@
 #include "boragerack/adapter/Adapter.h"
 #include "boragerack/config/GatewaySettings.h"
 #include "boragerack/config/NodeSettings.h"
+#include "boragerack/core/Clock.h"
 #include "boragerack/gateway/Gateway.h"
 #include "boragerack/node/Node.h"
 #include "boragerack/runtime/Await.h"
@@ -58,22 +59,27 @@
     }
 }
 
-/// Blocks the fiber until SIGTERM or SIGINT is received. Calls `onReload` for each SIGHUP.
+/// Blocks the fiber until SIGTERM or SIGINT is received, and returns when it was. Calls `onReload`
+/// for each SIGHUP. The time is taken before the fiber runs, which other fibers may delay.
 template<class OnOther>
-void waitForStopSignal(boost::asio::signal_set &signals, OnOther onReload)
+core::TimePoint waitForStopSignal(boost::asio::signal_set &signals, const core::Clock &clock,
+                                  OnOther onReload)
 {
     int received = 0;
+    core::TimePoint receivedAt;
     while (received != SIGTERM && received != SIGINT) {
         runtime::awaitIo([&](auto completion) {
-            signals.async_wait([completion, &received](const boost::system::error_code &error,
-                                                       int number) mutable {
+            signals.async_wait([completion, &clock, &received, &receivedAt](
+                                   const boost::system::error_code &error, int number) mutable {
                 received = number;
+                receivedAt = clock.now();
                 completion(error);
             });
         });
         if (received == SIGHUP)
             onReload();
     }
+    return receivedAt;
 }
 
 runtime::HttpClientOptions platformClientOptions()
@@ -101,8 +107,7 @@
     std::cout << "ready caller=" << core::valueOf(addresses).caller
               << " peer=" << core::valueOf(addresses).peer << std::endl;
     boost::asio::signal_set signals(fiberRuntime.ioContext(), SIGTERM, SIGINT);
-    waitForStopSignal(signals, [] {});
-    node.requestStop();
+    node.requestStop(waitForStopSignal(signals, core::MonotonicClock(), [] {}));
     node.waitUntilStopped();
     runtime::logEvent(runtime::LogEvent::NodeStopped, settings.instance.value);
     return Stopped;
@@ -149,8 +154,8 @@
             reloadSettings(path, current, gateway);
         }
     }).detach();
-    waitForStopSignal(signals, [&] { reloadSettings(path, current, gateway); });
-    gateway.requestStop();
+    gateway.requestStop(waitForStopSignal(signals, core::SuspendAwareClock(),
+                                          [&] { reloadSettings(path, current, gateway); }));
     gateway.waitUntilStopped();
     runtime::logEvent(runtime::LogEvent::NodeStopped, settings.instance.value);
     // All requests are answered. Exiting without destructors is faster than stopping every task;
--- a/packages/decisions/include/boragerack/decisions/NodeLifecycle.h
+++ b/packages/decisions/include/boragerack/decisions/NodeLifecycle.h
@@ -11,6 +11,7 @@
 #include "boragerack/core/Clock.h"
 #include "boragerack/core/Error.h"
 #include "boragerack/decisions/NodeChart.h"
+#include "boragerack/decisions/StopTimes.h"
 
 namespace boragerack::decisions {
 
@@ -61,9 +62,12 @@
 
 } // namespace lifecycle
 
+/// The error for a request that a stopping node does not accept.
+core::Error makeDrainingError();
+
 /// Decides when a node serves, when it stops serving because its configuration is stale, and when
 /// it shuts down. A shutdown terminates no request: new requests are refused only after the
-/// addresses that callers cached have expired, and the node waits for all requests in flight.
+/// addresses that callers cached have expired, and the node waits for the requests in flight.
 class NodeLifecycle
 {
 public:
@@ -71,23 +75,29 @@
     /// The actions carry no values, so the actions of the chart are returned directly.
     using Action = NodeChartAction;
 
-    /// `addressLifetime` is the time for which callers cache a response of `/v1/addresses`.
-    NodeLifecycle(std::shared_ptr<const NodeBinding> chart,
-                  std::chrono::milliseconds addressLifetime);
+    NodeLifecycle(std::shared_ptr<const NodeBinding> chart, const StopTimes &stopTimes);
 
-    std::vector<Action> handle(const Event &event, core::TimePoint now);
+    /// `at` is the time of the event, which may be earlier than the time of the call.
+    std::vector<Action> handle(const Event &event, core::TimePoint at);
 
-    /// Returns the error for a new request, or nothing if the node admits it.
-    std::optional<core::Error> admit() const;
+    /// Returns the error for a new request, or nothing if the node admits it. The end of the
+    /// admission period applies at once, even if TimerFired is handled late.
+    std::optional<core::Error> admit(core::TimePoint now) const;
+    /// Returns the error for an admitted request that no target has run, or nothing if it may be
+    /// sent to a target.
+    std::optional<core::Error> admitDispatch(core::TimePoint now) const;
+    /// Time at which the process terminates; empty if it need not.
+    std::optional<core::TimePoint> terminationTime() const;
     NodeState state() const { return chart_.state(); }
     bool isFinished() const { return chart_.isFinished(); }
     std::optional<core::TimePoint> nextTimer() const { return timerAt_; }
 
 private:
-    void fire(NodeChartEvent chartEvent, core::TimePoint now, std::vector<Action> &actions);
+    void fire(NodeChartEvent chartEvent, core::TimePoint at, std::vector<Action> &actions);
 
     charts::ChartInstance<NodeState, NodeChartEvent, NodeChartAction> chart_;
-    std::chrono::milliseconds addressLifetime_;
+    StopTimes stopTimes_;
+    std::optional<core::TimePoint> stopRequestedAt_;
     std::optional<core::TimePoint> timerAt_;
     std::uint64_t openRequests_ = 0;
 };
--- a/packages/decisions/tests/NodeLifecycleTest.cpp
+++ b/packages/decisions/tests/NodeLifecycleTest.cpp
@@ -38,7 +38,7 @@
 /// requests until that expires.
 DrainResult runDrain(const charts::StateChart &chart, const std::vector<Arrival> &arrivals)
 {
-    NodeLifecycle node(makeNodeBinding(chart), kAddressLifetime);
+    NodeLifecycle node(makeNodeBinding(chart), StopTimes {kAddressLifetime});
     DrainResult result;
     int openRequests = 0;
     const auto handleEvent = [&](const lifecycle::Event &event, core::TimePoint now) {
@@ -60,7 +60,7 @@
         for (; !steps.empty() && steps.begin()->first <= time; steps.erase(steps.begin())) {
             if (const int duration = steps.begin()->second; duration == 0) {
                 handleEvent(lifecycle::StopRequested {}, now);
-            } else if (node.admit()) {
+            } else if (node.admit(now)) {
                 ++result.refused;
             } else {
                 ++openRequests;
@@ -137,21 +137,21 @@
 // during shutdown.
 BOOST_AUTO_TEST_CASE(isolationEndsStreamsAndRefuses)
 {
-    NodeLifecycle node(makeNodeBinding(), kAddressLifetime);
-    BOOST_TEST((node.admit()->code == core::ErrorCode::Isolated));
+    NodeLifecycle node(makeNodeBinding(), StopTimes {kAddressLifetime});
+    BOOST_TEST((node.admit(kStart)->code == core::ErrorCode::Isolated));
     node.handle(lifecycle::ConfigurationLoaded {}, kStart);
     node.handle(lifecycle::RequestStarted {}, kStart);
     BOOST_TEST((node.handle(lifecycle::FreshnessLost {}, kStart)
                 == Actions {NodeChartAction::WithdrawAddress, NodeChartAction::EndStreams,
                             NodeChartAction::RefuseQueued}));
-    BOOST_TEST((node.admit()->verdict == core::Verdict::NotRun));
+    BOOST_TEST((node.admit(kStart)->verdict == core::Verdict::NotRun));
     BOOST_TEST((node.handle(lifecycle::FreshnessRegained {}, kStart)
                 == Actions {NodeChartAction::PublishAddress}));
-    BOOST_TEST(!node.admit().has_value());
+    BOOST_TEST(!node.admit(kStart).has_value());
     node.handle(lifecycle::StopRequested {}, kStart);
     BOOST_TEST((node.nextTimer() == kStart + kAddressLifetime));
     node.handle(lifecycle::TimerFired {}, kStart + kAddressLifetime);
-    BOOST_TEST((node.admit()->code == core::ErrorCode::Draining));
+    BOOST_TEST((node.admit(kStart + kAddressLifetime)->code == core::ErrorCode::Draining));
     BOOST_TEST((node.handle(lifecycle::FreshnessLost {}, kStart + 11s)
                 == Actions {NodeChartAction::EndStreams, NodeChartAction::RefuseQueued}));
     BOOST_TEST((node.handle(lifecycle::RequestEnded {}, kStart + 12s)
@@ -159,6 +159,40 @@
     BOOST_TEST(node.isFinished());
 }
 
+// Guards against a stopping node whose timer is handled late, or whose stop request waited for the
+// processor, and that admits requests after the admission period.
+BOOST_AUTO_TEST_CASE(admissionEndsOnTimeWithoutTheTimer)
+{
+    NodeLifecycle node(makeNodeBinding(), StopTimes {kAddressLifetime});
+    node.handle(lifecycle::ConfigurationLoaded {}, kStart);
+    node.handle(lifecycle::StopRequested {}, kStart);
+    BOOST_TEST(!node.admit(kStart + kAddressLifetime - 1ms).has_value());
+    // No event has been handled since the stop request.
+    BOOST_REQUIRE(node.admit(kStart + kAddressLifetime).has_value());
+    BOOST_TEST((node.admit(kStart + kAddressLifetime)->code == core::ErrorCode::Draining));
+    // The configuration of a stopping node may still change.
+    node.handle(lifecycle::ConfigurationLoaded {}, kStart + kAddressLifetime);
+    BOOST_TEST(node.admit(kStart + kAddressLifetime).has_value());
+}
+
+// Guards against requests that are sent to a target shortly before the process terminates, which
+// cuts off their answers.
+BOOST_AUTO_TEST_CASE(dispatchEndsBeforeTheTermination)
+{
+    NodeLifecycle node(makeNodeBinding(), StopTimes {2600ms, 5400ms, 7300ms});
+    node.handle(lifecycle::ConfigurationLoaded {}, kStart);
+    BOOST_TEST(!node.admitDispatch(kStart + 60s).has_value());
+    BOOST_TEST((node.terminationTime() == std::nullopt));
+    node.handle(lifecycle::RequestStarted {}, kStart);
+    node.handle(lifecycle::StopRequested {}, kStart + 1s);
+    // A second signal does not prolong the shutdown.
+    node.handle(lifecycle::StopRequested {}, kStart + 3s);
+    BOOST_TEST(!node.admitDispatch(kStart + 6400ms - 1ms).has_value());
+    BOOST_REQUIRE(node.admitDispatch(kStart + 6400ms).has_value());
+    BOOST_TEST((node.admitDispatch(kStart + 6400ms)->verdict == core::Verdict::NotRun));
+    BOOST_TEST((node.terminationTime() == kStart + 8300ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/include/boragerack/gateway/Gateway.h
+++ b/packages/gateway/include/boragerack/gateway/Gateway.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "boragerack/config/GatewaySettings.h"
+#include "boragerack/core/Clock.h"
 #include "boragerack/core/Result.h"
 
 namespace boragerack::platform {
@@ -46,8 +47,9 @@
     /// Applies the settings that can change at run time, which is the address lifetime.
     void updateSettings(const config::GatewaySettings &settings);
     /// Starts draining: the node is no longer returned in address answers, and requests in progress
-    /// are completed.
-    void requestStop();
+    /// are completed. `requestedAt` is a time of core::SuspendAwareClock, at which the stop signal
+    /// was received.
+    void requestStop(core::TimePoint requestedAt);
     void waitUntilStopped();
 
 private:
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -1,5 +1,6 @@
 #include "boragerack/gateway/Gateway.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include <boost/fiber/fiber.hpp>
@@ -42,8 +43,20 @@
 constexpr std::size_t kMaxIdlePerTarget = 16;
 /// Callers may use an address for three times its announced lifetime.
 constexpr int kLifetimesToDrain = 3;
-/// Time between the end of draining and the forced termination of the process.
+/// A node that is short of processor time may receive the stop signal this much later than it was
+/// sent; the end of the admission period counts from the sending.
+constexpr std::chrono::milliseconds kMaxSignalDelay(400);
+/// Time between the end of draining and the forced termination of the process, and its maximum
+/// share of the whole stop timeout.
 constexpr std::chrono::milliseconds kStopMargin(700);
+constexpr int kMaxStopMarginDivisor = 8;
+/// Share of the time until the termination in which requests are admitted at most, so that the last
+/// ones can finish, and in which admitted requests are sent to targets.
+constexpr double kAdmissionShare = 0.5;
+constexpr double kDispatchShare = 0.75;
+/// Maximum time for the last refusals to be written once all requests have finished.
+constexpr std::chrono::milliseconds kConnectionCloseTime(200);
+constexpr std::chrono::milliseconds kConnectionCheckInterval(5);
 constexpr double kThousandths = 1000;
 /// A node with a smaller share of a processor takes the lease only if no larger one does, because
 /// the coordinator receives the reports of the whole fleet.
@@ -85,6 +98,18 @@
              static_cast<std::size_t>(settings.maxWaitingRequests)}};
 }
 
+decisions::StopTimes stopTimesOf(const config::GatewaySettings &settings)
+{
+    const auto termination = settings.stopTimeout
+        - std::min(kStopMargin, settings.stopTimeout / kMaxStopMarginDivisor);
+    const auto share = [&](double fraction) {
+        return std::chrono::floor<std::chrono::milliseconds>(termination * fraction);
+    };
+    const auto cachedFor = std::max(settings.addressLifetime,
+                                    kLifetimesToDrain * settings.addressLifetime - kMaxSignalDelay);
+    return {std::min(cachedFor, share(kAdmissionShare)), share(kDispatchShare), termination};
+}
+
 decisions::LeaseTimes leaseTimesOf(const config::GatewaySettings &settings)
 {
     decisions::LeaseTimes times;
@@ -145,8 +170,7 @@
                       charts.targetOrder, settings.quotaTolerance, clock, metrics)
         , routing(self, routingLimitsOf(settings), clock, random, metrics)
         , reports(self, lease, coordinator, routing, configuration, clock)
-        , lifecycle(charts.node, kLifetimesToDrain * settings.addressLifetime,
-                    settings.stopTimeout - kStopMargin, configuration, clock)
+        , lifecycle(charts.node, stopTimesOf(settings), configuration, clock)
         , requestHandler({charts, dependencies.protocol, configuration, lifecycle, routing, client,
                           clock, metrics},
                          lifecycle)
@@ -366,9 +390,10 @@
                       "address_lifetime_ms=" + std::to_string(settings.addressLifetime.count()));
 }
 
-void Gateway::requestStop()
+void Gateway::requestStop(core::TimePoint requestedAt)
 {
-    if (!parts_->lifecycle.trySend(LifecycleTask::StopRequested()))
+    // A stop request that is lost would make the platform kill the process.
+    if (!parts_->lifecycle.send(LifecycleTask::StopRequested {requestedAt}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=stop_requested");
     // This node continues to send orders while it drains; the next coordinator must wait before its
     // first order.
@@ -379,7 +404,12 @@
 void Gateway::waitUntilStopped()
 {
     parts_->lifecycle.waitUntilStopped();
+    // A request whose last byte was read just now is still answered.
+    parts_->callerServer.stopAccepting();
     parts_->lease.shutDown();
+    const auto limit = std::chrono::steady_clock::now() + kConnectionCloseTime;
+    while (parts_->callerServer.connectionCount() > 0 && std::chrono::steady_clock::now() < limit)
+        boost::this_fiber::sleep_for(kConnectionCheckInterval);
 }
 
 } // namespace boragerack::gateway
--- a/packages/gateway/src/LifecycleTask.cpp
+++ b/packages/gateway/src/LifecycleTask.cpp
@@ -1,5 +1,7 @@
 #include "LifecycleTask.h"
 
+#include <algorithm>
+
 #include "boragerack/runtime/EventLog.h"
 
 namespace boragerack::gateway {
@@ -7,17 +9,15 @@
 namespace {
 
 constexpr std::size_t kMailboxCapacity = 64;
+/// Maximum delay until the end of the last request is noticed.
 constexpr std::chrono::milliseconds kTick(100);
-/// Waiting requests are refused this long before the process terminates.
-constexpr std::chrono::milliseconds kRefusalMargin(800);
 
 } // namespace
 
 LifecycleTask::LifecycleTask(std::shared_ptr<const decisions::NodeBinding> chart,
-                             std::chrono::milliseconds drain, std::chrono::milliseconds stopTimeout,
+                             const decisions::StopTimes &stopTimes,
                              const ConfigurationTask &configuration, const core::Clock &clock)
-    : lifecycle_(std::move(chart), drain)
-    , stopTimeout_(stopTimeout)
+    : lifecycle_(std::move(chart), stopTimes)
     , configuration_(configuration)
     , clock_(clock)
     , mailbox_(kMailboxCapacity)
@@ -48,43 +48,47 @@
     return lifecycle_.state() == decisions::NodeState::Serving && configuration_.mayServe();
 }
 
-bool LifecycleTask::mustRefuseWaiting() const
-{
-    return isStopping_ && clock_.now() >= stopAt_ - kRefusalMargin;
-}
-
 void LifecycleTask::requestStarted()
 {
-    handleEvent(decisions::lifecycle::RequestStarted());
+    handleEvent(decisions::lifecycle::RequestStarted(), clock_.now());
 }
 
 void LifecycleTask::requestEnded()
 {
-    handleEvent(decisions::lifecycle::RequestEnded());
+    handleEvent(decisions::lifecycle::RequestEnded(), clock_.now());
 }
 
 void LifecycleTask::run()
 {
     while (!lifecycle_.isFinished() && !mailbox_.isClosed()) {
-        const auto message = mailbox_.receiveUntil(std::chrono::steady_clock::now() + kTick);
-        if (message && std::holds_alternative<StopRequested>(*message)) {
+        const auto message = mailbox_.receiveUntil(nextWakeUp());
+        if (const auto *stop = message ? std::get_if<StopRequested>(&*message) : nullptr) {
             isStopping_ = true;
-            stopAt_ = clock_.now() + stopTimeout_;
             runtime::logEvent(runtime::LogEvent::NodeDraining, "reason=signal");
-            handleEvent(decisions::lifecycle::StopRequested());
+            handleEvent(decisions::lifecycle::StopRequested(), stop->at);
         } else if (message) {
-            handleEvent(decisions::lifecycle::ConfigurationLoaded());
+            handleEvent(decisions::lifecycle::ConfigurationLoaded(), clock_.now());
         }
-        handleEvent(decisions::lifecycle::TimerFired());
+        const core::TimePoint now = clock_.now();
+        handleEvent(decisions::lifecycle::TimerFired(), now);
         // Returns before the process is killed, because an orderly shutdown closes the connections.
-        if (isStopping_ && clock_.now() >= stopAt_)
+        if (const auto termination = lifecycle_.terminationTime();
+            termination && now >= *termination)
             return;
     }
 }
 
-void LifecycleTask::handleEvent(const decisions::NodeLifecycle::Event &event)
+core::TimePoint LifecycleTask::nextWakeUp() const
+{
+    core::Duration wait = kTick;
+    if (const auto timer = lifecycle_.nextTimer())
+        wait = std::clamp<core::Duration>(*timer - clock_.now(), core::Duration::zero(), kTick);
+    return std::chrono::steady_clock::now() + wait;
+}
+
+void LifecycleTask::handleEvent(const decisions::NodeLifecycle::Event &event, core::TimePoint at)
 {
-    for (const decisions::NodeChartAction step : lifecycle_.handle(event, clock_.now())) {
+    for (const decisions::NodeChartAction step : lifecycle_.handle(event, at)) {
         if (step == decisions::NodeChartAction::WithdrawAddress)
             onWithdraw_();
     }
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -177,6 +177,13 @@
     return gateway::findQuarantine(*fleet, suspects(), dependencies_.clock.now());
 }
 
+std::optional<core::Error> RequestExecution::findStopRefusal() const
+{
+    // A request that may have run is not refused; only an attempt that succeeds serves its caller.
+    return attempt_.verdict() == core::Verdict::NotRun ? dependencies_.lifecycle.admitDispatch()
+                                                       : std::nullopt;
+}
+
 decisions::SendPermission RequestExecution::requestSendPermission()
 {
     const SendPermissionRequest message {admitted_.number, {}};
@@ -195,9 +202,8 @@
             return answer;
         if (const auto refusal = findQuarantine())
             return *refusal;
-        if (dependencies_.lifecycle.mustRefuseWaiting())
-            return core::makeNotRunError(core::ErrorCode::Draining, "the node is stopping",
-                                         kRetryAfter);
+        if (const auto refusal = findStopRefusal())
+            return *refusal;
     }
     return std::nullopt;
 }
@@ -208,7 +214,10 @@
         fire(attempt::Cancel {core::ErrorCode::ConnectionFailed});
         return;
     }
-    if (const auto refusal = findQuarantine()) {
+    auto refusal = findQuarantine();
+    if (!refusal)
+        refusal = findStopRefusal();
+    if (refusal) {
         fire(attempt::DispatchFailed {refusal->code, refusal->retryAfter});
         return;
     }
--- a/packages/gateway/src/RequestExecution.h
+++ b/packages/gateway/src/RequestExecution.h
@@ -105,6 +105,8 @@
     bool mayStillRun() const;
     /// The refusal, if the request or a part of its prompt has crashed targets.
     std::optional<core::Error> findQuarantine() const;
+    /// The refusal, if the process terminates before a target could answer.
+    std::optional<core::Error> findStopRefusal() const;
     const std::vector<decisions::CrashSuspect> &suspects() const;
     void reportCrash();
     std::optional<core::Result<RouteGrant>> waitForRoute(const RouteReply &reply);
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -50,6 +50,10 @@
         fire(attempt::Cancel {core::ErrorCode::ConnectionFailed});
         return;
     }
+    if (const auto refusal = findStopRefusal()) {
+        fire(attempt::Cancel {refusal->code});
+        return;
+    }
     switch (permission) {
     case decisions::SendPermission::Granted:
         fire(attempt::Connected {attemptId()});
--- a/packages/node/include/boragerack/node/Node.h
+++ b/packages/node/include/boragerack/node/Node.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "boragerack/core/Clock.h"
 #include "boragerack/core/Result.h"
 
 namespace boragerack::config {
@@ -34,8 +35,9 @@
 
     core::Result<NodeAddresses> start();
 
-    /// Requests a graceful shutdown; returns at once.
-    void requestStop();
+    /// Requests a graceful shutdown; returns at once. `requestedAt` is a time of
+    /// core::MonotonicClock, at which the stop signal was received.
+    void requestStop(core::TimePoint requestedAt);
     /// Blocks until a requested shutdown has completed.
     void waitUntilStopped();
 
--- a/packages/node/src/CallerHandler.cpp
+++ b/packages/node/src/CallerHandler.cpp
@@ -41,19 +41,20 @@
 {
     if (handleStatus(request, responder))
         return;
-    if (const auto refusal = services_.lifecycle.admission().get()->refusal) {
+    const core::TimePoint now = services_.clock.now();
+    if (const auto refusal = services_.lifecycle.admission().get()->refusalAt(now)) {
         responder.send(makeErrorResponse(*refusal));
         // Aborting makes the caller request another address.
         responder.abortConnection();
         return;
     }
-    if (!services_.lifecycle.send(decisions::lifecycle::RequestStarted())) {
-        responder.send(makeErrorResponse(
-            core::makeNotRunError(core::ErrorCode::Draining, "node is stopping")));
+    if (!services_.lifecycle.send({decisions::lifecycle::RequestStarted(), now})) {
+        responder.send(makeErrorResponse(decisions::makeDrainingError()));
         return;
     }
     handleAdmitted(request, responder);
-    static_cast<void>(services_.lifecycle.send(decisions::lifecycle::RequestEnded()));
+    static_cast<void>(
+        services_.lifecycle.send({decisions::lifecycle::RequestEnded(), services_.clock.now()}));
 }
 
 void CallerHandler::handleAdmitted(const runtime::HttpRequest &request,
@@ -94,7 +95,8 @@
     if (path == "/healthz") {
         responder.send({200, {{"Content-Type", "text/plain"}}, "ok\n"});
     } else if (path == "/readyz") {
-        const auto refusal = services_.lifecycle.admission().get()->refusal;
+        const auto refusal =
+            services_.lifecycle.admission().get()->refusalAt(services_.clock.now());
         responder.send(
             refusal ? makeErrorResponse(*refusal)
                     : runtime::HttpResponse {200, {{"Content-Type", "text/plain"}}, "ready\n"});
@@ -139,7 +141,8 @@
     json::array addresses;
     const auto members = members_.get();
     const auto admission = services_.lifecycle.admission().get();
-    const bool isSelfPublished = !admission->refusal && !admission->isAddressWithdrawn;
+    const bool isSelfPublished =
+        !admission->refusalAt(services_.clock.now()) && !admission->isAddressWithdrawn;
     for (const Member &member : members->members) {
         const bool isSelf = member.record.instance == services_.identity.instance;
         // A stopping node omits its own address at once; other nodes omit it when its record is
--- a/packages/node/src/LifecycleTask.cpp
+++ b/packages/node/src/LifecycleTask.cpp
@@ -16,13 +16,20 @@
 
 } // namespace
 
+std::optional<core::Error> Admission::refusalAt(core::TimePoint now) const
+{
+    if (!refusal && endsAt && now >= *endsAt)
+        return decisions::makeDrainingError();
+    return refusal;
+}
+
 LifecycleTask::LifecycleTask(std::shared_ptr<const decisions::NodeBinding> chart,
-                             std::chrono::milliseconds addressLifetime, const core::Clock &clock,
+                             const decisions::StopTimes &stopTimes, const core::Clock &clock,
                              LifecycleListener &listener)
     : clock_(clock)
     , listener_(listener)
-    , lifecycle_(std::move(chart), addressLifetime)
-    , admission_(Admission {lifecycle_.admit(), true, false})
+    , lifecycle_(std::move(chart), stopTimes)
+    , admission_(Admission {lifecycle_.admit(clock.now()), std::nullopt, true, false})
     , mailbox_(kMailboxCapacity)
 {
 }
@@ -32,7 +39,7 @@
     fibers_.start([this] { run(); });
 }
 
-bool LifecycleTask::send(const lifecycle::Event &event)
+bool LifecycleTask::send(const TimedLifecycleEvent &event)
 {
     return mailbox_.send(event);
 }
@@ -44,18 +51,23 @@
         if (auto event = mailbox_.receiveUntil(wakeUpTime))
             handleEvent(*event);
         else
-            handleEvent(lifecycle::TimerFired());
+            handleEvent({lifecycle::TimerFired(), clock_.now()});
     }
     mailbox_.close();
     listener_.onStopped();
 }
 
-void LifecycleTask::handleEvent(const lifecycle::Event &event)
+Admission LifecycleTask::makeAdmission() const
+{
+    return {lifecycle_.admit(clock_.now()), lifecycle_.nextTimer(), isAddressWithdrawn_,
+            mustEndStreams_};
+}
+
+void LifecycleTask::handleEvent(const TimedLifecycleEvent &event)
 {
-    for (const decisions::NodeChartAction step : lifecycle_.handle(event, clock_.now()))
+    for (const decisions::NodeChartAction step : lifecycle_.handle(event.event, event.at))
         perform(step);
-    Admission admission {lifecycle_.admit(), isAddressWithdrawn_, mustEndStreams_};
-    if (admission != *admission_.get())
+    if (Admission admission = makeAdmission(); admission != *admission_.get())
         admission_.set(std::move(admission));
 }
 
--- a/packages/node/src/LifecycleTask.h
+++ b/packages/node/src/LifecycleTask.h
@@ -18,14 +18,28 @@
 struct Admission
 {
     std::optional<core::Error> refusal;
+    /// End of the admission period of a stopping node, which applies even before the lifecycle task
+    /// has published the refusal.
+    std::optional<core::TimePoint> endsAt;
     /// The address is no longer published to callers, but requests are still accepted.
     bool isAddressWithdrawn = false;
     /// Streams in progress must end, because their keys may have been revoked.
     bool mustEndStreams = false;
 
+    std::optional<core::Error> refusalAt(core::TimePoint now) const;
+
     friend bool operator==(const Admission &, const Admission &) = default;
 };
 
+/// An event of the lifecycle and when it occurred; the task may handle it later.
+struct TimedLifecycleEvent
+{
+    decisions::lifecycle::Event event;
+    core::TimePoint at = {};
+
+    friend bool operator==(const TimedLifecycleEvent &, const TimedLifecycleEvent &) = default;
+};
+
 /// Performs the steps of the node's lifecycle that involve other tasks.
 class LifecycleListener
 {
@@ -47,17 +61,18 @@
 {
 public:
     LifecycleTask(std::shared_ptr<const decisions::NodeBinding> chart,
-                  std::chrono::milliseconds addressLifetime, const core::Clock &clock,
+                  const decisions::StopTimes &stopTimes, const core::Clock &clock,
                   LifecycleListener &listener);
 
     void start();
-    [[nodiscard]] bool send(const decisions::lifecycle::Event &event);
+    [[nodiscard]] bool send(const TimedLifecycleEvent &event);
 
     const runtime::Published<Admission> &admission() const { return admission_; }
 
 private:
     void run();
-    void handleEvent(const decisions::lifecycle::Event &event);
+    void handleEvent(const TimedLifecycleEvent &event);
+    Admission makeAdmission() const;
     void perform(decisions::NodeChartAction step);
 
     const core::Clock &clock_;
@@ -66,7 +81,7 @@
     bool isAddressWithdrawn_ = false;
     bool mustEndStreams_ = false;
     runtime::Published<Admission> admission_;
-    runtime::Mailbox<decisions::lifecycle::Event> mailbox_;
+    runtime::Mailbox<TimedLifecycleEvent> mailbox_;
     runtime::FiberGroup fibers_;
 };
 
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -131,9 +131,10 @@
         return NodeAddresses {core::valueOf(callerAddress), core::valueOf(peerAddress)};
     }
 
-    void requestStop()
+    void requestStop(core::TimePoint requestedAt)
     {
-        static_cast<void>(lifecycle_->send(decisions::lifecycle::StopRequested()));
+        static_cast<void>(
+            lifecycle_->send({decisions::lifecycle::StopRequested(), requestedAt}));
     }
 
     void waitUntilStopped()
@@ -161,15 +162,20 @@
     void onFreshnessChanged(bool mayServe) override
     {
         if (!mayServe) {
-            static_cast<void>(lifecycle_->send(decisions::lifecycle::FreshnessLost()));
+            sendToLifecycle(decisions::lifecycle::FreshnessLost());
             return;
         }
         // The state chart of the node ignores the event that does not apply to its state.
-        static_cast<void>(lifecycle_->send(decisions::lifecycle::ConfigurationLoaded()));
-        static_cast<void>(lifecycle_->send(decisions::lifecycle::FreshnessRegained()));
+        sendToLifecycle(decisions::lifecycle::ConfigurationLoaded());
+        sendToLifecycle(decisions::lifecycle::FreshnessRegained());
     }
 
 private:
+    void sendToLifecycle(const decisions::lifecycle::Event &event)
+    {
+        static_cast<void>(lifecycle_->send({event, clock_.now()}));
+    }
+
     void requestRecordRemoval()
     {
         static_cast<void>(
@@ -215,7 +221,8 @@
 
     void makeTasks()
     {
-        lifecycle_.emplace(charts_.node, settings_.addressLifetime, clock_, *this);
+        lifecycle_.emplace(charts_.node, decisions::StopTimes {settings_.addressLifetime}, clock_,
+                           *this);
         quarantine_.emplace(*messenger_, clock_);
         targets_.emplace(store_, settings_.targetReportInterval, settings_.platformWatchWait);
         placement_.emplace(identity_, charts_, decisions::PlannerSettings(), store_, client_,
@@ -349,9 +356,9 @@
     return implementation_->start();
 }
 
-void Node::requestStop()
+void Node::requestStop(core::TimePoint requestedAt)
 {
-    implementation_->requestStop();
+    implementation_->requestStop(requestedAt);
 }
 
 void Node::waitUntilStopped()
