Send a request again on a new connection only

Cause: a faulty replica sends an answer again where the next one on the connection is due. A refused request was sent again on the same kept connection; the copy of the refusal has the identity of both sends and set the verdict back to NotRun.

Ruled out: the check of X-Attempt-Id (it rejects copies of other requests' refusals; adapterTest refusalOfAnotherRequestProvesNothing covers that), and bytes that arrive before the second send (the pool checks for them).

Change: AttemptController requests a connection that carried no earlier answer for each send but the first, and always if answers name no attempt; it rejects refusals that name another attempt. Orders and reports to targets, whose answers name nothing, use a connection of their own, which is closed after the response. The product's own front end gets the same through AttemptController, and its engine orders and reports likewise.

--- a/packages/decisions/include/boragerack/decisions/AttemptMessages.h
+++ b/packages/decisions/include/boragerack/decisions/AttemptMessages.h
@@ -88,10 +88,12 @@
     friend bool operator==(const ConnectionLost &, const ConnectionLost &) = default;
 };
 
-/// The target rejected the request before starting work on it (an engine's 429 or 503).
+/// The target rejected the request before starting work on it (an engine's 429 or 503). `echoed` is
+/// the attempt that the refusal names, if any.
 struct TargetRefused
 {
     AttemptId attempt;
+    std::optional<AttemptId> echoed;
     friend bool operator==(const TargetRefused &, const TargetRefused &) = default;
 };
 
@@ -142,6 +144,10 @@
 {
     AttemptId attempt;
     core::TargetId target;
+    /// The connection must not have carried an earlier answer. A target may send one again where
+    /// the next answer is due, and the identity of the request does not tell it from the answer to
+    /// a second send.
+    bool mustBeNew = false;
     friend bool operator==(const OpenConnection &, const OpenConnection &) = default;
 };
 
--- a/packages/decisions/src/AttemptController.cpp
+++ b/packages/decisions/src/AttemptController.cpp
@@ -89,6 +89,12 @@
 {
     if (!isCurrent(event.attempt) || !chart_.accepts(AttemptChartEvent::TargetRefused))
         return;
+    // The refusal of another attempt proves nothing about this one.
+    if (event.echoed && !isCurrent(*event.echoed)) {
+        actions.emplace_back(attempt::DiscardAnswer {*event.echoed});
+        handleConnectionLoss(core::ErrorCode::ProtocolViolation, now, actions);
+        return;
+    }
     failureCode_ = core::ErrorCode::TargetFailed;
     failedTargets_.push_back(target_);
     ++refusals_;
@@ -203,7 +209,8 @@
 {
     switch (action) {
     case AttemptChartAction::OpenConnection:
-        actions.emplace_back(attempt::OpenConnection {current(), target_});
+        actions.emplace_back(
+            attempt::OpenConnection {current(), target_, wasSent_ || !parameters_.echoesAttempt});
         break;
     case AttemptChartAction::MarkMayHaveRun:
         verdictBeforeAttempt_ = verdict_;
--- a/packages/decisions/tests/AttemptControllerTest.cpp
+++ b/packages/decisions/tests/AttemptControllerTest.cpp
@@ -277,6 +277,38 @@
         BOOST_TEST(!parseAttemptId(text).has_value(), text);
 }
 
+// Guards against a second send on the connection that carried the answer to the first one: a late
+// copy of that answer has the identity of the second send as well.
+BOOST_AUTO_TEST_CASE(repeatedSendUsesANewConnection)
+{
+    AttemptParameters parameters = makeParameters(SendPolicy::AtMostOnce);
+    parameters.refusalProvesNotRun = true;
+    AttemptController request(makeAttemptBinding(), parameters);
+    const auto first = request.handle(attempt::Dispatch {{"a"}}, kStart);
+    BOOST_TEST(!findAction<attempt::OpenConnection>(first)->mustBeNew);
+    request.handle(attempt::Connected {makeId(1)}, kStart);
+    request.handle(attempt::TargetRefused {makeId(1), makeId(1)}, kStart);
+    const auto second = request.handle(attempt::Dispatch {{"a"}}, kStart);
+    BOOST_TEST(findAction<attempt::OpenConnection>(second)->mustBeNew);
+
+    parameters.echoesAttempt = false;
+    AttemptController unidentified(makeAttemptBinding(), parameters);
+    const auto only = unidentified.handle(attempt::Dispatch {{"a"}}, kStart);
+    BOOST_TEST(findAction<attempt::OpenConnection>(only)->mustBeNew);
+}
+
+// Guards against the refusal of another attempt that counts as proof that this one has not run.
+BOOST_AUTO_TEST_CASE(refusalThatNamesAnotherAttemptProvesNothing)
+{
+    AttemptParameters parameters = makeParameters(SendPolicy::AtMostOnce);
+    parameters.refusalProvesNotRun = true;
+    AttemptController request(makeAttemptBinding(), parameters);
+    send(request, "a");
+    request.handle(attempt::TargetRefused {makeId(1), AttemptId {"earlier", 1}}, kStart);
+    BOOST_TEST(request.isFinished());
+    BOOST_TEST((request.verdict() == core::Verdict::MayHaveRun));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -34,6 +34,7 @@
             .policy =
                 mayRepeat ? decisions::SendPolicy::Repeatable : decisions::SendPolicy::AtMostOnce,
             .canResume = isStream && route.isResumable,
+            .echoesAttempt = !admitted.decoded.callerAttemptId.empty(),
             .deadline = admitted.deadline,
             .maxAttempts = std::max(1U, route.maxAttempts),
             .refusalProvesNotRun = true,
@@ -270,13 +271,15 @@
     }
 }
 
-void RequestExecution::perform(const attempt::OpenConnection &)
+void RequestExecution::perform(const attempt::OpenConnection &action)
 {
     outcome_.target = grant_->target;
     splitter_ = {};
     body_.clear();
     isStreaming_ = false;
-    exchange_ = dependencies_.client.open(grant_->address);
+    exchange_ = dependencies_.client.open(grant_->address,
+                                          action.mustBeNew ? runtime::ConnectionUse::New
+                                                           : runtime::ConnectionUse::KeptOrNew);
 }
 
 void RequestExecution::perform(const attempt::SendRequest &action)
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -106,7 +106,7 @@
     isStreaming_ =
         admitted_.route.kind == decisions::RequestKind::Stream && isSuccess(event.status);
     if (isStreaming_)
-        fire(attempt::AnswerStarted {attemptId(), std::nullopt});
+        fire(attempt::AnswerStarted {attemptId(), attemptId()});
 }
 
 void RequestExecution::onExchange(const runtime::HttpBodyPart &event)
@@ -183,7 +183,7 @@
     const std::uint64_t size = body_.size();
     const auto current = attemptId();
     const bool isFailure = head_.status >= kServerError;
-    fire(attempt::AnswerStarted {current, std::nullopt});
+    fire(attempt::AnswerStarted {current, current});
     fire(attempt::AnswerPart {current, 0, size});
     if (isFailure)
         endRoute(decisions::AttemptOutcome::Failed);
--- a/packages/node/src/PlacementTask.cpp
+++ b/packages/node/src/PlacementTask.cpp
@@ -321,7 +321,7 @@
                           isLoad ? "/control/load" : "/control/unload",
                           {{"Content-Type", "application/json"}},
                           serialiseOrder(action)},
-                         clock_.now() + kOrderTimeout, runtime::ConnectionUse::New);
+                         clock_.now() + kOrderTimeout, runtime::ConnectionUse::SingleUse);
         static_cast<void>(
             mailbox_.send(decisions::OrderAnswered {action.order, readOrderOutcome(response)}));
     });
--- a/packages/node/src/PlacementTaskReports.cpp
+++ b/packages/node/src/PlacementTaskReports.cpp
@@ -43,8 +43,11 @@
     reportsInProgress_.insert(target);
     reportedAt_[target] = clock_.now();
     fibers_.start([this, target, address = engines_.at(target).address] {
-        const auto response = client_.call(address, {"GET", "/control/report", {}, ""},
-                                           clock_.now() + kReportTimeout);
+        // A kept connection could deliver an earlier report once more, which nothing tells from
+        // the current one.
+        const auto response =
+            client_.call(address, {"GET", "/control/report", {}, ""}, clock_.now() + kReportTimeout,
+                         runtime::ConnectionUse::SingleUse);
         const bool isAnswered = core::isOk(response) && core::valueOf(response).status == kStatusOk;
         static_cast<void>(mailbox_.send(ReportFetched {target, isAnswered}));
         if (!isAnswered)
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -131,8 +131,8 @@
     // unknown, and an at-most-once request must not be sent again.
     const bool isAtMostOnce = job_.plan.policy == decisions::SendPolicy::AtMostOnce;
     exchange_ = client_.open(route_->address,
-                             isAtMostOnce ? runtime::ConnectionUse::New
-                                          : runtime::ConnectionUse::KeptOrNew);
+                             isAtMostOnce || action.mustBeNew ? runtime::ConnectionUse::New
+                                                              : runtime::ConnectionUse::KeptOrNew);
     fireConnection(connection::Assigned {action.attempt});
 }
 
@@ -277,6 +277,7 @@
 {
     fireConnection(connection::Progress());
     head_ = event;
+    const auto echoed = decisions::parseAttemptId(runtime::findHeader(event.headers, "X-Attempt"));
     if (const decisions::TargetAdvice advice = parseTargetAdvice(event);
         route_->isRateLimited || advice != decisions::TargetAdvice())
         static_cast<void>(routing_.trySend(TargetAdviceReceived {route_->target, advice}));
@@ -284,7 +285,7 @@
         if (const auto *artifact = std::get_if<decisions::Artifact>(&job_.destination);
             artifact && event.status == kNotFound)
             static_cast<void>(routing_.trySend(ReplicaNotLoaded {*artifact, route_->target}));
-        fire(attempt::TargetRefused {connectionAttempt_});
+        fire(attempt::TargetRefused {connectionAttempt_, echoed});
         return;
     }
     if (!framer_->isStream())
@@ -295,7 +296,6 @@
         fire(attempt::ConnectionLost {connectionAttempt_, false});
         return;
     }
-    const auto echoed = decisions::parseAttemptId(runtime::findHeader(event.headers, "X-Attempt"));
     fire(attempt::AnswerStarted {connectionAttempt_, echoed});
 }
 
--- a/packages/runtime/include/boragerack/runtime/HttpClient.h
+++ b/packages/runtime/include/boragerack/runtime/HttpClient.h
@@ -32,8 +32,13 @@
 };
 
 /// Whether an idle connection may be reused for a request. The server may close an idle connection
-/// while the request is being sent, which leaves the outcome of the request unknown.
-enum class ConnectionUse { KeptOrNew, New };
+/// while the request is being sent, which leaves the outcome of the request unknown. A faulty server
+/// may also send an earlier response again where the next one is due.
+enum class ConnectionUse {
+    KeptOrNew,
+    New,
+    SingleUse, ///< New, and closed after the response.
+};
 
 /// HTTP/1.1 client with a pool of idle connections per address.
 class HttpClient
--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -221,7 +221,8 @@
             return;
     }
     stream_->expires_never();
-    if (parser.keep_alive() && buffer_.size() == 0 && !isCancelled_ && isWritten_)
+    if (use_ != ConnectionUse::SingleUse && parser.keep_alive() && buffer_.size() == 0
+        && !isCancelled_ && isWritten_)
         keepConnection(head_);
     else
         stream_->close();
