Free the place of an adapter only when it is gone

Cause: the unload of an adapter counted as done 20 ms after the replica had accepted it (202), which it does for an adapter in use; and the planner forgot what a frozen node used after 1.5 s without a report. Two more of the class: a report that ended another order dropped the adapters in transit from the planner's view, and an adapter whose load counted as done could be evicted in transit.

Ruled out: the same guess for models (the replica answers 409 to the next order while it unloads; kept), and orders without an answer (both sides of a repeated precondition; the simulation covers them).

Change: an adapter's unload ends with 200 or with a report that shows it gone; meanwhile it keeps its place and the replica takes other orders. Adapters in transit are not evicted. No adapter is loaded while the unload of a model is only assumed. The requests of a node that no longer reports count for evictions for 30 s, the longest default timeout of a route.

--- a/packages/decisions/include/boragerack/decisions/serving/DemandTracker.h
+++ b/packages/decisions/include/boragerack/decisions/serving/DemandTracker.h
@@ -32,10 +32,18 @@
     /// Without `uses`, the requests in flight of the node are unchanged.
     void report(const core::InstanceId &node, const std::vector<ArtifactDemand> &demands,
                 const std::optional<std::vector<ArtifactInFlight>> &uses, core::TimePoint now);
+    /// Forgets the demand of a node, for instance because another node reports it.
     void removeNode(const core::InstanceId &node);
+    /// A node no longer reports. Its requests may still run, so what they use is not free until
+    /// the node reports again or they must have ended.
+    void suspendNode(const core::InstanceId &node, core::TimePoint now);
+    void dropExpired(core::TimePoint now);
 
     /// Demand by artifact; only artifacts with waiting requests or requests in flight.
     std::map<Artifact, FleetDemand> demands(core::TimePoint now) const;
+    /// Requests in flight, including those of nodes that no longer report.
+    std::uint32_t possiblyInFlight(const core::TargetId &target, const core::ModelId &model) const;
+    bool isPossiblyInUse(const core::TargetId &target, const Artifact &artifact) const;
     std::uint32_t inFlight(const core::TargetId &target, const core::ModelId &model) const;
     std::uint32_t inFlight(const core::TargetId &target) const;
     std::uint32_t inFlight(const core::ModelId &model) const;
@@ -54,6 +62,13 @@
         core::TimePoint at;
     };
 
+    /// Requests in flight of a node when it reported last.
+    struct SuspendedUses
+    {
+        std::vector<ArtifactInFlight> uses;
+        core::TimePoint expiresAt;
+    };
+
     /// Requests in flight for one model.
     struct ModelLoad
     {
@@ -72,6 +87,7 @@
     void subtract(const std::vector<ArtifactInFlight> &uses);
 
     std::map<core::InstanceId, NodeReport> nodes_;
+    std::map<core::InstanceId, SuspendedUses> suspended_;
     /// Sums over the nodes. Updated with each report, because a placement decision reads them once
     /// for each model and target.
     std::map<Artifact, std::uint32_t> artifactLoads_;
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -126,6 +126,10 @@
     void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
     void placeAdapter(const Artifact &artifact, const std::map<Artifact, FleetDemand> &demands,
                       core::TimePoint now, Actions &actions);
+    /// An adapter of the target that no request uses, or else one that only requests of a node that
+    /// no longer reports may use.
+    std::optional<Artifact> findAdapterVictim(const Target &target,
+                                              const std::map<Artifact, FleetDemand> &demands) const;
     std::optional<Option> chooseOption(const Need &need, bool mayUseStore, const Survey &survey,
                                        core::TimePoint now);
     std::optional<Option> makeOption(Target &target, const Need &need, bool mayUseStore,
--- a/packages/decisions/include/boragerack/decisions/serving/TargetOrderChart.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetOrderChart.h
@@ -14,6 +14,7 @@
     Unanswered,
     Order,
     Accepted,
+    Deferred,
     AlreadyHeld,
     NotSent,
     Busy,
--- a/packages/decisions/include/boragerack/decisions/serving/TargetTracker.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetTracker.h
@@ -22,8 +22,9 @@
     /// Expected execution time.
     std::chrono::milliseconds duration = {};
     bool isFromStore = false;
-    /// The order is assumed to be done after its duration. If it is not, the next order conflicts,
-    /// and the target refuses requests that arrive too early without executing them.
+    /// The order is assumed to be done after its duration. If it is not, the next order for a model
+    /// conflicts, and the target refuses requests that arrive too early without executing them. Not
+    /// for unloads of adapters, which wait for the requests that use them without a conflict.
     bool isDurationCertain = false;
     /// Expected completion time; set when the target accepts the order.
     core::TimePoint doneAt = {};
@@ -69,22 +70,40 @@
     bool serves(const core::ModelId &model) const;
     bool servesAdapter(const Artifact &artifact) const;
     bool isLoading(const core::ModelId &model) const;
+    /// The target drops the adapter, which takes its place, when the requests that use it end.
+    bool isUnloading(const Artifact &adapter) const { return unloading_.contains(adapter); }
+    /// The adapter may still be in transit. An order to unload it could overtake it, and it would
+    /// then arrive all the same.
+    bool isArriving(const Artifact &adapter) const { return arriving_.contains(adapter); }
+    /// Requests a report because an order depends on whether such an adapter has arrived.
+    void requestProof() { isProofWanted_ = !arriving_.empty(); }
+    std::size_t unloadingAdapters() const { return unloading_.size(); }
+    /// The unload of a model counts as done, but neither a later order nor a report has proved it.
+    bool isUnloadAssumed() const { return isUnloadAssumed_; }
     std::vector<Artifact> servedArtifacts() const;
     /// Increases when the served artifacts may have changed.
     std::uint64_t changes() const { return changes_; }
 
 private:
+    void accept(core::TimePoint now);
     void fire(TargetOrderChartEvent event, core::TimePoint now);
     void apply(core::TimePoint now);
-    void adopt(const std::vector<ModelReplica> &replicas, std::uint64_t sequence,
-               core::TimePoint now);
+    void adopt(const std::vector<ModelReplica> &replicas, core::TimePoint now);
+    void adopt(const TargetReport &report, core::TimePoint now);
+    /// Something that counts as done, or as in progress, remains to be proved by a report.
+    bool needsProof() const { return isUnloadAssumed_ || isProofWanted_ || !unloading_.empty(); }
     bool isEffectVisible(const std::vector<ModelReplica> &replicas) const;
 
     TargetEntry entry_;
     charts::ChartInstance<TargetOrderState, TargetOrderChartEvent, TargetOrderChartAction> chart_;
     std::uint64_t sequence_ = 0;
+    core::TimePoint acceptedAt_ = {};
     std::map<core::ModelId, Holding> holdings_;
     std::optional<PendingOrder> pending_;
+    std::set<Artifact> unloading_;
+    std::set<Artifact> arriving_;
+    bool isProofWanted_ = false;
+    bool isUnloadAssumed_ = false;
     core::TimePoint nextReportRequestAt_ = {};
     bool isReportRequested_ = false;
     core::TimePoint noOrdersUntil_ = {};
--- a/packages/decisions/src/serving/DemandTracker.cpp
+++ b/packages/decisions/src/serving/DemandTracker.cpp
@@ -10,6 +10,9 @@
 
 /// Time constant of the exponential average of request rates.
 constexpr double kRateTimeConstantSeconds = 4;
+/// Longest time for which a request of a node that no longer reports may run: the timeout of a route
+/// without one of its own.
+constexpr std::chrono::seconds kMaxRequestTime(30);
 
 double decay(core::Duration age)
 {
@@ -30,6 +33,7 @@
         usage.updatedAt = now;
         usage.lastUse = now;
     }
+    suspended_.erase(node);
     NodeReport &report = nodes_[node];
     report.at = now;
     report.demands.clear();
@@ -44,8 +48,25 @@
         usage_[use.artifact.model].lastUse = now;
 }
 
+void DemandTracker::suspendNode(const core::InstanceId &node, core::TimePoint now)
+{
+    const auto position = nodes_.find(node);
+    if (position == nodes_.end())
+        return;
+    SuspendedUses suspended {position->second.uses, now + kMaxRequestTime};
+    removeNode(node);
+    if (!suspended.uses.empty())
+        suspended_.insert_or_assign(node, std::move(suspended));
+}
+
+void DemandTracker::dropExpired(core::TimePoint now)
+{
+    std::erase_if(suspended_, [now](const auto &item) { return now >= item.second.expiresAt; });
+}
+
 void DemandTracker::removeNode(const core::InstanceId &node)
 {
+    suspended_.erase(node);
     const auto position = nodes_.find(node);
     if (position == nodes_.end())
         return;
@@ -107,6 +128,28 @@
     return result;
 }
 
+std::uint32_t DemandTracker::possiblyInFlight(const core::TargetId &target,
+                                              const core::ModelId &model) const
+{
+    std::uint32_t count = inFlight(target, model);
+    for (const auto &[node, suspended] : suspended_) {
+        for (const ArtifactInFlight &use : suspended.uses)
+            count += use.target == target && use.artifact.model == model ? use.inFlight : 0;
+    }
+    return count;
+}
+
+bool DemandTracker::isPossiblyInUse(const core::TargetId &target, const Artifact &artifact) const
+{
+    if (artifactLoads_.contains(artifact))
+        return true;
+    return std::ranges::any_of(suspended_, [&](const auto &item) {
+        return std::ranges::any_of(item.second.uses, [&](const ArtifactInFlight &use) {
+            return use.target == target && use.artifact == artifact && use.inFlight > 0;
+        });
+    });
+}
+
 std::uint32_t DemandTracker::inFlight(const core::TargetId &target,
                                       const core::ModelId &model) const
 {
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -84,9 +84,9 @@
     demandTracker_.report(event.node, event.demands, event.uses, now);
 }
 
-void SwapPlanner::on(const swap::NodeLeft &event, core::TimePoint)
+void SwapPlanner::on(const swap::NodeLeft &event, core::TimePoint now)
 {
-    demandTracker_.removeNode(event.node);
+    demandTracker_.suspendNode(event.node, now);
 }
 
 void SwapPlanner::on(const swap::OrderAnswered &event, core::TimePoint now)
@@ -139,6 +139,7 @@
 
 void SwapPlanner::decide(core::TimePoint now, Actions &actions)
 {
+    demandTracker_.dropExpired(now);
     const auto demands = demandTracker_.demands(now);
     for (auto &[id, target] : targets_) {
         // The requests for which the target was reserved are gone, or the target is leaving.
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kLoadMargin(20);
 /// Load time of an adapter, whose size is some ten MB.
 constexpr std::chrono::milliseconds kAdapterLoadTime(20);
+/// Adapters of a target that wait for their last requests to end; more would be evicted for the same
+/// place.
+constexpr std::size_t kMaxUnloadingAdapters = 2;
 /// A model is not unloaded for this long after its load, so that the requests that waited for it
 /// can be sent to it.
 constexpr std::chrono::milliseconds kMinResidency(1000);
@@ -153,7 +156,7 @@
 double SwapPlanner::evictionCost(const Target &target, const core::ModelId &model,
                                  const Survey &survey, core::TimePoint now) const
 {
-    const double inFlight = demandTracker_.inFlight(target.tracker.entry().target, model);
+    const double inFlight = demandTracker_.possiblyInFlight(target.tracker.entry().target, model);
     const auto seen = survey.models.find(model);
     const std::uint32_t replicas = seen == survey.models.end() ? 0 : seen->second.ready;
     const double rate = demandTracker_.rate(model, now);
@@ -180,7 +183,8 @@
             seen != survey.models.end() && seen->second.ready > 0)
             --seen->second.ready;
         // An unload waits for requests in flight; without any it starts at once.
-        const bool isIdle = demandTracker_.inFlight(target.tracker.entry().target, victim) == 0;
+        const bool isIdle =
+            demandTracker_.possiblyInFlight(target.tracker.entry().target, victim) == 0;
         actions.emplace_back(makeOrder(
             target, swap::OrderKind::Unload, {victim, {}, {}},
             {.duration = isIdle ? kIdleUnloadTime : kUnloadTime, .isDurationCertain = isIdle}));
@@ -217,7 +221,9 @@
             isServed = true;
             continue;
         }
-        if (!target.tracker.isIdle(now) || target.reservedFor)
+        // An adapter is loaded at once, even if the memory that counts as free is not free yet.
+        if (!target.tracker.isIdle(now) || target.reservedFor || target.tracker.isUnloadAssumed()
+            || target.tracker.isUnloading(artifact))
             continue;
         const std::pair cost(isLimited, usedAdapterSlots(target));
         if (!best || cost < bestCost) {
@@ -233,18 +239,31 @@
                                        {.duration = kAdapterLoadTime, .isDurationCertain = true}));
         return;
     }
-    // Evict any adapter that no request uses.
-    for (const auto &[model, holding] : best->tracker.holdings()) {
+    if (const auto victim = findAdapterVictim(*best, demands))
+        actions.emplace_back(makeOrder(*best, swap::OrderKind::Unload, *victim, {}));
+    else
+        best->tracker.requestProof();
+}
+
+std::optional<Artifact>
+SwapPlanner::findAdapterVictim(const Target &target,
+                               const std::map<Artifact, FleetDemand> &demands) const
+{
+    if (target.tracker.unloadingAdapters() >= kMaxUnloadingAdapters)
+        return std::nullopt;
+    std::optional<Artifact> possiblyUsed;
+    for (const auto &[model, holding] : target.tracker.holdings()) {
         for (const core::AdapterId &adapter : holding.adapters) {
             const Artifact victim {model, {}, adapter};
-            if (demands.contains(victim))
+            if (demands.contains(victim) || !target.tracker.servesAdapter(victim)
+                || target.tracker.isArriving(victim))
                 continue;
-            actions.emplace_back(
-                makeOrder(*best, swap::OrderKind::Unload, victim,
-                          {.duration = kAdapterLoadTime, .isDurationCertain = true}));
-            return;
+            if (!demandTracker_.isPossiblyInUse(target.tracker.entry().target, victim))
+                return victim;
+            possiblyUsed = victim;
         }
     }
+    return possiblyUsed;
 }
 
 swap::SendOrder SwapPlanner::makeOrder(Target &target, swap::OrderKind kind,
--- a/packages/decisions/src/serving/TargetOrderChart.cpp
+++ b/packages/decisions/src/serving/TargetOrderChart.cpp
@@ -7,9 +7,9 @@
 constexpr charts::EnumNames<TargetOrderState, 6> kStates {
     {"unknown", "awaitingReport", "idle", "awaitingAnswer", "executing", "removed"}};
 
-constexpr charts::EnumNames<TargetOrderChartEvent, 14> kEvents {
-    {"requestReport", "reported", "reportedBusy", "unanswered", "order", "accepted", "alreadyHeld",
-     "notSent", "busy", "refused", "lost", "finished", "overdue", "entryRemoved"}};
+constexpr charts::EnumNames<TargetOrderChartEvent, 15> kEvents {
+    {"requestReport", "reported", "reportedBusy", "unanswered", "order", "accepted", "deferred",
+     "alreadyHeld", "notSent", "busy", "refused", "lost", "finished", "overdue", "entryRemoved"}};
 
 constexpr charts::EnumNames<TargetOrderChartAction, 3> kActions {
     {"requestTargetReport", "sendOrder", "applyOrder"}};
--- a/packages/decisions/src/serving/TargetTracker.cpp
+++ b/packages/decisions/src/serving/TargetTracker.cpp
@@ -14,6 +14,10 @@
 constexpr int kMaxConsecutiveConflicts = 4;
 /// Interval between report requests to a target whose order should be done.
 constexpr std::chrono::milliseconds kReportInterval(100);
+/// A report with a lower count of orders may be older than the last order for this long after it.
+constexpr std::chrono::milliseconds kMaxOutdatedTime(1000);
+/// Interval between reports that are to prove an unload which the target has accepted.
+constexpr std::chrono::milliseconds kProofInterval(500);
 /// Delay after a report request without a response, or after an order that could not be sent.
 constexpr std::chrono::milliseconds kRetryDelay(400);
 /// No orders are sent to a target for this time after it rejected one.
@@ -30,7 +34,7 @@
     , chart_(std::move(chart))
     , nextReportRequestAt_(now)
 {
-    adopt(entry_.replicas, 0, now);
+    adopt(entry_.replicas, now);
 }
 
 bool TargetTracker::updateEntry(const TargetEntry &entry, core::TimePoint now)
@@ -50,11 +54,7 @@
 {
     switch (outcome) {
     case swap::OrderOutcome::Accepted:
-        conflicts_ = 0;
-        ++sequence_;
-        pending_->doneAt = now + pending_->duration;
-        nextReportRequestAt_ = pending_->doneAt + kMaxReportLag;
-        fire(TargetOrderChartEvent::Accepted, now);
+        accept(now);
         break;
     case swap::OrderOutcome::AlreadyHeld:
         // The response to an unload that takes effect at once; it counts as an accepted order.
@@ -93,6 +93,28 @@
     }
 }
 
+void TargetTracker::accept(core::TimePoint now)
+{
+    conflicts_ = 0;
+    ++sequence_;
+    acceptedAt_ = now;
+    const swap::SendOrder &order = pending_->order;
+    if (order.kind == swap::OrderKind::Unload && order.artifact.isAdapter()) {
+        // Requests use the adapter. Until a report shows that it is gone, it takes its place.
+        unloading_.insert(order.artifact);
+        pending_.reset();
+        ++changes_;
+        nextReportRequestAt_ = now + kMaxReportLag;
+        fire(TargetOrderChartEvent::Deferred, now);
+        return;
+    }
+    // A target accepts an order for a model only if no other one is in progress.
+    isUnloadAssumed_ = isUnloadAssumed_ && order.artifact.isAdapter();
+    pending_->doneAt = now + pending_->duration;
+    nextReportRequestAt_ = pending_->doneAt + kMaxReportLag;
+    fire(TargetOrderChartEvent::Accepted, now);
+}
+
 void TargetTracker::report(const std::optional<TargetReport> &report, core::TimePoint now)
 {
     isReportRequested_ = false;
@@ -106,11 +128,15 @@
         if (report->orderSequence >= sequence_ && !report->isBusy
             && isEffectVisible(report->replicas)) {
             fire(TargetOrderChartEvent::Finished, now);
-            adopt(report->replicas, report->orderSequence, now);
+            adopt(*report, now);
         }
         return;
     }
-    if (report->isBusy) {
+    // A report that is older than the last order proves nothing about it. After some time the count
+    // of the orders is wrong instead.
+    const bool isOutdated = needsProof() && report->orderSequence < sequence_
+        && now - acceptedAt_ < kMaxOutdatedTime;
+    if (report->isBusy || isOutdated) {
         nextReportRequestAt_ = now + kReportInterval;
         fire(TargetOrderChartEvent::ReportedBusy, now);
         return;
@@ -119,9 +145,8 @@
     // both expect the same sequence.
     pending_.reset();
     fire(TargetOrderChartEvent::Reported, now);
-    adopt(report->replicas, report->orderSequence, now);
-    for (const Artifact &artifact : report->arriving)
-        holdings_[artifact.model].adapters.insert(artifact.adapter);
+    adopt(*report, now);
+    nextReportRequestAt_ = now + kProofInterval;
 }
 
 std::optional<swap::RequestTargetReport> TargetTracker::nextReportRequest(core::TimePoint now)
@@ -129,7 +154,8 @@
     if (isReportRequested_ || now < nextReportRequestAt_)
         return std::nullopt;
     const bool isDue = chart_.state() == TargetOrderState::Unknown
-        || (chart_.state() == TargetOrderState::Executing && !pending_->isDurationCertain);
+        || (chart_.state() == TargetOrderState::Executing && !pending_->isDurationCertain)
+        || (chart_.state() == TargetOrderState::Idle && needsProof());
     if (!isDue)
         return std::nullopt;
     fire(TargetOrderChartEvent::RequestReport, now);
@@ -142,8 +168,14 @@
     if (chart_.state() != TargetOrderState::Executing)
         return;
     if (pending_->isDurationCertain) {
-        if (now >= pending_->doneAt)
-            fire(TargetOrderChartEvent::Finished, now);
+        if (now < pending_->doneAt)
+            return;
+        if (pending_->order.kind == swap::OrderKind::Unload)
+            isUnloadAssumed_ = true;
+        else if (pending_->order.artifact.isAdapter())
+            arriving_.insert(pending_->order.artifact);
+        nextReportRequestAt_ = now + kMaxReportLag;
+        fire(TargetOrderChartEvent::Finished, now);
     } else if (now >= pending_->doneAt + kOverdueTimeout) {
         fire(TargetOrderChartEvent::Overdue, now);
         nextReportRequestAt_ = now;
@@ -177,6 +209,7 @@
 {
     return serves(artifact.model)
         && holdings_.at(artifact.model).adapters.contains(artifact.adapter)
+        && !isUnloading(artifact)
         && (!pending_ || pending_->order.kind != swap::OrderKind::Unload
             || pending_->order.artifact != artifact);
 }
@@ -222,12 +255,29 @@
         holdings_[artifact.model].since = now;
     else
         holdings_.erase(artifact.model);
+    // The adapters of a model are unloaded with it.
+    std::erase_if(unloading_,
+                  [this](const Artifact &adapter) { return !holdings_.contains(adapter.model); });
     pending_.reset();
     ++changes_;
 }
 
-void TargetTracker::adopt(const std::vector<ModelReplica> &replicas, std::uint64_t sequence,
-                          core::TimePoint now)
+void TargetTracker::adopt(const TargetReport &report, core::TimePoint now)
+{
+    adopt(report.replicas, now);
+    arriving_ = {report.arriving.begin(), report.arriving.end()};
+    for (const Artifact &artifact : arriving_)
+        holdings_[artifact.model].adapters.insert(artifact.adapter);
+    std::erase_if(unloading_, [this](const Artifact &adapter) {
+        const auto holding = holdings_.find(adapter.model);
+        return holding == holdings_.end() || !holding->second.adapters.contains(adapter.adapter);
+    });
+    isUnloadAssumed_ = false;
+    isProofWanted_ = false;
+    sequence_ = report.orderSequence;
+}
+
+void TargetTracker::adopt(const std::vector<ModelReplica> &replicas, core::TimePoint now)
 {
     std::map<core::ModelId, Holding> holdings;
     for (const ModelReplica &replica : replicas) {
@@ -237,7 +287,6 @@
         holding.adapters = {replica.adapters.begin(), replica.adapters.end()};
     }
     holdings_ = std::move(holdings);
-    sequence_ = sequence;
     ++changes_;
 }
 
--- a/packages/decisions/tests/serving/SwapPlannerTest.cpp
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -55,8 +55,9 @@
     return {kService, engine};
 }
 
-/// Simulates a target as specified by the platform: it executes one order at a time and checks the
-/// expected sequence. Orders can be delivered late.
+/// Simulates a target as specified by the platform: it executes one order for a model at a time and
+/// checks the expected sequence. An unload waits for the requests that use what it drops. Orders for
+/// adapters do not make the target busy. Orders can be delivered late.
 class FakeTarget
 {
 public:
@@ -81,10 +82,17 @@
 
     void tick(core::TimePoint now)
     {
-        if (current_ && now >= doneAt_) {
-            applyCurrent();
+        now_ = now;
+        if (current_ && now >= doneAt_ && !isInUse(*current_)) {
+            apply(*current_);
             current_.reset();
         }
+        std::erase_if(adapterOrders_, [&](const AdapterOrder &adapterOrder) {
+            const bool isDone = now >= adapterOrder.doneAt && !isInUse(adapterOrder.order);
+            if (isDone)
+                apply(adapterOrder.order);
+            return isDone;
+        });
         while (!delayed_.empty() && delayed_.front().at <= now) {
             deliver(delayed_.front().order, now);
             delayed_.pop_front();
@@ -102,16 +110,22 @@
             return swap::OrderOutcome::Conflict;
         ++sequence_;
         const bool isLoad = order.kind == swap::OrderKind::Load;
-        if (isLoad && !order.artifact.isAdapter()) {
+        if (order.artifact.isAdapter()) {
+            if (!isLoad && !isInUse(order)) {
+                apply(order);
+                return swap::OrderOutcome::AlreadyHeld;
+            }
+            isOverloaded_ = isOverloaded_ || (isLoad && adapters() >= kAdapterSlots);
+            adapterOrders_.push_back({order, now + kAdapterLoadTime});
+            return swap::OrderOutcome::Accepted;
+        }
+        if (isLoad) {
             isOverloaded_ =
                 isOverloaded_ || usedMb() + weightsOf(order.artifact.model) > kWeightsMb;
             const bool isOnDisk =
                 std::ranges::find(entry_.onDisk, order.artifact.model) != entry_.onDisk.end();
             storeLoads_ += isOnDisk ? 0 : 1;
             doneAt_ = now + (isOnDisk ? 800ms : 6000ms);
-        } else if (isLoad) {
-            isOverloaded_ = isOverloaded_ || adapters() >= kAdapterSlots;
-            doneAt_ = now + 10ms;
         } else {
             doneAt_ = now + 20ms;
         }
@@ -121,7 +135,18 @@
 
     TargetReport report() const
     {
-        return {1, sequence_, current_.has_value(), entry_.replicas, {}};
+        TargetReport report {1, sequence_, current_.has_value(), entry_.replicas, {}};
+        for (const AdapterOrder &adapterOrder : adapterOrders_) {
+            if (adapterOrder.order.kind == swap::OrderKind::Load)
+                report.arriving.push_back(adapterOrder.order.artifact);
+        }
+        return report;
+    }
+
+    /// Requests use the model or adapter until that time.
+    void use(const Artifact &artifact, core::TimePoint until)
+    {
+        usedUntil_[artifact] = std::max(usedUntil_[artifact], until);
     }
 
     const TargetEntry &entry() const { return entry_; }
@@ -138,19 +163,32 @@
         return used;
     }
 
+    bool isInUse(const swap::SendOrder &order) const
+    {
+        return order.kind == swap::OrderKind::Unload
+            && std::ranges::any_of(usedUntil_, [&](const auto &item) {
+                   const auto &[artifact, until] = item;
+                   return now_ < until && artifact.model == order.artifact.model
+                       && (!order.artifact.isAdapter() || artifact == order.artifact);
+               });
+    }
+
+    /// Places taken, by adapters in transit too.
     std::size_t adapters() const
     {
-        std::size_t count = 0;
+        std::size_t count = static_cast<std::size_t>(
+            std::ranges::count(adapterOrders_, swap::OrderKind::Load,
+                               [](const AdapterOrder &each) { return each.order.kind; }));
         for (const ModelReplica &replica : entry_.replicas)
             count += replica.adapters.size();
         return count;
     }
 
-    void applyCurrent()
+    void apply(const swap::SendOrder &order)
     {
-        const Artifact &artifact = current_->artifact;
+        const Artifact &artifact = order.artifact;
         auto replica = std::ranges::find(entry_.replicas, artifact.model, &ModelReplica::model);
-        const bool isLoad = current_->kind == swap::OrderKind::Load;
+        const bool isLoad = order.kind == swap::OrderKind::Load;
         if (!artifact.isAdapter() && isLoad && replica == entry_.replicas.end())
             entry_.replicas.push_back({artifact.model, 1, {}});
         else if (!artifact.isAdapter() && !isLoad && replica != entry_.replicas.end())
@@ -163,8 +201,19 @@
         }
     }
 
+    struct AdapterOrder
+    {
+        swap::SendOrder order;
+        core::TimePoint doneAt;
+    };
+
+    static constexpr milliseconds kAdapterLoadTime {150};
+
     TargetEntry entry_;
     std::uint64_t sequence_ = 0;
+    core::TimePoint now_ = {};
+    std::map<Artifact, core::TimePoint> usedUntil_;
+    std::vector<AdapterOrder> adapterOrders_;
     std::optional<swap::SendOrder> current_;
     core::TimePoint doneAt_ = {};
     std::deque<DelayedOrder> delayed_;
@@ -197,6 +246,9 @@
                 dispatch(swap::TargetsChanged {entries()});
             if (random_.next() % 4 == 0)
                 demand(randomArtifact());
+            // Requests of nodes that do not report.
+            if (hasFaults_ && random_.next() % 8 == 0)
+                useHeldArtifact(targets_[random_.next() % kTargets]);
             dispatch(swap::Tick());
         }
     }
@@ -252,6 +304,18 @@
         return artifact;
     }
 
+    void useHeldArtifact(FakeTarget &target)
+    {
+        if (target.entry().replicas.empty())
+            return;
+        const auto &replicas = target.entry().replicas;
+        const ModelReplica &replica = replicas[random_.next() % replicas.size()];
+        Artifact artifact {replica.model, {}, {}};
+        if (!replica.adapters.empty())
+            artifact.adapter = replica.adapters[random_.next() % replica.adapters.size()];
+        target.use(artifact, now_ + milliseconds(random_.next() % 8000));
+    }
+
     FakeTarget &targetOf(const core::TargetId &id)
     {
         return *std::ranges::find_if(
@@ -307,7 +371,8 @@
 BOOST_AUTO_TEST_SUITE(SwapPlannerTest)
 
 // Guards against orders to load more weights or adapters than fit on a target, with orders that are
-// lost, delayed or duplicated, and planners that start without the state of their predecessor.
+// lost, delayed or duplicated, planners that start without the state of their predecessor, and
+// requests of which the planner does not know.
 BOOST_AUTO_TEST_CASE(memoryIsNeverOvercommitted)
 {
     const bool passed = rc::check([](std::uint64_t seed) {
@@ -319,6 +384,84 @@
     BOOST_TEST(passed);
 }
 
+// Guards against an adapter whose unload counts as done although requests use it, which are unknown
+// because their node is frozen: another adapter is then loaded into a place that is not free.
+BOOST_AUTO_TEST_CASE(unloadOfAnAdapterInUseFreesNoPlace)
+{
+    core::TimePoint now(1h);
+    SwapPlanner planner(chart());
+    TargetEntry entry = FakeTarget(0).entry();
+    entry.replicas = {{modelOf(0), 1, {{"a0"}, {"a1"}, {"a2"}, {"a3"}}}};
+    TargetReport report {1, 0, false, entry.replicas, {}};
+    std::vector<swap::SendOrder> orders;
+    const auto dispatch = [&](const swap::Event &event) {
+        std::vector<swap::Action> actions = planner.handle(event, now);
+        while (!actions.empty()) {
+            const swap::Action action = actions.front();
+            actions.erase(actions.begin());
+            std::vector<swap::Action> next;
+            if (const auto *order = std::get_if<swap::SendOrder>(&action)) {
+                orders.push_back(*order);
+                ++report.orderSequence;
+                next = planner.handle(swap::OrderAnswered {order->target, order->order,
+                                                           swap::OrderOutcome::Accepted},
+                                      now);
+            } else {
+                next = planner.handle(swap::TargetReportReceived {entry.target, report}, now);
+            }
+            actions.insert(actions.end(), next.begin(), next.end());
+        }
+    };
+    dispatch(swap::ServicesChanged {{makeService()}});
+    dispatch(swap::TargetsChanged {
+        std::make_shared<const TargetEntries>(TargetEntries {{entry.target, entry}})});
+    dispatch(swap::OrdersAllowed {true});
+    const Artifact wanted {modelOf(0), {}, {"a9"}};
+    const auto advance = [&](milliseconds time) {
+        for (const core::TimePoint end = now + time; now < end;) {
+            now += 25ms;
+            dispatch(swap::DemandReported {{"n0"}, {{wanted, kService, 1, 1, 0ms, 2500ms}}, {}});
+        }
+    };
+    // The target accepts each unload and waits for the requests that use the adapter.
+    advance(5s);
+    BOOST_REQUIRE(!orders.empty());
+    BOOST_TEST(orders.size() <= 2U);
+    for (const swap::SendOrder &order : orders)
+        BOOST_TEST((order.kind == swap::OrderKind::Unload));
+    // The requests have ended.
+    std::erase(report.replicas.front().adapters, orders.front().artifact.adapter);
+    orders.clear();
+    advance(1s);
+    BOOST_REQUIRE(!orders.empty());
+    BOOST_TEST((orders.front().kind == swap::OrderKind::Load));
+    BOOST_TEST((orders.front().artifact == wanted));
+}
+
+// Guards against the eviction of an adapter that a node used when it reported last, while others are
+// unused: its requests may still run, although it no longer reports.
+BOOST_AUTO_TEST_CASE(adaptersOfASilentNodeAreEvictedLast)
+{
+    const core::TimePoint now(1h);
+    const core::TargetId target {"t0"};
+    const Artifact used {modelOf(0), {}, {"a0"}};
+    DemandTracker demands;
+    demands.report({"n1"}, {}, std::vector<ArtifactInFlight> {{target, used, 1}}, now);
+    BOOST_TEST(demands.isPossiblyInUse(target, used));
+    demands.suspendNode({"n1"}, now);
+    BOOST_TEST(demands.isPossiblyInUse(target, used));
+    BOOST_TEST(demands.possiblyInFlight(target, modelOf(0)) == 1U);
+    // Requests that no node reports make no demand.
+    BOOST_TEST(demands.demands(now).empty());
+    BOOST_TEST(demands.loads().empty());
+    // The node reports again, or its requests must have ended.
+    DemandTracker returned = demands;
+    returned.report({"n1"}, {}, std::vector<ArtifactInFlight>(), now + 5s);
+    BOOST_TEST(!returned.isPossiblyInUse(target, used));
+    demands.dropExpired(now + 60s);
+    BOOST_TEST(!demands.isPossiblyInUse(target, used));
+}
+
 // Guards against more loads from the weight store than its load rate allows.
 BOOST_AUTO_TEST_CASE(storeRateIsKept)
 {
