Bound the memory for bodies of a whole process

Cause: each answer was bounded (16 MiB), their sum was not; the same for bodies of requests, 4 MiB each, and for the reports that the coordinator reads, which came through the client of the store.

Change: ByteBudget bounds what a process buffers, shared by the clients and servers of both front ends. A request that does not fit is refused before its body is read. Settings memoryMb (gateway) and maxBufferedBytes (node); event BR1408. A quarter of the memory holds bodies, another quarter bounds the requests in flight at 128 KiB each (four parts of 16 KiB and a read buffer of 64 KiB). Orders and reports use a client of their own.

ByteBudgetTest grows by 203 MB without an effective budget (bound 64 MB) and passes with it.

--- a/packages/config/include/boragerack/config/GatewaySettings.h
+++ b/packages/config/include/boragerack/config/GatewaySettings.h
@@ -41,6 +41,8 @@
     std::int64_t quotaTolerance = 100000;
     /// Share of a processor core that this node has.
     double processorShare = 1;
+    /// Memory that the process may use.
+    std::int64_t memoryMb = 1024;
     /// Maximum number of requests that this node forwards, or holds for a target, at the same time;
     /// each needs two connections and about 20 kB of memory. Requests over this limit wait and are
     /// admitted in turn by organisation.
--- a/packages/config/include/boragerack/config/NodeSettings.h
+++ b/packages/config/include/boragerack/config/NodeSettings.h
@@ -37,6 +37,7 @@
 
     std::int64_t maxHeaderBytes = 16 * 1024;
     std::int64_t maxBodyBytes = 4 * 1024 * 1024;
+    std::int64_t maxBufferedBytes = 256 * 1024 * 1024;
     std::int64_t maxCallerConnections = 2000;
     std::int64_t maxQueuedRequests = 2000;
     std::chrono::milliseconds requestTimeout = std::chrono::seconds(30);
--- a/packages/config/src/GatewaySettings.cpp
+++ b/packages/config/src/GatewaySettings.cpp
@@ -31,6 +31,7 @@
     settings.quotaTolerance =
         reader.readInteger("quotaTolerance", 0, kMaxCount, defaults.quotaTolerance);
     settings.processorShare = reader.readNumber("processorShare", defaults.processorShare);
+    settings.memoryMb = reader.readInteger("memoryMb", 1, kMaxCount, defaults.memoryMb);
     settings.maxActiveRequests =
         reader.readInteger("maxActiveRequests", 1, kMaxCount, defaults.maxActiveRequests);
     settings.maxWaitingRequests =
--- a/packages/config/src/NodeSettings.cpp
+++ b/packages/config/src/NodeSettings.cpp
@@ -38,6 +38,8 @@
         reader.readInteger("maxHeaderBytes", 1024, kMaxBytes, defaults.maxHeaderBytes);
     settings.maxBodyBytes =
         reader.readInteger("maxBodyBytes", 1024, kMaxBytes, defaults.maxBodyBytes);
+    settings.maxBufferedBytes =
+        reader.readInteger("maxBufferedBytes", 1024, kMaxBytes, defaults.maxBufferedBytes);
     settings.maxCallerConnections =
         reader.readInteger("maxCallerConnections", 1, kMaxCount, defaults.maxCallerConnections);
     settings.maxQueuedRequests =
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -18,6 +18,7 @@
 #include "boragerack/gateway/Gateway.h"
 #include "boragerack/node/Node.h"
 #include "boragerack/runtime/Await.h"
+#include "boragerack/runtime/ByteBudget.h"
 #include "boragerack/runtime/EventLog.h"
 #include "boragerack/runtime/FiberRuntime.h"
 #include "boragerack/runtime/HttpClient.h"
@@ -113,6 +114,15 @@
     return Stopped;
 }
 
+/// Orders and reports. A faulty target must not use up the memory for the platform's responses.
+runtime::HttpClientOptions controlClientOptions()
+{
+    constexpr std::size_t kMaxReportBytes = 1024 * 1024;
+    runtime::HttpClientOptions options = platformClientOptions();
+    options.maxResponseBytes = kMaxReportBytes;
+    return options;
+}
+
 /// Interval at which the settings file is checked for changes.
 constexpr std::chrono::milliseconds kSettingsPollInterval(2000);
 
@@ -133,14 +143,17 @@
 {
     config::GatewaySettings current = settings;
     runtime::FiberRuntime fiberRuntime;
+    const auto buffers = std::make_shared<runtime::ByteBudget>(gateway::bufferLimitBytes(settings));
     runtime::HttpClient client(fiberRuntime.ioContext(), platformClientOptions());
+    runtime::HttpClient controlClient(fiberRuntime.ioContext(), controlClientOptions(), buffers);
     const std::string platform =
         settings.platform.host + ":" + std::to_string(settings.platform.port);
     const auto protocol = adapter::makeCallerProtocol();
     const auto source = adapter::makeServingSource(client, platform);
     const auto store = adapter::makeStore(client, platform);
-    const auto control = adapter::makeTargetControl(client);
-    gateway::Gateway gateway(fiberRuntime, settings, {*protocol, *source, *store, *control});
+    const auto control = adapter::makeTargetControl(controlClient);
+    gateway::Gateway gateway(fiberRuntime, settings,
+                             {*protocol, *source, *store, *control, buffers});
     if (const auto started = gateway.start(); !core::isOk(started)) {
         const core::Error &error = core::errorOf(started);
         runtime::logEvent(runtime::LogEvent::StartFailed, error.message);
--- a/packages/gateway/include/boragerack/gateway/Gateway.h
+++ b/packages/gateway/include/boragerack/gateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -12,6 +13,7 @@
 }
 
 namespace boragerack::runtime {
+class ByteBudget;
 class FiberRuntime;
 class HttpClient;
 } // namespace boragerack::runtime
@@ -29,8 +31,13 @@
     ServingSource &source;
     platform::PlatformStore &store;
     TargetControl &control;
+    /// Memory for bodies of requests and responses.
+    std::shared_ptr<runtime::ByteBudget> buffers = nullptr;
 };
 
+/// Budget for the bodies that a process with these settings buffers.
+std::size_t bufferLimitBytes(const config::GatewaySettings &settings);
+
 /// An entry node. It serves callers' requests and address queries, and can hold the coordinator
 /// lease of the fleet.
 class Gateway
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -25,6 +25,7 @@
 #include "boragerack/peer/MessageAuthenticator.h"
 #include "boragerack/peer/PeerServer.h"
 #include "boragerack/platform/InstrumentedPlatformStore.h"
+#include "boragerack/runtime/ByteBudget.h"
 #include "boragerack/runtime/EventLog.h"
 #include "boragerack/runtime/FiberRuntime.h"
 #include "boragerack/runtime/HttpClient.h"
@@ -58,6 +59,12 @@
 constexpr std::chrono::milliseconds kConnectionCloseTime(200);
 constexpr std::chrono::milliseconds kConnectionCheckInterval(5);
 constexpr double kThousandths = 1000;
+constexpr std::size_t kMegabyte = 1024 * 1024;
+/// Share of the memory for buffered bodies, and for what requests in flight need besides: the parts
+/// that wait for a slow caller and the read buffer of the connection.
+constexpr std::size_t kBufferShareDivisor = 4;
+constexpr std::size_t kActiveRequestsShareDivisor = 4;
+constexpr std::size_t kBytesPerActiveRequest = 128 * 1024;
 /// A node with a smaller share of a processor takes the lease only if no larger one does, because
 /// the coordinator receives the reports of the whole fleet.
 constexpr double kMinCoordinatorShare = 0.2;
@@ -80,6 +87,19 @@
     return options;
 }
 
+std::size_t memoryBytes(const config::GatewaySettings &settings)
+{
+    return static_cast<std::size_t>(settings.memoryMb) * kMegabyte;
+}
+
+std::size_t maxActiveRequests(const config::GatewaySettings &settings)
+{
+    const std::size_t fitting =
+        memoryBytes(settings) / kActiveRequestsShareDivisor / kBytesPerActiveRequest;
+    return std::min(static_cast<std::size_t>(settings.maxActiveRequests),
+                    std::max<std::size_t>(1, fitting));
+}
+
 runtime::HttpLimits limitsOf(const decisions::CallerLimits &limits)
 {
     runtime::HttpLimits result;
@@ -93,15 +113,15 @@
 RoutingTask::Limits routingLimitsOf(const config::GatewaySettings &settings)
 {
     return {{settings.retryRatio, static_cast<double>(settings.retrySlack), settings.retryWindow},
-            static_cast<std::size_t>(settings.maxActiveRequests),
+            maxActiveRequests(settings),
             {static_cast<std::size_t>(settings.maxWaitingPerOrganisation),
              static_cast<std::size_t>(settings.maxWaitingRequests)}};
 }
 
 decisions::StopTimes stopTimesOf(const config::GatewaySettings &settings)
 {
-    const auto termination = settings.stopTimeout
-        - std::min(kStopMargin, settings.stopTimeout / kMaxStopMarginDivisor);
+    const auto termination =
+        settings.stopTimeout - std::min(kStopMargin, settings.stopTimeout / kMaxStopMarginDivisor);
     const auto share = [&](double fraction) {
         return std::chrono::floor<std::chrono::milliseconds>(termination * fraction);
     };
@@ -121,6 +141,11 @@
 
 } // namespace
 
+std::size_t bufferLimitBytes(const config::GatewaySettings &settings)
+{
+    return memoryBytes(settings) / kBufferShareDivisor;
+}
+
 /// Reads as the coordinator of the fleet or as one of its nodes.
 class NodeReadPace final : public ReadPaceSource
 {
@@ -153,7 +178,10 @@
         , self {settings.instance, textOf(settings.callerListen), settings.dataCentre,
                 textOf(settings.peerListen),
                 static_cast<std::uint32_t>(std::lround(settings.processorShare * kThousandths))}
-        , client(fibers.ioContext(), clientOptions())
+        , buffers(dependencies.buffers
+                      ? dependencies.buffers
+                      : std::make_shared<runtime::ByteBudget>(bufferLimitBytes(settings)))
+        , client(fibers.ioContext(), clientOptions(), buffers)
         , source(dependencies.source, metrics)
         , store(dependencies.store, metrics)
         , configuration(source, clock, random, charts.freshness, settings.maxRevocationDelay)
@@ -176,10 +204,10 @@
                          lifecycle)
         , addressHandler(dependencies.protocol, routing, lifecycle, self, settings.addressLifetime)
         , metricsHandler(metrics)
-        , callerServer(fibers.ioContext(), requestHandler, {})
-        , readyServer(fibers.ioContext(), addressHandler, {})
-        , directoryServer(fibers.ioContext(), addressHandler, {})
-        , metricsServer(fibers.ioContext(), metricsHandler, {})
+        , callerServer(fibers.ioContext(), requestHandler, {}, buffers)
+        , readyServer(fibers.ioContext(), addressHandler, {}, buffers)
+        , directoryServer(fibers.ioContext(), addressHandler, {}, buffers)
+        , metricsServer(fibers.ioContext(), metricsHandler, {}, buffers)
         , reportHandler(coordinator, reports)
         , readPace(coordinator, lease)
     {
@@ -198,6 +226,7 @@
     core::SystemRandomSource random;
     runtime::Metrics metrics;
     decisions::FleetMember self;
+    std::shared_ptr<runtime::ByteBudget> buffers;
     runtime::HttpClient client;
     InstrumentedServingSource source;
     platform::InstrumentedPlatformStore store;
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -81,6 +81,7 @@
     , admitted_(std::move(admitted))
     , responder_(responder)
     , attempt_(dependencies.charts.attempt, makeAttemptParameters(admitted_))
+    , reservation_(dependencies.client.buffers())
 {
 }
 
@@ -276,6 +277,7 @@
     outcome_.target = grant_->target;
     splitter_ = {};
     body_.clear();
+    static_cast<void>(reservation_.resize(0));
     isStreaming_ = false;
     exchange_ = dependencies_.client.open(grant_->address,
                                           action.mustBeNew ? runtime::ConnectionUse::New
--- a/packages/gateway/src/RequestExecution.h
+++ b/packages/gateway/src/RequestExecution.h
@@ -11,6 +11,7 @@
 #include "boragerack/decisions/AttemptController.h"
 #include "boragerack/gateway/CallerProtocol.h"
 #include "boragerack/gateway/GatewayCharts.h"
+#include "boragerack/runtime/ByteReservation.h"
 #include "boragerack/runtime/HttpClient.h"
 #include "boragerack/runtime/HttpExchange.h"
 #include "boragerack/runtime/HttpResponder.h"
@@ -136,6 +137,8 @@
     runtime::ServerSentEventSplitter splitter_;
     std::string event_;
     std::string body_;
+    /// For `body_`, or the event that `splitter_` has begun.
+    runtime::ByteReservation reservation_;
     bool isStreaming_ = false;
     bool isFramed_ = true;
     std::uint64_t received_ = 0;
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -111,9 +111,12 @@
 
 void RequestExecution::onExchange(const runtime::HttpBodyPart &event)
 {
-    if (isStreaming_)
+    if (isStreaming_) {
         forwardEvents(event.data);
-    else if (body_.size() + event.data.size() <= kMaxBodyBytes)
+        return;
+    }
+    const std::size_t size = body_.size() + event.data.size();
+    if (size <= kMaxBodyBytes && reservation_.resize(size))
         body_ += event.data;
     else
         failAttempt();
@@ -165,7 +168,7 @@
 {
     for (std::string &event : splitter_.add(bytes))
         forwardEvent(std::move(event));
-    if (splitter_.isTooLong())
+    if (splitter_.isTooLong() || !reservation_.resize(splitter_.rest().size()))
         failAttempt();
 }
 
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -14,6 +14,7 @@
 #include "boragerack/peer/MessageAuthenticator.h"
 #include "boragerack/peer/PeerServer.h"
 #include "boragerack/platform/HttpPlatformStore.h"
+#include "boragerack/runtime/ByteBudget.h"
 #include "boragerack/runtime/EventLog.h"
 #include "boragerack/runtime/FiberRuntime.h"
 #include "boragerack/runtime/HttpServer.h"
@@ -103,8 +104,11 @@
         : fiberRuntime_(fiberRuntime)
         , settings_(settings)
         , identity_ {settings.instance, makeIncarnation(), settings.dataCentre, settings.region}
-        , client_(fiberRuntime.ioContext(), {})
-        , store_(client_, formatAddress(settings.platform), settings.platformTimeout)
+        , buffers_(std::make_shared<runtime::ByteBudget>(
+              static_cast<std::size_t>(settings.maxBufferedBytes)))
+        , client_(fiberRuntime.ioContext(), {}, buffers_)
+        , platformClient_(fiberRuntime.ioContext(), {})
+        , store_(platformClient_, formatAddress(settings.platform), settings.platformTimeout)
     {
     }
 
@@ -133,8 +137,7 @@
 
     void requestStop(core::TimePoint requestedAt)
     {
-        static_cast<void>(
-            lifecycle_->send({decisions::lifecycle::StopRequested(), requestedAt}));
+        static_cast<void>(lifecycle_->send({decisions::lifecycle::StopRequested(), requestedAt}));
     }
 
     void waitUntilStopped()
@@ -238,7 +241,7 @@
                                                store_, client_, random_, clock_, metrics_});
         handler_.emplace(*services_, fleet_->members(), settings_.requestTimeout,
                          settings_.addressLifetime);
-        server_.emplace(fiberRuntime_.ioContext(), *handler_, makeLimits(settings_));
+        server_.emplace(fiberRuntime_.ioContext(), *handler_, makeLimits(settings_), buffers_);
         dispatcher_.emplace(PeerReceivers {*fleet_, *budget_, *placement_, *quarantine_}, clock_);
         peerServer_.emplace(fiberRuntime_.ioContext(), *dispatcher_, authenticator_,
                             peer::PeerServerOptions(), peerCharts_);
@@ -319,7 +322,10 @@
     NodeIdentity identity_;
     core::MonotonicClock clock_;
     core::SystemRandomSource random_;
+    std::shared_ptr<runtime::ByteBudget> buffers_;
     runtime::HttpClient client_;
+    /// Has a budget of its own, which the answers of targets cannot use up.
+    runtime::HttpClient platformClient_;
     platform::HttpPlatformStore store_;
     runtime::Metrics metrics_;
     ChartSet charts_;
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -34,6 +34,7 @@
     , sink_(sink)
     , cancelReason_(std::move(cancelReason))
     , attempt_(charts.attempt, job_.plan)
+    , reservation_(client.buffers())
 {
 }
 
@@ -122,6 +123,7 @@
 {
     connectionAttempt_ = action.attempt;
     received_ = 0;
+    static_cast<void>(reservation_.resize(0));
     if (job_.isEventStream)
         framer_ = std::make_unique<EventStreamFramer>();
     else
@@ -303,6 +305,8 @@
 {
     fireConnection(connection::Progress());
     addChunks(framer_->add(event.data));
+    if (exchange_ && (framer_->isTooLong() || !reservation_.resize(framer_->bufferedBytes())))
+        fire(attempt::ConnectionLost {connectionAttempt_, false});
 }
 
 void RequestForwarder::addChunks(std::vector<ResponseChunk> chunks)
--- a/packages/node/src/RequestForwarder.h
+++ b/packages/node/src/RequestForwarder.h
@@ -12,6 +12,7 @@
 #include "RoutingTask.h"
 #include "boragerack/decisions/AttemptController.h"
 #include "boragerack/decisions/ConnectionMonitor.h"
+#include "boragerack/runtime/ByteReservation.h"
 #include "boragerack/runtime/HttpClient.h"
 #include "boragerack/runtime/HttpExchange.h"
 
@@ -102,6 +103,7 @@
     std::optional<decisions::ConnectionMonitor> monitor_;
     std::unique_ptr<runtime::HttpExchange> exchange_;
     std::unique_ptr<ResponseFramer> framer_;
+    runtime::ByteReservation reservation_;
     std::optional<SelectedTarget> route_;
     decisions::AttemptId connectionAttempt_;
     core::TimePoint sentAt_ = {};
--- a/packages/node/src/ResponseFramer.h
+++ b/packages/node/src/ResponseFramer.h
@@ -32,6 +32,10 @@
     virtual std::vector<ResponseChunk> add(std::string_view bytes) = 0;
     /// Returns the chunks that remain at the end of the body.
     virtual std::vector<ResponseChunk> finish() = 0;
+    /// Bytes kept for the chunk that is not complete.
+    virtual std::size_t bufferedBytes() const = 0;
+    /// The chunk that is not complete exceeds the size of any chunk; more must not be added.
+    virtual bool isTooLong() const = 0;
     /// Whether the body ended where its format allows.
     virtual bool isComplete() const = 0;
     /// Whether chunks are forwarded as they arrive; otherwise the response is buffered to its end.
@@ -45,6 +49,8 @@
 public:
     std::vector<ResponseChunk> add(std::string_view bytes) override;
     std::vector<ResponseChunk> finish() override;
+    std::size_t bufferedBytes() const override { return splitter_.rest().size(); }
+    bool isTooLong() const override { return splitter_.isTooLong(); }
     bool isComplete() const override { return isDone_; }
     bool isStream() const override { return true; }
 
@@ -60,6 +66,9 @@
 public:
     std::vector<ResponseChunk> add(std::string_view bytes) override;
     std::vector<ResponseChunk> finish() override;
+    std::size_t bufferedBytes() const override { return body_.size(); }
+    /// The client limits the size of a response.
+    bool isTooLong() const override { return false; }
     bool isComplete() const override { return true; }
     bool isStream() const override { return false; }
 
--- a/packages/runtime/include/boragerack/runtime/HttpClient.h
+++ b/packages/runtime/include/boragerack/runtime/HttpClient.h
@@ -13,6 +13,7 @@
 
 namespace boragerack::runtime {
 
+class ByteBudget;
 class HttpExchange;
 
 struct HttpClientOptions
@@ -32,8 +33,8 @@
 };
 
 /// Whether an idle connection may be reused for a request. The server may close an idle connection
-/// while the request is being sent, which leaves the outcome of the request unknown. A faulty server
-/// may also send an earlier response again where the next one is due.
+/// while the request is being sent, which leaves the outcome of the request unknown. A faulty
+/// server may also send an earlier response again where the next one is due.
 enum class ConnectionUse {
     KeptOrNew,
     New,
@@ -44,7 +45,9 @@
 class HttpClient
 {
 public:
-    HttpClient(boost::asio::io_context &ioContext, const HttpClientOptions &options);
+    /// Without `buffers`, the client has a budget of its own.
+    HttpClient(boost::asio::io_context &ioContext, const HttpClientOptions &options,
+               std::shared_ptr<ByteBudget> buffers = nullptr);
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
     /// Cancels all exchanges and waits until their fibers have ended.
@@ -59,6 +62,9 @@
                                     core::TimePoint deadline,
                                     ConnectionUse use = ConnectionUse::KeptOrNew);
 
+    /// Budget for the responses that the users of this client buffer.
+    const std::shared_ptr<ByteBudget> &buffers() const { return buffers_; }
+
     /// Closes the idle connections to an address, for instance after one stopped responding.
     void dropIdleConnections(const std::string &address);
 
@@ -67,6 +73,7 @@
     class ExchangeGroup;
 
     HttpClientOptions options_;
+    std::shared_ptr<ByteBudget> buffers_;
     std::shared_ptr<Pool> pool_;
     std::unique_ptr<ExchangeGroup> exchanges_;
 
--- a/packages/runtime/include/boragerack/runtime/HttpServer.h
+++ b/packages/runtime/include/boragerack/runtime/HttpServer.h
@@ -11,6 +11,7 @@
 
 namespace boragerack::runtime {
 
+class ByteBudget;
 class HttpHandler;
 
 /// Limits on the connections and requests of a server.
@@ -34,7 +35,9 @@
 class HttpServer
 {
 public:
-    HttpServer(boost::asio::io_context &ioContext, HttpHandler &handler, const HttpLimits &limits);
+    /// Without `buffers`, the server has a budget of its own for the requests that it buffers.
+    HttpServer(boost::asio::io_context &ioContext, HttpHandler &handler, const HttpLimits &limits,
+               std::shared_ptr<ByteBudget> buffers = nullptr);
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
     /// Stops the server and waits until all connections are closed.
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -34,6 +34,7 @@
     RequestRefused = 1405,
     RetryRefused = 1406,
     CrashesReportedAgain = 1407,
+    BuffersExhausted = 1408,
     PeerConnected = 1501,
     PeerLost = 1502,
     PeerRejected = 1503,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -86,6 +86,8 @@
         return {Severity::Info, "retry refused"};
     case LogEvent::CrashesReportedAgain:
         return {Severity::Info, "crashes reported again"};
+    case LogEvent::BuffersExhausted:
+        return {Severity::Warning, "memory for bodies is used up"};
     case LogEvent::PeerConnected:
         return {Severity::Info, "peer connected"};
     case LogEvent::PeerLost:
--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -20,7 +20,8 @@
 
 namespace {
 
-constexpr std::size_t kEventCapacity = 16;
+/// Parts of a response that wait for the receiver, which are in no budget.
+constexpr std::size_t kEventCapacity = 4;
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// Interim responses (status 1xx) that may precede a response.
 constexpr int kMaxInterimResponses = 8;
--- a/packages/runtime/src/HttpConnection.cpp
+++ b/packages/runtime/src/HttpConnection.cpp
@@ -1,5 +1,6 @@
 #include "HttpConnection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -7,6 +8,8 @@
 #include <boost/beast/http.hpp>
 
 #include "boragerack/runtime/Await.h"
+#include "boragerack/runtime/ByteBudget.h"
+#include "boragerack/runtime/ByteReservation.h"
 #include "boragerack/runtime/HttpHandler.h"
 
 namespace boragerack::runtime {
@@ -64,11 +67,12 @@
 };
 
 HttpConnection::HttpConnection(boost::beast::tcp_stream stream, HttpHandler &handler,
-                               const HttpLimits &limits)
+                               const HttpLimits &limits, std::shared_ptr<ByteBudget> buffers)
     : stream_(std::move(stream))
     , buffer_(limits.maxHeaderBytes + limits.maxBodyBytes)
     , handler_(handler)
     , limits_(limits)
+    , buffers_(std::move(buffers))
     , watch_(std::make_shared<DisconnectWatch>())
 {
     boost::system::error_code ignored;
@@ -113,7 +117,7 @@
 {
     if (!waitForRequest())
         return false;
-    http::request_parser<http::string_body> parser;
+    RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.maxHeaderBytes));
     parser.body_limit(limits_.maxBodyBytes);
     stream_.expires_after(limits_.headerTimeout);
@@ -128,16 +132,9 @@
         reject(400, "the length of the request is ambiguous");
         return false;
     }
-    if (!parser.is_done()) {
-        stream_.expires_after(limits_.bodyTimeout);
-        const IoResult body = awaitIo(
-            [&](auto handler) { http::async_read(stream_, buffer_, parser, std::move(handler)); });
-        if (body.error) {
-            rejectMalformed(body.error);
-            return false;
-        }
-    }
-
+    ByteReservation reservation(buffers_);
+    if (!readBody(parser, reservation))
+        return false;
     isBusy_ = true;
     hasResponded_ = false;
     keepAlive_ = keepAlive_ && parser.get().keep_alive();
@@ -146,11 +143,39 @@
     handler_.handle(makeRequest(parser.release()), *this);
     watch_->onDisconnect = nullptr;
     isBusy_ = false;
+    // A connection that stays open must not keep the memory of a large request.
+    if (buffer_.size() == 0 && buffer_.capacity() > ByteReservation::kFreeBytes)
+        buffer_.shrink_to_fit();
     if (isStreaming_)
         abortConnection();
     return hasResponded_ && !watch_->isDisconnected;
 }
 
+bool HttpConnection::readBody(RequestParser &parser, ByteReservation &reservation)
+{
+    constexpr unsigned kServiceUnavailable = 503;
+    const auto declared = parser.content_length();
+    stream_.expires_after(limits_.bodyTimeout);
+    while (true) {
+        // The parser allocates a declared length at once, and a body in chunks as it arrives.
+        const std::size_t size =
+            std::max<std::size_t>(declared.value_or(0), parser.get().body().size());
+        if (!reservation.resize(size)) {
+            reject(kServiceUnavailable, "no memory left for the request");
+            return false;
+        }
+        if (parser.is_done())
+            return true;
+        const IoResult part = awaitIo([&](auto handler) {
+            http::async_read_some(stream_, buffer_, parser, std::move(handler));
+        });
+        if (part.error) {
+            rejectMalformed(part.error);
+            return false;
+        }
+    }
+}
+
 void HttpConnection::setDisconnectCallback(std::function<void()> onDisconnect)
 {
     watch_->onDisconnect = std::move(onDisconnect);
--- a/packages/runtime/src/HttpConnection.h
+++ b/packages/runtime/src/HttpConnection.h
@@ -5,12 +5,16 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include "boragerack/runtime/HttpResponder.h"
 #include "boragerack/runtime/HttpServer.h"
 
 namespace boragerack::runtime {
 
+class ByteBudget;
+class ByteReservation;
 class HttpHandler;
 
 /// Server side of one connection; runs on the fiber that owns its socket.
@@ -18,7 +22,8 @@
 {
 public:
     /// `limits` must outlive the connection; changes apply from the next request on.
-    HttpConnection(boost::beast::tcp_stream stream, HttpHandler &handler, const HttpLimits &limits);
+    HttpConnection(boost::beast::tcp_stream stream, HttpHandler &handler, const HttpLimits &limits,
+                   std::shared_ptr<ByteBudget> buffers);
     HttpConnection(const HttpConnection &) = delete;
     HttpConnection &operator=(const HttpConnection &) = delete;
     ~HttpConnection() override;
@@ -41,9 +46,11 @@
 
 private:
     struct DisconnectWatch;
+    using RequestParser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     bool serveRequest();
     bool waitForRequest();
+    bool readBody(RequestParser &parser, ByteReservation &reservation);
     void startDisconnectWatch();
     void rejectMalformed(const boost::system::error_code &error);
     void reject(unsigned status, const std::string &reason);
@@ -54,6 +61,7 @@
     boost::beast::flat_buffer buffer_;
     HttpHandler &handler_;
     const HttpLimits &limits_;
+    std::shared_ptr<ByteBudget> buffers_;
     std::shared_ptr<DisconnectWatch> watch_;
     bool isBusy_ = false;
     bool isStreaming_ = false;
--- a/packages/runtime/src/HttpServer.cpp
+++ b/packages/runtime/src/HttpServer.cpp
@@ -12,6 +12,7 @@
 #include "HttpConnection.h"
 #include "boragerack/runtime/Address.h"
 #include "boragerack/runtime/Await.h"
+#include "boragerack/runtime/ByteBudget.h"
 
 namespace boragerack::runtime {
 
@@ -21,11 +22,12 @@
 {
 public:
     Implementation(boost::asio::io_context &ioContext, HttpHandler &handler,
-                   const HttpLimits &limits)
+                   const HttpLimits &limits, std::shared_ptr<ByteBudget> buffers)
         : ioContext_(ioContext)
         , acceptor_(ioContext)
         , handler_(handler)
         , limits_(limits)
+        , buffers_(buffers ? std::move(buffers) : std::make_shared<ByteBudget>())
     {
     }
 
@@ -92,7 +94,7 @@
     void serveConnection(boost::beast::tcp_stream stream)
     {
         {
-            HttpConnection connection(std::move(stream), handler_, limits_);
+            HttpConnection connection(std::move(stream), handler_, limits_, buffers_);
             connections_.insert(&connection);
             if (acceptor_.is_open())
                 connection.run();
@@ -105,6 +107,7 @@
     tcp::acceptor acceptor_;
     HttpHandler &handler_;
     HttpLimits limits_;
+    std::shared_ptr<ByteBudget> buffers_;
     boost::fibers::fiber acceptFiber_;
     std::set<HttpConnection *> connections_;
     boost::fibers::mutex mutex_;
@@ -112,8 +115,9 @@
 };
 
 HttpServer::HttpServer(boost::asio::io_context &ioContext, HttpHandler &handler,
-                       const HttpLimits &limits)
-    : implementation_(std::make_unique<Implementation>(ioContext, handler, limits))
+                       const HttpLimits &limits, std::shared_ptr<ByteBudget> buffers)
+    : implementation_(
+        std::make_unique<Implementation>(ioContext, handler, limits, std::move(buffers)))
 {
 }
 
