--- a/packages/decisions/src/NodeLifecycle.cpp
+++ b/packages/decisions/src/NodeLifecycle.cpp
@@ -18,8 +18,7 @@
                                  kDrainingRetryAfter);
 }
 
-NodeLifecycle::NodeLifecycle(std::shared_ptr<const NodeBinding> chart,
-                             const StopTimes &stopTimes)
+NodeLifecycle::NodeLifecycle(std::shared_ptr<const NodeBinding> chart, const StopTimes &stopTimes)
     : chart_(std::move(chart))
     , stopTimes_(stopTimes)
 {
@@ -62,8 +61,7 @@
     case NodeState::Starting:
     case NodeState::Isolated:
         return core::makeNotRunError(core::ErrorCode::Isolated,
-                                     "the node has no fresh configuration",
-                                     kIsolatedRetryAfter);
+                                     "the node has no fresh configuration", kIsolatedRetryAfter);
     case NodeState::Draining:
     case NodeState::Stopped:
         break;
--- a/packages/decisions/src/serving/DemandTracker.cpp
+++ b/packages/decisions/src/serving/DemandTracker.cpp
@@ -10,8 +10,8 @@
 
 /// Time constant of the exponential average of request rates.
 constexpr double kRateTimeConstantSeconds = 4;
-/// Longest time for which a request of a node that no longer reports may run: the timeout of a route
-/// without one of its own.
+/// Longest time for which a request of a node that no longer reports may run: the timeout of a
+/// route without one of its own.
 constexpr std::chrono::seconds kMaxRequestTime(30);
 
 double decay(core::Duration age)
--- a/packages/decisions/src/serving/TargetTracker.cpp
+++ b/packages/decisions/src/serving/TargetTracker.cpp
@@ -134,8 +134,8 @@
     }
     // A report that is older than the last order proves nothing about it. After some time the count
     // of the orders is wrong instead.
-    const bool isOutdated = needsProof() && report->orderSequence < sequence_
-        && now - acceptedAt_ < kMaxOutdatedTime;
+    const bool isOutdated =
+        needsProof() && report->orderSequence < sequence_ && now - acceptedAt_ < kMaxOutdatedTime;
     if (report->isBusy || isOutdated) {
         nextReportRequestAt_ = now + kReportInterval;
         fire(TargetOrderChartEvent::ReportedBusy, now);
