Accept only answers that name their attempt

Cause: bytes that arrive after the next request was written pass the check of the pool, and an answer without an attempt was rejected only if it said that the request had not run.

Ruled out: bytes that arrive before the connection is used again (connectionWithExcessBytesIsNotReused), and answers that name another attempt, which were rejected.

Change: each answer must name the attempt of its request, and a success must be signed; other answers end the attempt.

With the old condition adapterTest unidentifiedSuccessIsNoAnswer gets 200 for three of its four answers; it passes now.

--- a/packages/gateway/include/boragerack/gateway/CallerProtocol.h
+++ b/packages/gateway/include/boragerack/gateway/CallerProtocol.h
@@ -61,6 +61,8 @@
 struct TargetAnswer
 {
     std::string attempt;
+    /// The response has the signature that each target adds to those it generated.
+    bool isSigned = false;
     /// The target reports that it did not run the request.
     bool didNotRun = false;
     /// The target has not loaded the model, or is not the intended target.
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -71,11 +71,11 @@
 void RequestExecution::onExchange(const runtime::HttpResponseHead &event)
 {
     const TargetAnswer answer = dependencies_.protocol.decodeAnswer(event);
-    // A faulty target may send an earlier answer again on a kept connection. What it says, also
-    // that the request did not run, holds only for its own attempt.
-    const bool isOtherAttempt = answer.attempt != admitted_.decoded.callerAttemptId
-        && (answer.didNotRun || !answer.attempt.empty());
-    if (isOtherAttempt) {
+    // A faulty target may send an earlier answer again on a kept connection, or bytes that only
+    // look like one. What an answer says, also that the request did not run, holds only for the
+    // attempt that it names, and a success counts only if it is signed.
+    const bool isOtherAttempt = answer.attempt != admitted_.decoded.callerAttemptId;
+    if (isOtherAttempt || (isSuccess(event.status) && !answer.isSigned)) {
         failAttempt();
         return;
     }
