Load an adapter only where its memory is free

Cause: the planner compared adapters with the places of a target only, not with its memory.

Ruled out: the sum itself (usedMb counts adapters, and models are compared with it), and rounding (sizes are rounded up, the capacity down).

--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -126,6 +126,13 @@
     void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
     void placeAdapter(const Artifact &artifact, const std::map<Artifact, FleetDemand> &demands,
                       core::TimePoint now, Actions &actions);
+    /// Whether the target has a place and memory for the adapter.
+    bool hasRoomFor(const Artifact &adapter, const Target &target) const;
+    /// Evicts an adapter of the target or, if only memory is missing, another model.
+    void makeRoomFor(const Artifact &adapter, Target &target,
+                     const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
+                     Actions &actions);
+    void evictModel(Target &target, const core::ModelId &victim, Actions &actions);
     /// An adapter of the target that no request uses, or else one that only requests of a node that
     /// no longer reports may use.
     std::optional<Artifact> findAdapterVictim(const Target &target,
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <tuple>
 
 #include "boragerack/decisions/serving/SwapPlanner.h"
 
@@ -14,8 +15,8 @@
 constexpr std::chrono::milliseconds kLoadMargin(20);
 /// Load time of an adapter, whose size is some ten MB.
 constexpr std::chrono::milliseconds kAdapterLoadTime(20);
-/// Adapters of a target that wait for their last requests to end; more would be evicted for the same
-/// place.
+/// Adapters of a target that wait for their last requests to end; more would be evicted for the
+/// same place.
 constexpr std::size_t kMaxUnloadingAdapters = 2;
 /// A model is not unloaded for this long after its load, so that the requests that waited for it
 /// can be sent to it.
@@ -134,8 +135,9 @@
     const Target &target = *option.target;
     std::vector<std::pair<double, core::ModelId>> candidates;
     for (const auto &[model, holding] : target.tracker.holdings()) {
-        if (now - holding.since >= kMinResidency
-            || demandTracker_.lastUse(model) == core::TimePoint())
+        const bool isRecent = now - holding.since < kMinResidency
+            && demandTracker_.lastUse(model) != core::TimePoint();
+        if (!isRecent && model != need.model)
             candidates.emplace_back(evictionCost(target, model, survey, now), model);
     }
     std::ranges::sort(candidates);
@@ -182,12 +184,7 @@
         if (const auto seen = survey.models.find(victim);
             seen != survey.models.end() && seen->second.ready > 0)
             --seen->second.ready;
-        // An unload waits for requests in flight; without any it starts at once.
-        const bool isIdle =
-            demandTracker_.possiblyInFlight(target.tracker.entry().target, victim) == 0;
-        actions.emplace_back(makeOrder(
-            target, swap::OrderKind::Unload, {victim, {}, {}},
-            {.duration = isIdle ? kIdleUnloadTime : kUnloadTime, .isDurationCertain = isIdle}));
+        evictModel(target, victim, actions);
         return;
     }
     target.reservedFor.reset();
@@ -199,15 +196,21 @@
                                     .isDurationCertain = !option.isFromStore}));
 }
 
+void SwapPlanner::evictModel(Target &target, const core::ModelId &victim, Actions &actions)
+{
+    // An unload waits for requests in flight; without any it starts at once.
+    const bool isIdle = demandTracker_.possiblyInFlight(target.tracker.entry().target, victim) == 0;
+    actions.emplace_back(makeOrder(
+        target, swap::OrderKind::Unload, {victim, {}, {}},
+        {.duration = isIdle ? kIdleUnloadTime : kUnloadTime, .isDurationCertain = isIdle}));
+}
+
 void SwapPlanner::placeAdapter(const Artifact &artifact,
                                const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
                                Actions &actions)
 {
-    const Engine *engine = engineOf(demands.at(artifact).service);
-    if (!engine)
-        return;
     Target *best = nullptr;
-    std::pair<bool, std::uint32_t> bestCost;
+    std::tuple<bool, bool, std::uint32_t> bestCost;
     bool isServed = false;
     for (auto &[id, target] : targets_) {
         if (target.tracker.pending() && target.tracker.pending()->order.artifact == artifact)
@@ -225,24 +228,51 @@
         if (!target.tracker.isIdle(now) || target.reservedFor || target.tracker.isUnloadAssumed()
             || target.tracker.isUnloading(artifact))
             continue;
-        const std::pair cost(isLimited, usedAdapterSlots(target));
+        const std::tuple cost(isLimited, !hasRoomFor(artifact, target), usedAdapterSlots(target));
         if (!best || cost < bestCost) {
             best = &target;
             bestCost = cost;
         }
     }
     // Another target with a limited rate would not help the requests that wait for one.
-    if (!best || (isServed && bestCost.first))
+    if (!best || (isServed && std::get<0>(bestCost)))
         return;
-    if (usedAdapterSlots(*best) < engine->figures.adapterSlots) {
+    if (hasRoomFor(artifact, *best)) {
         actions.emplace_back(makeOrder(*best, swap::OrderKind::Load, artifact,
                                        {.duration = kAdapterLoadTime, .isDurationCertain = true}));
+    } else {
+        makeRoomFor(artifact, *best, demands, now, actions);
+    }
+}
+
+bool SwapPlanner::hasRoomFor(const Artifact &adapter, const Target &target) const
+{
+    const core::ServiceId &service = target.tracker.entry().service;
+    const Engine *engine = engineOf(service);
+    const ModelFigures *model = figuresOf(service, adapter.model);
+    return engine && model && usedAdapterSlots(target) < engine->figures.adapterSlots
+        && usedMb(target) + model->adapterMb <= engine->figures.weightsMb;
+}
+
+void SwapPlanner::makeRoomFor(const Artifact &adapter, Target &target,
+                              const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
+                              Actions &actions)
+{
+    if (const auto victim = findAdapterVictim(target, demands)) {
+        actions.emplace_back(makeOrder(target, swap::OrderKind::Unload, *victim, {}));
         return;
     }
-    if (const auto victim = findAdapterVictim(*best, demands))
-        actions.emplace_back(makeOrder(*best, swap::OrderKind::Unload, *victim, {}));
-    else
-        best->tracker.requestProof();
+    target.tracker.requestProof();
+    const core::ServiceId &service = target.tracker.entry().service;
+    const Engine *engine = engineOf(service);
+    const ModelFigures *model = figuresOf(service, adapter.model);
+    if (!engine || !model || usedAdapterSlots(target) >= engine->figures.adapterSlots)
+        return;
+    const std::uint64_t missing = usedMb(target) + model->adapterMb - engine->figures.weightsMb;
+    Option option;
+    option.target = &target;
+    if (addVictims(option, {.service = service, .model = adapter.model}, missing, survey(now), now))
+        evictModel(target, option.victims.front(), actions);
 }
 
 std::optional<Artifact>
--- a/packages/decisions/tests/serving/SwapPlannerTest.cpp
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -22,6 +22,8 @@
 const core::ServiceId kService {"engine"};
 constexpr std::uint64_t kWeightsMb = 200'000;
 constexpr std::uint32_t kAdapterSlots = 4;
+/// Large enough that the adapters of a target with three models may not fit.
+constexpr std::uint64_t kAdapterMb = 6'000;
 constexpr std::uint32_t kModels = 14;
 constexpr std::uint32_t kTargets = 4;
 
@@ -50,14 +52,14 @@
     engine.storeLoadsPerSecond = 3;
     for (std::uint64_t i = 0; i < kModels; ++i) {
         const core::ModelId model = modelOf(i);
-        engine.models.push_back({model, weightsOf(model), 70, 8, 6000ms, 800ms, 500ms});
+        engine.models.push_back({model, weightsOf(model), kAdapterMb, 8, 6000ms, 800ms, 500ms});
     }
     return {kService, engine};
 }
 
 /// Simulates a target as specified by the platform: it executes one order for a model at a time and
-/// checks the expected sequence. An unload waits for the requests that use what it drops. Orders for
-/// adapters do not make the target busy. Orders can be delivered late.
+/// checks the expected sequence. An unload waits for the requests that use what it drops. Orders
+/// for adapters do not make the target busy. Orders can be delivered late.
 class FakeTarget
 {
 public:
@@ -115,7 +117,8 @@
                 apply(order);
                 return swap::OrderOutcome::AlreadyHeld;
             }
-            isOverloaded_ = isOverloaded_ || (isLoad && adapters() >= kAdapterSlots);
+            isOverloaded_ = isOverloaded_
+                || (isLoad && (adapters() >= kAdapterSlots || usedMb() + kAdapterMb > kWeightsMb));
             adapterOrders_.push_back({order, now + kAdapterLoadTime});
             return swap::OrderOutcome::Accepted;
         }
@@ -157,7 +160,7 @@
 private:
     std::uint64_t usedMb() const
     {
-        std::uint64_t used = 0;
+        std::uint64_t used = adapters() * kAdapterMb;
         for (const ModelReplica &replica : entry_.replicas)
             used += weightsOf(replica.model);
         return used;
@@ -366,6 +369,83 @@
     std::size_t orders_ = 0;
 };
 
+/// A planner before one target, which carries out orders at once.
+class SingleTarget
+{
+public:
+    explicit SingleTarget(std::vector<ModelReplica> replicas)
+        : entry_(FakeTarget(0).entry())
+        , planner_(chart())
+    {
+        entry_.replicas = std::move(replicas);
+        report_ = {1, 0, false, entry_.replicas, {}};
+        dispatch(swap::ServicesChanged {{makeService()}});
+        dispatch(swap::TargetsChanged {
+            std::make_shared<const TargetEntries>(TargetEntries {{entry_.target, entry_}})});
+        dispatch(swap::OrdersAllowed {true});
+    }
+
+    /// Lets requests wait for the artifacts.
+    void advance(milliseconds time, const std::vector<Artifact> &wanted)
+    {
+        std::vector<ArtifactDemand> demands;
+        for (const Artifact &artifact : wanted)
+            demands.push_back({artifact, kService, 1, 1, 0ms, 2500ms});
+        for (const core::TimePoint end = now_ + time; now_ < end;) {
+            now_ += 25ms;
+            dispatch(swap::DemandReported {{"n0"}, demands, {}});
+        }
+    }
+
+    void remove(const Artifact &artifact)
+    {
+        const auto replica =
+            std::ranges::find(report_.replicas, artifact.model, &ModelReplica::model);
+        if (artifact.isAdapter())
+            std::erase(replica->adapters, artifact.adapter);
+        else
+            report_.replicas.erase(replica);
+    }
+
+    std::vector<swap::SendOrder> orders;
+    /// Requests use the adapters, so that the target accepts to unload one but keeps it.
+    bool keepsAdapters = false;
+
+private:
+    void dispatch(const swap::Event &event)
+    {
+        for (const swap::Action &action : planner_.handle(event, now_))
+            std::visit([this](const auto &concrete) { perform(concrete); }, action);
+    }
+
+    void perform(const swap::SendOrder &order)
+    {
+        orders.push_back(order);
+        ++report_.orderSequence;
+        const Artifact &artifact = order.artifact;
+        if (order.kind == swap::OrderKind::Unload) {
+            if (!artifact.isAdapter() || !keepsAdapters)
+                remove(artifact);
+        } else if (artifact.isAdapter()) {
+            std::ranges::find(report_.replicas, artifact.model, &ModelReplica::model)
+                ->adapters.push_back(artifact.adapter);
+        } else {
+            report_.replicas.push_back({artifact.model, 1, {}});
+        }
+        dispatch(swap::OrderAnswered {order.target, order.order, swap::OrderOutcome::Accepted});
+    }
+
+    void perform(const swap::RequestTargetReport &)
+    {
+        dispatch(swap::TargetReportReceived {entry_.target, report_});
+    }
+
+    TargetEntry entry_;
+    SwapPlanner planner_;
+    TargetReport report_;
+    core::TimePoint now_ = core::TimePoint(1h);
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(SwapPlannerTest)
@@ -388,58 +468,46 @@
 // because their node is frozen: another adapter is then loaded into a place that is not free.
 BOOST_AUTO_TEST_CASE(unloadOfAnAdapterInUseFreesNoPlace)
 {
-    core::TimePoint now(1h);
-    SwapPlanner planner(chart());
-    TargetEntry entry = FakeTarget(0).entry();
-    entry.replicas = {{modelOf(0), 1, {{"a0"}, {"a1"}, {"a2"}, {"a3"}}}};
-    TargetReport report {1, 0, false, entry.replicas, {}};
-    std::vector<swap::SendOrder> orders;
-    const auto dispatch = [&](const swap::Event &event) {
-        std::vector<swap::Action> actions = planner.handle(event, now);
-        while (!actions.empty()) {
-            const swap::Action action = actions.front();
-            actions.erase(actions.begin());
-            std::vector<swap::Action> next;
-            if (const auto *order = std::get_if<swap::SendOrder>(&action)) {
-                orders.push_back(*order);
-                ++report.orderSequence;
-                next = planner.handle(swap::OrderAnswered {order->target, order->order,
-                                                           swap::OrderOutcome::Accepted},
-                                      now);
-            } else {
-                next = planner.handle(swap::TargetReportReceived {entry.target, report}, now);
-            }
-            actions.insert(actions.end(), next.begin(), next.end());
-        }
-    };
-    dispatch(swap::ServicesChanged {{makeService()}});
-    dispatch(swap::TargetsChanged {
-        std::make_shared<const TargetEntries>(TargetEntries {{entry.target, entry}})});
-    dispatch(swap::OrdersAllowed {true});
     const Artifact wanted {modelOf(0), {}, {"a9"}};
-    const auto advance = [&](milliseconds time) {
-        for (const core::TimePoint end = now + time; now < end;) {
-            now += 25ms;
-            dispatch(swap::DemandReported {{"n0"}, {{wanted, kService, 1, 1, 0ms, 2500ms}}, {}});
-        }
-    };
+    SingleTarget target({{modelOf(0), 1, {{"a0"}, {"a1"}, {"a2"}, {"a3"}}}});
+    target.keepsAdapters = true;
     // The target accepts each unload and waits for the requests that use the adapter.
-    advance(5s);
-    BOOST_REQUIRE(!orders.empty());
-    BOOST_TEST(orders.size() <= 2U);
-    for (const swap::SendOrder &order : orders)
+    target.advance(5s, {wanted});
+    BOOST_REQUIRE(!target.orders.empty());
+    BOOST_TEST(target.orders.size() <= 2U);
+    for (const swap::SendOrder &order : target.orders)
         BOOST_TEST((order.kind == swap::OrderKind::Unload));
     // The requests have ended.
-    std::erase(report.replicas.front().adapters, orders.front().artifact.adapter);
-    orders.clear();
-    advance(1s);
-    BOOST_REQUIRE(!orders.empty());
-    BOOST_TEST((orders.front().kind == swap::OrderKind::Load));
-    BOOST_TEST((orders.front().artifact == wanted));
+    target.remove(target.orders.front().artifact);
+    target.orders.clear();
+    target.advance(1s, {wanted});
+    BOOST_REQUIRE(!target.orders.empty());
+    BOOST_TEST((target.orders.front().kind == swap::OrderKind::Load));
+    BOOST_TEST((target.orders.front().artifact == wanted));
+}
+
+// Guards against an adapter that is loaded into a free place although the weights leave no memory
+// for it, and against requests that wait for it until their deadline because nothing is evicted.
+BOOST_AUTO_TEST_CASE(adapterWithoutMemoryEvictsAnIdleModel)
+{
+    const Artifact wanted {modelOf(0), {}, {"a9"}};
+    SingleTarget target({{modelOf(0), 1, {}}, {modelOf(1), 1, {}}, {modelOf(2), 1, {}}});
+    // 189,000 MB of 200,000 MB are used, so one adapter fits.
+    target.advance(500ms, {{modelOf(0), {}, {"a0"}}});
+    BOOST_REQUIRE(target.orders.size() == 1U);
+    BOOST_TEST((target.orders.front().kind == swap::OrderKind::Load));
+    target.orders.clear();
+    target.advance(5s, {{modelOf(0), {}, {"a0"}}, wanted});
+    BOOST_REQUIRE(target.orders.size() >= 2U);
+    BOOST_TEST((target.orders.front().kind == swap::OrderKind::Unload));
+    BOOST_TEST(!target.orders.front().artifact.isAdapter());
+    BOOST_TEST((target.orders.front().artifact.model != wanted.model));
+    BOOST_TEST((target.orders.back().kind == swap::OrderKind::Load));
+    BOOST_TEST((target.orders.back().artifact == wanted));
 }
 
-// Guards against the eviction of an adapter that a node used when it reported last, while others are
-// unused: its requests may still run, although it no longer reports.
+// Guards against the eviction of an adapter that a node used when it reported last, while others
+// are unused: its requests may still run, although it no longer reports.
 BOOST_AUTO_TEST_CASE(adaptersOfASilentNodeAreEvictedLast)
 {
     const core::TimePoint now(1h);
