--- a/packages/decisions/include/boragerack/decisions/AttemptMessages.h
+++ b/packages/decisions/include/boragerack/decisions/AttemptMessages.h
@@ -144,9 +144,8 @@
 {
     AttemptId attempt;
     core::TargetId target;
-    /// The connection must not have carried an earlier answer. A target may send one again where
-    /// the next answer is due, and the identity of the request does not tell it from the answer to
-    /// a second send.
+    /// The connection must not have carried an earlier answer. A faulty target may send one again
+    /// where the next answer is due, and both sends of a request have the same identity.
     bool mustBeNew = false;
     friend bool operator==(const OpenConnection &, const OpenConnection &) = default;
 };
--- a/packages/decisions/include/boragerack/decisions/serving/DemandTracker.h
+++ b/packages/decisions/include/boragerack/decisions/serving/DemandTracker.h
@@ -32,11 +32,12 @@
     /// Without `uses`, the requests in flight of the node are unchanged.
     void report(const core::InstanceId &node, const std::vector<ArtifactDemand> &demands,
                 const std::optional<std::vector<ArtifactInFlight>> &uses, core::TimePoint now);
-    /// Forgets the demand of a node, for instance because another node reports it.
+    /// Removes the demand of a node, for instance because another node reports it.
     void removeNode(const core::InstanceId &node);
-    /// A node no longer reports. Its requests may still run, so what they use is not free until
-    /// the node reports again or they must have ended.
+    /// Removes the demand of a node that no longer reports. Its requests may still run, so they
+    /// count as possible uses until the node reports again or they must have ended.
     void suspendNode(const core::InstanceId &node, core::TimePoint now);
+    /// Removes possible uses by requests that must have ended.
     void dropExpired(core::TimePoint now);
 
     /// Demand by artifact; only artifacts with waiting requests or requests in flight.
--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -126,7 +126,7 @@
     void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
     void placeAdapter(const Artifact &artifact, const std::map<Artifact, FleetDemand> &demands,
                       core::TimePoint now, Actions &actions);
-    /// Whether the target has a place and memory for the adapter.
+    /// Whether the target has an adapter slot and memory for the adapter.
     bool hasRoomFor(const Artifact &adapter, const Target &target) const;
     /// Evicts an adapter of the target or, if only memory is missing, another model.
     void makeRoomFor(const Artifact &adapter, Target &target,
--- a/packages/decisions/include/boragerack/decisions/serving/TargetTracker.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetTracker.h
@@ -70,7 +70,8 @@
     bool serves(const core::ModelId &model) const;
     bool servesAdapter(const Artifact &artifact) const;
     bool isLoading(const core::ModelId &model) const;
-    /// The target drops the adapter, which takes its place, when the requests that use it end.
+    /// The target unloads the adapter when the requests that use it end; until then it occupies an
+    /// adapter slot.
     bool isUnloading(const Artifact &adapter) const { return unloading_.contains(adapter); }
     /// The adapter may still be in transit. An order to unload it could overtake it, and it would
     /// then arrive all the same.
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -15,8 +15,8 @@
 constexpr std::chrono::milliseconds kLoadMargin(20);
 /// Load time of an adapter, whose size is some ten MB.
 constexpr std::chrono::milliseconds kAdapterLoadTime(20);
-/// Adapters of a target that wait for their last requests to end; more would be evicted for the
-/// same place.
+/// Maximum number of adapters of a target that are being unloaded; an unload that has to wait for
+/// requests must not cause more and more evictions.
 constexpr std::size_t kMaxUnloadingAdapters = 2;
 /// A model is not unloaded for this long after its load, so that the requests that waited for it
 /// can be sent to it.
@@ -224,7 +224,8 @@
             isServed = true;
             continue;
         }
-        // An adapter is loaded at once, even if the memory that counts as free is not free yet.
+        // A target does not check for free memory before it loads an adapter, so the memory that an
+        // assumed unload would free must not be used.
         if (!target.tracker.isIdle(now) || target.reservedFor || target.tracker.isUnloadAssumed()
             || target.tracker.isUnloading(artifact))
             continue;
--- a/packages/decisions/src/serving/TargetTracker.cpp
+++ b/packages/decisions/src/serving/TargetTracker.cpp
@@ -100,7 +100,7 @@
     acceptedAt_ = now;
     const swap::SendOrder &order = pending_->order;
     if (order.kind == swap::OrderKind::Unload && order.artifact.isAdapter()) {
-        // Requests use the adapter. Until a report shows that it is gone, it takes its place.
+        // Requests use the adapter. It occupies its slot until a report no longer lists it.
         unloading_.insert(order.artifact);
         pending_.reset();
         ++changes_;
@@ -132,8 +132,8 @@
         }
         return;
     }
-    // A report that is older than the last order proves nothing about it. After some time the count
-    // of the orders is wrong instead.
+    // A report with a lower count precedes the last order. After some time the count of this
+    // tracker must be wrong instead.
     const bool isOutdated =
         needsProof() && report->orderSequence < sequence_ && now - acceptedAt_ < kMaxOutdatedTime;
     if (report->isBusy || isOutdated) {
--- a/packages/node/src/PlacementTaskReports.cpp
+++ b/packages/node/src/PlacementTaskReports.cpp
@@ -43,8 +43,8 @@
     reportsInProgress_.insert(target);
     reportedAt_[target] = clock_.now();
     fibers_.start([this, target, address = engines_.at(target).address] {
-        // A kept connection could deliver an earlier report once more, which nothing tells from
-        // the current one.
+        // On a kept connection, a repeated earlier report could not be distinguished from the
+        // current one.
         const auto response =
             client_.call(address, {"GET", "/control/report", {}, ""}, clock_.now() + kReportTimeout,
                          runtime::ConnectionUse::SingleUse);
