Do not delay orders for a report that only proves an unload

Change: an idle target stays idle while such a report is on its way; the report is ignored if an order was sent meanwhile. Requests of nodes that no longer report count for the choice of an adapter only; the check of possiblyInFlight in adaptersOfASilentNodeAreEvictedLast leaves with that function, the other checks stay.

--- a/packages/decisions/include/boragerack/decisions/serving/DemandTracker.h
+++ b/packages/decisions/include/boragerack/decisions/serving/DemandTracker.h
@@ -42,8 +42,7 @@
 
     /// Demand by artifact; only artifacts with waiting requests or requests in flight.
     std::map<Artifact, FleetDemand> demands(core::TimePoint now) const;
-    /// Requests in flight, including those of nodes that no longer report.
-    std::uint32_t possiblyInFlight(const core::TargetId &target, const core::ModelId &model) const;
+    /// Whether requests use the adapter, including those of nodes that no longer report.
     bool isPossiblyInUse(const core::TargetId &target, const Artifact &artifact) const;
     std::uint32_t inFlight(const core::TargetId &target, const core::ModelId &model) const;
     std::uint32_t inFlight(const core::TargetId &target) const;
--- a/packages/decisions/src/serving/DemandTracker.cpp
+++ b/packages/decisions/src/serving/DemandTracker.cpp
@@ -128,17 +128,6 @@
     return result;
 }
 
-std::uint32_t DemandTracker::possiblyInFlight(const core::TargetId &target,
-                                              const core::ModelId &model) const
-{
-    std::uint32_t count = inFlight(target, model);
-    for (const auto &[node, suspended] : suspended_) {
-        for (const ArtifactInFlight &use : suspended.uses)
-            count += use.target == target && use.artifact.model == model ? use.inFlight : 0;
-    }
-    return count;
-}
-
 bool DemandTracker::isPossiblyInUse(const core::TargetId &target, const Artifact &artifact) const
 {
     if (artifactLoads_.contains(artifact))
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -158,7 +158,7 @@
 double SwapPlanner::evictionCost(const Target &target, const core::ModelId &model,
                                  const Survey &survey, core::TimePoint now) const
 {
-    const double inFlight = demandTracker_.possiblyInFlight(target.tracker.entry().target, model);
+    const double inFlight = demandTracker_.inFlight(target.tracker.entry().target, model);
     const auto seen = survey.models.find(model);
     const std::uint32_t replicas = seen == survey.models.end() ? 0 : seen->second.ready;
     const double rate = demandTracker_.rate(model, now);
@@ -199,7 +199,7 @@
 void SwapPlanner::evictModel(Target &target, const core::ModelId &victim, Actions &actions)
 {
     // An unload waits for requests in flight; without any it starts at once.
-    const bool isIdle = demandTracker_.possiblyInFlight(target.tracker.entry().target, victim) == 0;
+    const bool isIdle = demandTracker_.inFlight(target.tracker.entry().target, victim) == 0;
     actions.emplace_back(makeOrder(
         target, swap::OrderKind::Unload, {victim, {}, {}},
         {.duration = isIdle ? kIdleUnloadTime : kUnloadTime, .isDurationCertain = isIdle}));
--- a/packages/decisions/src/serving/TargetTracker.cpp
+++ b/packages/decisions/src/serving/TargetTracker.cpp
@@ -132,10 +132,13 @@
         }
         return;
     }
+    // An order was sent after the report had been requested.
+    if (chart_.state() == TargetOrderState::AwaitingAnswer)
+        return;
     // A report with a lower count precedes the last order. After some time the count of this
     // tracker must be wrong instead.
-    const bool isOutdated =
-        needsProof() && report->orderSequence < sequence_ && now - acceptedAt_ < kMaxOutdatedTime;
+    const bool isOutdated = chart_.state() == TargetOrderState::Idle
+        && report->orderSequence < sequence_ && now - acceptedAt_ < kMaxOutdatedTime;
     if (report->isBusy || isOutdated) {
         nextReportRequestAt_ = now + kReportInterval;
         fire(TargetOrderChartEvent::ReportedBusy, now);
--- a/packages/decisions/tests/serving/SwapPlannerTest.cpp
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -506,6 +506,46 @@
     BOOST_TEST((target.orders.back().artifact == wanted));
 }
 
+// Guards against a target that accepts no orders while a report is on its way that is only to prove
+// an earlier unload, and against such a report that replaces the order sent meanwhile.
+BOOST_AUTO_TEST_CASE(reportForAProofDelaysNoOrder)
+{
+    core::TimePoint now(1h);
+    TargetEntry entry = FakeTarget(0).entry();
+    TargetTracker tracker(chart(), entry, now);
+    const std::vector<ModelReplica> replicas {{modelOf(0), 1, {{"a0"}}}};
+    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
+    tracker.report(TargetReport {1, 0, false, replicas, {}}, now);
+    const Artifact adapter {modelOf(0), {}, {"a0"}};
+    tracker.begin({.order = {1, entry.target, {}, swap::OrderKind::Unload, adapter, 0}});
+    tracker.answer(swap::OrderOutcome::Accepted, now);
+    BOOST_TEST(tracker.isUnloading(adapter));
+    now += 2s;
+    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
+    BOOST_TEST(tracker.isIdle(now));
+    // Without an answer the target is asked again, and accepts orders meanwhile.
+    tracker.report(std::nullopt, now);
+    BOOST_TEST(tracker.isIdle(now));
+    now += 2s;
+    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
+    tracker.begin({.order = {2, entry.target, {}, swap::OrderKind::Load, {modelOf(1), {}, {}}, 1},
+                   .duration = 800ms,
+                   .isDurationCertain = true});
+    tracker.report(TargetReport {1, 1, false, replicas, {}}, now);
+    BOOST_REQUIRE(tracker.pending().has_value());
+    tracker.answer(swap::OrderOutcome::Accepted, now);
+    BOOST_TEST(tracker.isLoading(modelOf(1)));
+    now += 1s;
+    tracker.tick(now);
+    BOOST_TEST(tracker.serves(modelOf(1)));
+    BOOST_TEST(tracker.isUnloading(adapter));
+    now += 1s;
+    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
+    tracker.report(TargetReport {1, 2, false, {{modelOf(0), 1, {}}, {modelOf(1), 1, {}}}, {}}, now);
+    BOOST_TEST(!tracker.isUnloading(adapter));
+    BOOST_TEST(tracker.isIdle(now));
+}
+
 // Guards against the eviction of an adapter that a node used when it reported last, while others
 // are unused: its requests may still run, although it no longer reports.
 BOOST_AUTO_TEST_CASE(adaptersOfASilentNodeAreEvictedLast)
@@ -518,7 +558,6 @@
     BOOST_TEST(demands.isPossiblyInUse(target, used));
     demands.suspendNode({"n1"}, now);
     BOOST_TEST(demands.isPossiblyInUse(target, used));
-    BOOST_TEST(demands.possiblyInFlight(target, modelOf(0)) == 1U);
     // Requests that no node reports make no demand.
     BOOST_TEST(demands.demands(now).empty());
     BOOST_TEST(demands.loads().empty());
