Place an adapter where one can be evicted

Cause: the planner chose the target with the fewest adapters, the first of equals, and looked only there for an adapter to evict. Since an adapter that is being unloaded keeps its place, that target may have none to evict for a while; the request waited for it although others could have made room.

Change: all targets that serve the model are candidates, collected once for all adapters of a decision; the first with room, or else with an adapter to evict, gets the order.

Measured: adapterIsPlacedWhereOneCanBeEvicted fails without the change (no load in 5 s) and passes with it; decisionsTest passes whole.

--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -124,13 +124,17 @@
                           const Survey &survey) const;
     std::optional<double> rateOf(const Target &target) const;
     void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
-    void placeAdapter(const Artifact &artifact, const std::map<Artifact, FleetDemand> &demands,
-                      core::TimePoint now, Actions &actions);
+    void placeAdapters(const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
+                       Actions &actions);
+    /// `replicas` are the targets that serve the model of the adapter.
+    void placeAdapter(const Artifact &artifact, const std::vector<Target *> &replicas,
+                      const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
+                      Actions &actions);
     /// Whether the target has an adapter slot and memory for the adapter.
     bool hasRoomFor(const Artifact &adapter, const Target &target) const;
-    /// Evicts an adapter of the target or, if only memory is missing, another model.
-    void makeRoomFor(const Artifact &adapter, Target &target,
-                     const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
+    /// For a target without an adapter that may be evicted: checks whether adapters have arrived
+    /// that may be, and evicts another model if only memory is missing.
+    void makeRoomFor(const Artifact &adapter, Target &target, core::TimePoint now,
                      Actions &actions);
     void evictModel(Target &target, const core::ModelId &victim, Actions &actions);
     /// An adapter of the target that no request uses, or else one that only requests of a node that
--- a/packages/decisions/src/serving/SwapPlanner.cpp
+++ b/packages/decisions/src/serving/SwapPlanner.cpp
@@ -147,10 +147,7 @@
             && (!isWanted(*target.reservedFor, demands) || target.tracker.entry().isLeaving))
             target.reservedFor.reset();
     }
-    for (const auto &[artifact, demand] : demands) {
-        if (artifact.isAdapter() && demand.waiting > 0)
-            placeAdapter(artifact, demands, now, actions);
-    }
+    placeAdapters(demands, now, actions);
     Survey currentSurvey = survey(now);
     std::vector<Need> needs = modelNeeds(demands, currentSurvey);
     // Needs whose target latency can still be met go before late ones, then by the number of
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -205,20 +205,45 @@
         {.duration = isIdle ? kIdleUnloadTime : kUnloadTime, .isDurationCertain = isIdle}));
 }
 
-void SwapPlanner::placeAdapter(const Artifact &artifact,
+void SwapPlanner::placeAdapters(const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
+                                Actions &actions)
+{
+    std::map<core::ModelId, std::vector<Target *>> replicas;
+    for (auto &[id, target] : targets_) {
+        if (target.tracker.entry().isLeaving)
+            continue;
+        for (const auto &[model, holding] : target.tracker.holdings()) {
+            if (target.tracker.serves(model))
+                replicas[model].push_back(&target);
+        }
+    }
+    for (const auto &[artifact, demand] : demands) {
+        if (!artifact.isAdapter() || demand.waiting == 0)
+            continue;
+        if (const auto position = replicas.find(artifact.model); position != replicas.end())
+            placeAdapter(artifact, position->second, demands, now, actions);
+    }
+}
+
+void SwapPlanner::placeAdapter(const Artifact &artifact, const std::vector<Target *> &replicas,
                                const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
                                Actions &actions)
 {
-    Target *best = nullptr;
-    std::tuple<bool, bool, std::uint32_t> bestCost;
+    struct Candidate
+    {
+        Target *target;
+        bool isLimited;
+        bool hasRoom;
+        std::uint32_t usedSlots;
+    };
+    std::vector<Candidate> candidates;
     bool isServed = false;
-    for (auto &[id, target] : targets_) {
-        if (target.tracker.pending() && target.tracker.pending()->order.artifact == artifact)
+    for (Target *target : replicas) {
+        const TargetTracker &tracker = target->tracker;
+        if (tracker.pending() && tracker.pending()->order.artifact == artifact)
             return;
-        if (!target.tracker.serves(artifact.model) || target.tracker.entry().isLeaving)
-            continue;
-        const bool isLimited = rateOf(target).has_value();
-        if (target.tracker.servesAdapter(artifact)) {
+        const bool isLimited = rateOf(*target).has_value();
+        if (tracker.servesAdapter(artifact)) {
             if (!isLimited)
                 return;
             isServed = true;
@@ -226,24 +251,33 @@
         }
         // A target does not check for free memory before it loads an adapter, so the memory that an
         // assumed unload would free must not be used.
-        if (!target.tracker.isIdle(now) || target.reservedFor || target.tracker.isUnloadAssumed()
-            || target.tracker.isUnloading(artifact))
+        if (!tracker.isIdle(now) || !tracker.serves(artifact.model) || target->reservedFor
+            || tracker.isUnloadAssumed() || tracker.isUnloading(artifact))
             continue;
-        const std::tuple cost(isLimited, !hasRoomFor(artifact, target), usedAdapterSlots(target));
-        if (!best || cost < bestCost) {
-            best = &target;
-            bestCost = cost;
-        }
+        candidates.push_back(
+            {target, isLimited, hasRoomFor(artifact, *target), usedAdapterSlots(*target)});
     }
     // Another target with a limited rate would not help the requests that wait for one.
-    if (!best || (isServed && std::get<0>(bestCost)))
-        return;
-    if (hasRoomFor(artifact, *best)) {
-        actions.emplace_back(makeOrder(*best, swap::OrderKind::Load, artifact,
-                                       {.duration = kAdapterLoadTime, .isDurationCertain = true}));
-    } else {
-        makeRoomFor(artifact, *best, demands, now, actions);
+    if (isServed)
+        std::erase_if(candidates, &Candidate::isLimited);
+    std::ranges::stable_sort(candidates, {}, [](const Candidate &candidate) {
+        return std::tuple(candidate.isLimited, !candidate.hasRoom, candidate.usedSlots);
+    });
+    for (const Candidate &candidate : candidates) {
+        Target &target = *candidate.target;
+        if (candidate.hasRoom) {
+            actions.emplace_back(
+                makeOrder(target, swap::OrderKind::Load, artifact,
+                          {.duration = kAdapterLoadTime, .isDurationCertain = true}));
+            return;
+        }
+        if (const auto victim = findAdapterVictim(target, demands)) {
+            actions.emplace_back(makeOrder(target, swap::OrderKind::Unload, *victim, {}));
+            return;
+        }
     }
+    if (!candidates.empty())
+        makeRoomFor(artifact, *candidates.front().target, now, actions);
 }
 
 bool SwapPlanner::hasRoomFor(const Artifact &adapter, const Target &target) const
@@ -255,14 +289,9 @@
         && usedMb(target) + model->adapterMb <= engine->figures.weightsMb;
 }
 
-void SwapPlanner::makeRoomFor(const Artifact &adapter, Target &target,
-                              const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
+void SwapPlanner::makeRoomFor(const Artifact &adapter, Target &target, core::TimePoint now,
                               Actions &actions)
 {
-    if (const auto victim = findAdapterVictim(target, demands)) {
-        actions.emplace_back(makeOrder(target, swap::OrderKind::Unload, *victim, {}));
-        return;
-    }
     target.tracker.requestProof();
     const core::ServiceId &service = target.tracker.entry().service;
     const Engine *engine = engineOf(service);
--- a/packages/decisions/tests/serving/SwapPlannerTest.cpp
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -8,7 +8,7 @@
 
 #include <rapidcheck.h>
 
-#include "RequestCharts.h"
+#include "FakeTarget.h"
 #include "boragerack/core/SeededRandomSource.h"
 #include "boragerack/decisions/serving/SwapPlanner.h"
 
@@ -19,211 +19,8 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-const core::ServiceId kService {"engine"};
-constexpr std::uint64_t kWeightsMb = 200'000;
-constexpr std::uint32_t kAdapterSlots = 4;
-/// Large enough that the adapters of a target with three models may not fit.
-constexpr std::uint64_t kAdapterMb = 6'000;
-constexpr std::uint32_t kModels = 14;
 constexpr std::uint32_t kTargets = 4;
 
-core::ModelId modelOf(std::uint64_t index)
-{
-    return {"m" + std::to_string(index)};
-}
-
-std::uint64_t weightsOf(const core::ModelId &model)
-{
-    return model.value.back() % 2 == 0 ? 73'000 : 43'000;
-}
-
-std::shared_ptr<const TargetOrderBinding> chart()
-{
-    static const auto binding = shareBinding(bindTargetOrderChart(readChart("targetOrder")));
-    return binding;
-}
-
-ServingService makeService()
-{
-    EngineFigures engine;
-    engine.slots = 64;
-    engine.weightsMb = kWeightsMb;
-    engine.adapterSlots = kAdapterSlots;
-    engine.storeLoadsPerSecond = 3;
-    for (std::uint64_t i = 0; i < kModels; ++i) {
-        const core::ModelId model = modelOf(i);
-        engine.models.push_back({model, weightsOf(model), kAdapterMb, 8, 6000ms, 800ms, 500ms});
-    }
-    return {kService, engine};
-}
-
-/// Simulates a target as specified by the platform: it executes one order for a model at a time and
-/// checks the expected sequence. An unload waits for the requests that use what it drops. Orders
-/// for adapters do not make the target busy. Orders can be delivered late.
-class FakeTarget
-{
-public:
-    struct DelayedOrder
-    {
-        core::TimePoint at;
-        swap::SendOrder order;
-    };
-
-    explicit FakeTarget(std::uint64_t number)
-    {
-        entry_.target.value = "t" + std::to_string(number);
-        entry_.service = kService;
-        entry_.address = "10.0.0.1:1";
-        entry_.startedAt = 1;
-        for (std::uint64_t i = 0; i < kModels; ++i) {
-            // Some models are on no disk and must be loaded from the weight store.
-            if (i % 5 != 4)
-                entry_.onDisk.push_back(modelOf(i));
-        }
-    }
-
-    void tick(core::TimePoint now)
-    {
-        now_ = now;
-        if (current_ && now >= doneAt_ && !isInUse(*current_)) {
-            apply(*current_);
-            current_.reset();
-        }
-        std::erase_if(adapterOrders_, [&](const AdapterOrder &adapterOrder) {
-            const bool isDone = now >= adapterOrder.doneAt && !isInUse(adapterOrder.order);
-            if (isDone)
-                apply(adapterOrder.order);
-            return isDone;
-        });
-        while (!delayed_.empty() && delayed_.front().at <= now) {
-            deliver(delayed_.front().order, now);
-            delayed_.pop_front();
-        }
-    }
-
-    void deliverLater(const swap::SendOrder &order, core::TimePoint at)
-    {
-        delayed_.push_back({at, order});
-    }
-
-    swap::OrderOutcome deliver(const swap::SendOrder &order, core::TimePoint now)
-    {
-        if (current_ || order.expectedSequence != sequence_)
-            return swap::OrderOutcome::Conflict;
-        ++sequence_;
-        const bool isLoad = order.kind == swap::OrderKind::Load;
-        if (order.artifact.isAdapter()) {
-            if (!isLoad && !isInUse(order)) {
-                apply(order);
-                return swap::OrderOutcome::AlreadyHeld;
-            }
-            isOverloaded_ = isOverloaded_
-                || (isLoad && (adapters() >= kAdapterSlots || usedMb() + kAdapterMb > kWeightsMb));
-            adapterOrders_.push_back({order, now + kAdapterLoadTime});
-            return swap::OrderOutcome::Accepted;
-        }
-        if (isLoad) {
-            isOverloaded_ =
-                isOverloaded_ || usedMb() + weightsOf(order.artifact.model) > kWeightsMb;
-            const bool isOnDisk =
-                std::ranges::find(entry_.onDisk, order.artifact.model) != entry_.onDisk.end();
-            storeLoads_ += isOnDisk ? 0 : 1;
-            doneAt_ = now + (isOnDisk ? 800ms : 6000ms);
-        } else {
-            doneAt_ = now + 20ms;
-        }
-        current_ = order;
-        return swap::OrderOutcome::Accepted;
-    }
-
-    TargetReport report() const
-    {
-        TargetReport report {1, sequence_, current_.has_value(), entry_.replicas, {}};
-        for (const AdapterOrder &adapterOrder : adapterOrders_) {
-            if (adapterOrder.order.kind == swap::OrderKind::Load)
-                report.arriving.push_back(adapterOrder.order.artifact);
-        }
-        return report;
-    }
-
-    /// Requests use the model or adapter until that time.
-    void use(const Artifact &artifact, core::TimePoint until)
-    {
-        usedUntil_[artifact] = std::max(usedUntil_[artifact], until);
-    }
-
-    const TargetEntry &entry() const { return entry_; }
-    bool isOverloaded() const { return isOverloaded_; }
-    int storeLoads() const { return storeLoads_; }
-    bool holds(const core::ModelId &model) const { return entry_.holds({model, {}, {}}); }
-
-private:
-    std::uint64_t usedMb() const
-    {
-        std::uint64_t used = adapters() * kAdapterMb;
-        for (const ModelReplica &replica : entry_.replicas)
-            used += weightsOf(replica.model);
-        return used;
-    }
-
-    bool isInUse(const swap::SendOrder &order) const
-    {
-        return order.kind == swap::OrderKind::Unload
-            && std::ranges::any_of(usedUntil_, [&](const auto &item) {
-                   const auto &[artifact, until] = item;
-                   return now_ < until && artifact.model == order.artifact.model
-                       && (!order.artifact.isAdapter() || artifact == order.artifact);
-               });
-    }
-
-    /// Places taken, by adapters in transit too.
-    std::size_t adapters() const
-    {
-        std::size_t count = static_cast<std::size_t>(
-            std::ranges::count(adapterOrders_, swap::OrderKind::Load,
-                               [](const AdapterOrder &each) { return each.order.kind; }));
-        for (const ModelReplica &replica : entry_.replicas)
-            count += replica.adapters.size();
-        return count;
-    }
-
-    void apply(const swap::SendOrder &order)
-    {
-        const Artifact &artifact = order.artifact;
-        auto replica = std::ranges::find(entry_.replicas, artifact.model, &ModelReplica::model);
-        const bool isLoad = order.kind == swap::OrderKind::Load;
-        if (!artifact.isAdapter() && isLoad && replica == entry_.replicas.end())
-            entry_.replicas.push_back({artifact.model, 1, {}});
-        else if (!artifact.isAdapter() && !isLoad && replica != entry_.replicas.end())
-            entry_.replicas.erase(replica);
-        else if (artifact.isAdapter() && replica != entry_.replicas.end()) {
-            if (isLoad)
-                replica->adapters.push_back(artifact.adapter);
-            else
-                std::erase(replica->adapters, artifact.adapter);
-        }
-    }
-
-    struct AdapterOrder
-    {
-        swap::SendOrder order;
-        core::TimePoint doneAt;
-    };
-
-    static constexpr milliseconds kAdapterLoadTime {150};
-
-    TargetEntry entry_;
-    std::uint64_t sequence_ = 0;
-    core::TimePoint now_ = {};
-    std::map<Artifact, core::TimePoint> usedUntil_;
-    std::vector<AdapterOrder> adapterOrders_;
-    std::optional<swap::SendOrder> current_;
-    core::TimePoint doneAt_ = {};
-    std::deque<DelayedOrder> delayed_;
-    bool isOverloaded_ = false;
-    int storeLoads_ = 0;
-};
-
 /// Simulates one planner with a few targets and random demand. With faults, orders are lost,
 /// duplicated or delayed, and the planner is sometimes replaced, as after the crash of its node.
 class PlannerSimulation
@@ -285,7 +82,7 @@
 private:
     void startPlanner()
     {
-        planner_ = std::make_unique<SwapPlanner>(chart());
+        planner_ = std::make_unique<SwapPlanner>(makeTargetOrderChart());
         dispatch(swap::ServicesChanged {{makeService()}});
         dispatch(swap::TargetsChanged {entries()});
         dispatch(swap::OrdersAllowed {true});
@@ -369,83 +166,6 @@
     std::size_t orders_ = 0;
 };
 
-/// A planner before one target, which carries out orders at once.
-class SingleTarget
-{
-public:
-    explicit SingleTarget(std::vector<ModelReplica> replicas)
-        : entry_(FakeTarget(0).entry())
-        , planner_(chart())
-    {
-        entry_.replicas = std::move(replicas);
-        report_ = {1, 0, false, entry_.replicas, {}};
-        dispatch(swap::ServicesChanged {{makeService()}});
-        dispatch(swap::TargetsChanged {
-            std::make_shared<const TargetEntries>(TargetEntries {{entry_.target, entry_}})});
-        dispatch(swap::OrdersAllowed {true});
-    }
-
-    /// Lets requests wait for the artifacts.
-    void advance(milliseconds time, const std::vector<Artifact> &wanted)
-    {
-        std::vector<ArtifactDemand> demands;
-        for (const Artifact &artifact : wanted)
-            demands.push_back({artifact, kService, 1, 1, 0ms, 2500ms});
-        for (const core::TimePoint end = now_ + time; now_ < end;) {
-            now_ += 25ms;
-            dispatch(swap::DemandReported {{"n0"}, demands, {}});
-        }
-    }
-
-    void remove(const Artifact &artifact)
-    {
-        const auto replica =
-            std::ranges::find(report_.replicas, artifact.model, &ModelReplica::model);
-        if (artifact.isAdapter())
-            std::erase(replica->adapters, artifact.adapter);
-        else
-            report_.replicas.erase(replica);
-    }
-
-    std::vector<swap::SendOrder> orders;
-    /// Requests use the adapters, so that the target accepts to unload one but keeps it.
-    bool keepsAdapters = false;
-
-private:
-    void dispatch(const swap::Event &event)
-    {
-        for (const swap::Action &action : planner_.handle(event, now_))
-            std::visit([this](const auto &concrete) { perform(concrete); }, action);
-    }
-
-    void perform(const swap::SendOrder &order)
-    {
-        orders.push_back(order);
-        ++report_.orderSequence;
-        const Artifact &artifact = order.artifact;
-        if (order.kind == swap::OrderKind::Unload) {
-            if (!artifact.isAdapter() || !keepsAdapters)
-                remove(artifact);
-        } else if (artifact.isAdapter()) {
-            std::ranges::find(report_.replicas, artifact.model, &ModelReplica::model)
-                ->adapters.push_back(artifact.adapter);
-        } else {
-            report_.replicas.push_back({artifact.model, 1, {}});
-        }
-        dispatch(swap::OrderAnswered {order.target, order.order, swap::OrderOutcome::Accepted});
-    }
-
-    void perform(const swap::RequestTargetReport &)
-    {
-        dispatch(swap::TargetReportReceived {entry_.target, report_});
-    }
-
-    TargetEntry entry_;
-    SwapPlanner planner_;
-    TargetReport report_;
-    core::TimePoint now_ = core::TimePoint(1h);
-};
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(SwapPlannerTest)
@@ -464,111 +184,6 @@
     BOOST_TEST(passed);
 }
 
-// Guards against an adapter whose unload counts as done although requests use it, which are unknown
-// because their node is frozen: another adapter is then loaded into a place that is not free.
-BOOST_AUTO_TEST_CASE(unloadOfAnAdapterInUseFreesNoPlace)
-{
-    const Artifact wanted {modelOf(0), {}, {"a9"}};
-    SingleTarget target({{modelOf(0), 1, {{"a0"}, {"a1"}, {"a2"}, {"a3"}}}});
-    target.keepsAdapters = true;
-    // The target accepts each unload and waits for the requests that use the adapter.
-    target.advance(5s, {wanted});
-    BOOST_REQUIRE(!target.orders.empty());
-    BOOST_TEST(target.orders.size() <= 2U);
-    for (const swap::SendOrder &order : target.orders)
-        BOOST_TEST((order.kind == swap::OrderKind::Unload));
-    // The requests have ended.
-    target.remove(target.orders.front().artifact);
-    target.orders.clear();
-    target.advance(1s, {wanted});
-    BOOST_REQUIRE(!target.orders.empty());
-    BOOST_TEST((target.orders.front().kind == swap::OrderKind::Load));
-    BOOST_TEST((target.orders.front().artifact == wanted));
-}
-
-// Guards against an adapter that is loaded into a free place although the weights leave no memory
-// for it, and against requests that wait for it until their deadline because nothing is evicted.
-BOOST_AUTO_TEST_CASE(adapterWithoutMemoryEvictsAnIdleModel)
-{
-    const Artifact wanted {modelOf(0), {}, {"a9"}};
-    SingleTarget target({{modelOf(0), 1, {}}, {modelOf(1), 1, {}}, {modelOf(2), 1, {}}});
-    // 189,000 MB of 200,000 MB are used, so one adapter fits.
-    target.advance(500ms, {{modelOf(0), {}, {"a0"}}});
-    BOOST_REQUIRE(target.orders.size() == 1U);
-    BOOST_TEST((target.orders.front().kind == swap::OrderKind::Load));
-    target.orders.clear();
-    target.advance(5s, {{modelOf(0), {}, {"a0"}}, wanted});
-    BOOST_REQUIRE(target.orders.size() >= 2U);
-    BOOST_TEST((target.orders.front().kind == swap::OrderKind::Unload));
-    BOOST_TEST(!target.orders.front().artifact.isAdapter());
-    BOOST_TEST((target.orders.front().artifact.model != wanted.model));
-    BOOST_TEST((target.orders.back().kind == swap::OrderKind::Load));
-    BOOST_TEST((target.orders.back().artifact == wanted));
-}
-
-// Guards against a target that accepts no orders while a report is on its way that is only to prove
-// an earlier unload, and against such a report that replaces the order sent meanwhile.
-BOOST_AUTO_TEST_CASE(reportForAProofDelaysNoOrder)
-{
-    core::TimePoint now(1h);
-    TargetEntry entry = FakeTarget(0).entry();
-    TargetTracker tracker(chart(), entry, now);
-    const std::vector<ModelReplica> replicas {{modelOf(0), 1, {{"a0"}}}};
-    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
-    tracker.report(TargetReport {1, 0, false, replicas, {}}, now);
-    const Artifact adapter {modelOf(0), {}, {"a0"}};
-    tracker.begin({.order = {1, entry.target, {}, swap::OrderKind::Unload, adapter, 0}});
-    tracker.answer(swap::OrderOutcome::Accepted, now);
-    BOOST_TEST(tracker.isUnloading(adapter));
-    now += 2s;
-    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
-    BOOST_TEST(tracker.isIdle(now));
-    // Without an answer the target is asked again, and accepts orders meanwhile.
-    tracker.report(std::nullopt, now);
-    BOOST_TEST(tracker.isIdle(now));
-    now += 2s;
-    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
-    tracker.begin({.order = {2, entry.target, {}, swap::OrderKind::Load, {modelOf(1), {}, {}}, 1},
-                   .duration = 800ms,
-                   .isDurationCertain = true});
-    tracker.report(TargetReport {1, 1, false, replicas, {}}, now);
-    BOOST_REQUIRE(tracker.pending().has_value());
-    tracker.answer(swap::OrderOutcome::Accepted, now);
-    BOOST_TEST(tracker.isLoading(modelOf(1)));
-    now += 1s;
-    tracker.tick(now);
-    BOOST_TEST(tracker.serves(modelOf(1)));
-    BOOST_TEST(tracker.isUnloading(adapter));
-    now += 1s;
-    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
-    tracker.report(TargetReport {1, 2, false, {{modelOf(0), 1, {}}, {modelOf(1), 1, {}}}, {}}, now);
-    BOOST_TEST(!tracker.isUnloading(adapter));
-    BOOST_TEST(tracker.isIdle(now));
-}
-
-// Guards against the eviction of an adapter that a node used when it reported last, while others
-// are unused: its requests may still run, although it no longer reports.
-BOOST_AUTO_TEST_CASE(adaptersOfASilentNodeAreEvictedLast)
-{
-    const core::TimePoint now(1h);
-    const core::TargetId target {"t0"};
-    const Artifact used {modelOf(0), {}, {"a0"}};
-    DemandTracker demands;
-    demands.report({"n1"}, {}, std::vector<ArtifactInFlight> {{target, used, 1}}, now);
-    BOOST_TEST(demands.isPossiblyInUse(target, used));
-    demands.suspendNode({"n1"}, now);
-    BOOST_TEST(demands.isPossiblyInUse(target, used));
-    // Requests that no node reports make no demand.
-    BOOST_TEST(demands.demands(now).empty());
-    BOOST_TEST(demands.loads().empty());
-    // The node reports again, or its requests must have ended.
-    DemandTracker returned = demands;
-    returned.report({"n1"}, {}, std::vector<ArtifactInFlight>(), now + 5s);
-    BOOST_TEST(!returned.isPossiblyInUse(target, used));
-    demands.dropExpired(now + 60s);
-    BOOST_TEST(!demands.isPossiblyInUse(target, used));
-}
-
 // Guards against more loads from the weight store than its load rate allows.
 BOOST_AUTO_TEST_CASE(storeRateIsKept)
 {
@@ -600,7 +215,7 @@
 {
     constexpr std::size_t kTargetCount = 94;
     core::TimePoint now(1h);
-    SwapPlanner planner(chart());
+    SwapPlanner planner(makeTargetOrderChart());
     planner.handle(swap::ServicesChanged {{makeService()}}, now);
     TargetEntries entries;
     for (std::uint64_t i = 0; i < kTargetCount; ++i) {
@@ -638,7 +253,7 @@
 {
 public:
     explicit OverloadedModel(bool isCachedOnSecond)
-        : planner_(chart())
+        : planner_(makeTargetOrderChart())
     {
         ServingService service = makeService();
         service.engine->slots = 12;
