Publish a placement only if a report changes it

Cause: each report of a target counted as a change of its placement, which the coordinator sends to all nodes. Reports that only prove an unload made more of them, most without news.

Change: the tracker compares what it serves before and after the report.

Measured: AdapterPlacementTest/reportWithoutNewsChangesNoPlacement; decisionsTest passes whole.

--- a/packages/decisions/src/serving/TargetTracker.cpp
+++ b/packages/decisions/src/serving/TargetTracker.cpp
@@ -144,11 +144,15 @@
         fire(TargetOrderChartEvent::ReportedBusy, now);
         return;
     }
+    const std::vector<Artifact> served = servedArtifacts();
     // An order without a response has been executed, or it will fail after the next order, because
     // both expect the same sequence.
     pending_.reset();
     fire(TargetOrderChartEvent::Reported, now);
     adopt(*report, now);
+    // All nodes receive each change.
+    if (servedArtifacts() != served)
+        ++changes_;
     nextReportRequestAt_ = now + kProofInterval;
 }
 
@@ -290,7 +294,6 @@
         holding.adapters = {replica.adapters.begin(), replica.adapters.end()};
     }
     holdings_ = std::move(holdings);
-    ++changes_;
 }
 
 bool TargetTracker::isEffectVisible(const std::vector<ModelReplica> &replicas) const
--- a/packages/decisions/tests/serving/AdapterPlacementTest.cpp
+++ b/packages/decisions/tests/serving/AdapterPlacementTest.cpp
@@ -194,6 +194,30 @@
     BOOST_TEST(tracker.isIdle(now));
 }
 
+// Guards against an update to all nodes for each report that shows nothing new.
+BOOST_AUTO_TEST_CASE(reportWithoutNewsChangesNoPlacement)
+{
+    core::TimePoint now(1h);
+    TargetEntry entry = FakeTarget(0).entry();
+    TargetTracker tracker(makeTargetOrderChart(), entry, now);
+    const std::vector<ModelReplica> replicas {{modelOf(0), 1, {{"a0"}}}};
+    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
+    tracker.report(TargetReport {1, 0, false, replicas, {}}, now);
+    const Artifact adapter {modelOf(0), {}, {"a0"}};
+    tracker.begin({.order = {1, entry.target, {}, swap::OrderKind::Unload, adapter, 0}});
+    tracker.answer(swap::OrderOutcome::Accepted, now);
+    const std::uint64_t changes = tracker.changes();
+    now += 2s;
+    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
+    tracker.report(TargetReport {1, 1, false, replicas, {}}, now);
+    BOOST_TEST(tracker.isUnloading(adapter));
+    BOOST_TEST(tracker.changes() == changes);
+    now += 2s;
+    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
+    tracker.report(TargetReport {1, 1, false, {{modelOf(0), 1, {}}, {modelOf(1), 1, {}}}, {}}, now);
+    BOOST_TEST(tracker.changes() > changes);
+}
+
 // Guards against the eviction of an adapter that a node used when it reported last, while others
 // are unused: its requests may still run, although it no longer reports.
 BOOST_AUTO_TEST_CASE(adaptersOfASilentNodeAreEvictedLast)
