Count a lost connection as a crash only if the target does not answer

Cause: behind the platform's front end each loss of a connection under a request counted as a crash of its target.

Change: CrashCheckTask asks the target for its report before a loss is reported; the chart "connection", with the repeated probe, decides. The same process answers: no crash. It refuses, another process answers, or nothing comes for 0.5 s: a crash, as before. Plain services are not asked.

--- a/packages/gateway/include/boragerack/gateway/GatewayCharts.h
+++ b/packages/gateway/include/boragerack/gateway/GatewayCharts.h
@@ -5,6 +5,7 @@
 
 #include "boragerack/core/Result.h"
 #include "boragerack/decisions/AttemptChart.h"
+#include "boragerack/decisions/ConnectionChart.h"
 #include "boragerack/decisions/FreshnessMonitor.h"
 #include "boragerack/decisions/NodeChart.h"
 #include "boragerack/decisions/serving/CoordinatorChart.h"
@@ -17,6 +18,7 @@
 struct GatewayCharts
 {
     std::shared_ptr<const decisions::AttemptBinding> attempt;
+    std::shared_ptr<const decisions::ConnectionBinding> connection;
     std::shared_ptr<const decisions::NodeBinding> node;
     std::shared_ptr<const decisions::FreshnessMonitor::Binding> freshness;
     std::shared_ptr<const decisions::CoordinatorBinding> coordinator;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -9,6 +9,7 @@
 #include "AddressHandler.h"
 #include "ConfigurationTask.h"
 #include "CoordinatorTask.h"
+#include "CrashCheckTask.h"
 #include "FleetSecret.h"
 #include "GatewayRequestHandler.h"
 #include "InstrumentedServingSource.h"
@@ -197,10 +198,11 @@
         , coordinator(settings.instance, lease, configuration, dependencies.control,
                       charts.targetOrder, settings.quotaTolerance, clock, metrics)
         , routing(self, routingLimitsOf(settings), clock, random, metrics)
+        , crashChecks(charts.connection, dependencies.control, routing)
         , reports(self, lease, coordinator, routing, configuration, clock)
         , lifecycle(charts.node, stopTimesOf(settings), configuration, clock)
-        , requestHandler({charts, dependencies.protocol, configuration, lifecycle, routing, client,
-                          clock, metrics},
+        , requestHandler({charts, dependencies.protocol, configuration, lifecycle, routing,
+                          crashChecks, client, clock, metrics},
                          lifecycle)
         , addressHandler(dependencies.protocol, routing, lifecycle, self, settings.addressLifetime)
         , metricsHandler(metrics)
@@ -235,6 +237,7 @@
     LeaseTask lease;
     CoordinatorTask coordinator;
     RoutingTask routing;
+    CrashCheckTask crashChecks;
     ReportTask reports;
     LifecycleTask lifecycle;
     GatewayRequestHandler requestHandler;
@@ -263,6 +266,7 @@
                 runtime::logEvent(runtime::LogEvent::MessageDropped, "message=report");
         },
         [this](RoutingTask::Relay relay) { return relayToTasks(std::move(relay)); });
+    crashChecks.start();
     reports.start();
     coordinator.start(routing.fleet());
     lifecycle.start([this] {
--- a/packages/gateway/src/GatewayCharts.cpp
+++ b/packages/gateway/src/GatewayCharts.cpp
@@ -9,6 +9,8 @@
     charts::ChartLoader loader(directory);
     GatewayCharts result;
     result.attempt = loader.load<decisions::AttemptBinding>("attempt", decisions::bindAttemptChart);
+    result.connection =
+        loader.load<decisions::ConnectionBinding>("connection", decisions::bindConnectionChart);
     result.node = loader.load<decisions::NodeBinding>("node", decisions::bindNodeChart);
     result.coordinator =
         loader.load<decisions::CoordinatorBinding>("coordinator", decisions::bindCoordinatorChart);
--- a/packages/gateway/src/RequestExecution.h
+++ b/packages/gateway/src/RequestExecution.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "ConfigurationTask.h"
+#include "CrashCheckTask.h"
 #include "LifecycleTask.h"
 #include "RoutingTask.h"
 #include "boragerack/decisions/AttemptController.h"
@@ -27,6 +28,7 @@
     const ConfigurationTask &configuration;
     const LifecycleTask &lifecycle;
     RoutingTask &routing;
+    CrashCheckTask &crashChecks;
     runtime::HttpClient &client;
     const core::Clock &clock;
     runtime::Metrics &metrics;
--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -153,9 +153,13 @@
 void RequestExecution::reportCrash()
 {
     const std::string process = grant_->target.value + "/" + std::to_string(grant_->startedAt);
-    if (!dependencies_.routing.trySend(RequestCrashReported {
-            suspects(), {attemptId(), process, sentAt_, dependencies_.clock.now()}}))
-        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=request_crash_reported");
+    CrashSuspected suspected {
+        {suspects(), {attemptId(), process, sentAt_, dependencies_.clock.now()}},
+        grant_->target,
+        grant_->address,
+        grant_->startedAt};
+    if (!dependencies_.crashChecks.trySend(std::move(suspected)))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=crash_suspected");
 }
 
 void RequestExecution::failAttempt()
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -35,6 +35,7 @@
     RetryRefused = 1406,
     CrashesReportedAgain = 1407,
     BuffersExhausted = 1408,
+    CrashDisproved = 1409,
     PeerConnected = 1501,
     PeerLost = 1502,
     PeerRejected = 1503,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -88,6 +88,8 @@
         return {Severity::Info, "crashes reported again"};
     case LogEvent::BuffersExhausted:
         return {Severity::Warning, "memory for bodies is used up"};
+    case LogEvent::CrashDisproved:
+        return {Severity::Info, "target still runs"};
     case LogEvent::PeerConnected:
         return {Severity::Info, "peer connected"};
     case LogEvent::PeerLost:
