--- a/packages/gateway/tests/CrashCheckTaskTest.cpp
+++ b/packages/gateway/tests/CrashCheckTaskTest.cpp
@@ -58,7 +58,7 @@
             return core::Error {core::ErrorCode::DeadlineExceeded, core::Verdict::MayHaveRun,
                                 "no answer", 0ms};
         }
-        const auto answer = answers.front();
+        auto answer = answers.front();
         answers.pop_front();
         return answer;
     }
@@ -90,7 +90,8 @@
         message.answer = answer;
         message.update.versions = {.term = 1, .members = 1, .targets = 1};
         message.reportedAt = clock.now();
-        BOOST_REQUIRE(routing.trySend(std::move(message)));
+        const bool isSent = routing.trySend(std::move(message));
+        BOOST_REQUIRE(isSent);
     }
 
     /// Reports a lost connection. `isPrompt`: a part of the prompt is suspected as well.
@@ -106,7 +107,8 @@
         message.target = {"t"};
         message.address = "t:1";
         message.startedAt = kStartedAt;
-        BOOST_REQUIRE(checks.trySend(std::move(message)));
+        const bool isSent = checks.trySend(std::move(message));
+        BOOST_REQUIRE(isSent);
     }
 
     /// Waits for a crash in a report of the node, for longer than a check takes.
