--- a/packages/decisions/tests/serving/SwapPlannerTest.cpp
+++ b/packages/decisions/tests/serving/SwapPlannerTest.cpp
@@ -1,8 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <deque>
-#include <map>
+#include <memory>
 #include <set>
 #include <utility>
 
