Look for an adapter to evict once for each target and decision

Cause: since each waiting adapter searched each full replica for an adapter to evict, although the result does not depend on the waiting adapter. One more check there could never apply: a replica that stops serving the model within a decision has an order and is not idle.

Ruled out: a change of behaviour; a target changes within a decision only by an order, and is not a candidate afterwards.

Change: the targets without such an adapter are remembered for the decision, beside the replicas.

Measured: SwapPlannerTest and AdapterPlacementTest pass unchanged. The cost was not measured.

--- a/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
+++ b/packages/decisions/include/boragerack/decisions/serving/SwapPlanner.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "boragerack/core/Clock.h"
@@ -71,6 +72,16 @@
         std::size_t openOrders = 0;
     };
 
+    /// What the adapters of one decision have in common. A target that gets an order is not idle
+    /// afterwards, so both remain true until the end of the decision.
+    struct AdapterSurvey
+    {
+        /// Targets that serve a model and are not leaving.
+        std::map<core::ModelId, std::vector<Target *>> replicas;
+        /// Targets without an adapter that may be evicted.
+        std::set<const Target *> withoutVictim;
+    };
+
     /// A model that needs one more replica.
     struct Need
     {
@@ -126,8 +137,7 @@
     void placeModel(const Need &need, Survey &survey, core::TimePoint now, Actions &actions);
     void placeAdapters(const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
                        Actions &actions);
-    /// `replicas` are the targets that serve the model of the adapter.
-    void placeAdapter(const Artifact &artifact, const std::vector<Target *> &replicas,
+    void placeAdapter(const Artifact &artifact, AdapterSurvey &survey,
                       const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
                       Actions &actions);
     /// Whether the target has an adapter slot and memory for the adapter.
--- a/packages/decisions/src/serving/SwapPlannerPlacing.cpp
+++ b/packages/decisions/src/serving/SwapPlannerPlacing.cpp
@@ -208,24 +208,22 @@
 void SwapPlanner::placeAdapters(const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
                                 Actions &actions)
 {
-    std::map<core::ModelId, std::vector<Target *>> replicas;
+    AdapterSurvey survey;
     for (auto &[id, target] : targets_) {
         if (target.tracker.entry().isLeaving)
             continue;
         for (const auto &[model, holding] : target.tracker.holdings()) {
             if (target.tracker.serves(model))
-                replicas[model].push_back(&target);
+                survey.replicas[model].push_back(&target);
         }
     }
     for (const auto &[artifact, demand] : demands) {
-        if (!artifact.isAdapter() || demand.waiting == 0)
-            continue;
-        if (const auto position = replicas.find(artifact.model); position != replicas.end())
-            placeAdapter(artifact, position->second, demands, now, actions);
+        if (artifact.isAdapter() && demand.waiting > 0)
+            placeAdapter(artifact, survey, demands, now, actions);
     }
 }
 
-void SwapPlanner::placeAdapter(const Artifact &artifact, const std::vector<Target *> &replicas,
+void SwapPlanner::placeAdapter(const Artifact &artifact, AdapterSurvey &survey,
                                const std::map<Artifact, FleetDemand> &demands, core::TimePoint now,
                                Actions &actions)
 {
@@ -238,7 +236,7 @@
     };
     std::vector<Candidate> candidates;
     bool isServed = false;
-    for (Target *target : replicas) {
+    for (Target *target : survey.replicas[artifact.model]) {
         const TargetTracker &tracker = target->tracker;
         if (tracker.pending() && tracker.pending()->order.artifact == artifact)
             return;
@@ -251,8 +249,8 @@
         }
         // A target does not check for free memory before it loads an adapter, so the memory that an
         // assumed unload would free must not be used.
-        if (!tracker.isIdle(now) || !tracker.serves(artifact.model) || target->reservedFor
-            || tracker.isUnloadAssumed() || tracker.isUnloading(artifact))
+        if (!tracker.isIdle(now) || target->reservedFor || tracker.isUnloadAssumed()
+            || tracker.isUnloading(artifact))
             continue;
         candidates.push_back(
             {target, isLimited, hasRoomFor(artifact, *target), usedAdapterSlots(*target)});
@@ -271,10 +269,13 @@
                           {.duration = kAdapterLoadTime, .isDurationCertain = true}));
             return;
         }
+        if (survey.withoutVictim.contains(&target))
+            continue;
         if (const auto victim = findAdapterVictim(target, demands)) {
             actions.emplace_back(makeOrder(target, swap::OrderKind::Unload, *victim, {}));
             return;
         }
+        survey.withoutVictim.insert(&target);
     }
     if (!candidates.empty())
         makeRoomFor(artifact, *candidates.front().target, now, actions);
