Keep the delay between probes in the connection's limits

Cause: both front ends had a constant of their own for the same delay, and CrashCheckTask a function for limits that are constant. Ruled out: different values, both were 20 ms. Change: ConnectionLimits::probeRepeat. Measured: ConnectionMonitorTest, AttemptModelTest, CrashCheckTaskTest, CrashingPromptTest and the crash cases of nodeTest pass.

--- a/packages/decisions/include/boragerack/decisions/ConnectionMessages.h
+++ b/packages/decisions/include/boragerack/decisions/ConnectionMessages.h
@@ -19,6 +19,8 @@
     /// a large prompt can take this long.
     std::chrono::milliseconds inactivityWhileWorking = std::chrono::seconds(10);
     std::chrono::milliseconds probe = std::chrono::seconds(1);
+    /// Delay between a probe that was lost and the next one.
+    std::chrono::milliseconds probeRepeat = std::chrono::milliseconds(20);
     /// A connection idle for longer is closed, because it may have failed without notice.
     std::chrono::milliseconds idle = std::chrono::seconds(30);
 
--- a/packages/gateway/src/CrashCheckTask.cpp
+++ b/packages/gateway/src/CrashCheckTask.cpp
@@ -19,19 +19,11 @@
 /// A target that has not answered for this long counts as crashed; a request that crashes targets
 /// must be refused before it has been sent to many.
 constexpr std::chrono::milliseconds kProbeTimeout(500);
-/// Delay between a probe that was lost and the next one.
-constexpr std::chrono::milliseconds kProbeRepeatDelay(20);
+constexpr decisions::ConnectionLimits kLimits {.probe = kProbeTimeout};
 /// Concurrent checks. Further losses count as crashes.
 constexpr std::size_t kMaxChecks = 16;
 constexpr std::size_t kMailboxCapacity = 64;
 
-decisions::ConnectionLimits makeLimits()
-{
-    decisions::ConnectionLimits limits;
-    limits.probe = kProbeTimeout;
-    return limits;
-}
-
 } // namespace
 
 CrashCheckTask::CrashCheckTask(std::shared_ptr<const decisions::ConnectionBinding> chart,
@@ -70,7 +62,7 @@
 
 void CrashCheckTask::check(const CrashSuspected &suspected)
 {
-    decisions::ConnectionMonitor monitor(chart_, makeLimits(), clock_.now());
+    decisions::ConnectionMonitor monitor(chart_, kLimits, clock_.now());
     monitor.handle(connection::Assigned {suspected.report.attempt.attempt}, clock_.now());
     monitor.handle(connection::Opened(), clock_.now());
     connection::Event event = connection::Lost();
@@ -100,7 +92,7 @@
         return connection::TimerFired();
     if (core::errorOf(report).verdict == core::Verdict::NotRun)
         return connection::ProbeRefused();
-    boost::this_fiber::sleep_until(std::min(deadline, clock_.now() + kProbeRepeatDelay));
+    boost::this_fiber::sleep_until(std::min(deadline, clock_.now() + kLimits.probeRepeat));
     return connection::ProbeLost();
 }
 
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -17,9 +17,6 @@
 /// Maximum delay until a revoked key or a shutdown is detected.
 constexpr std::chrono::milliseconds kCancelCheckInterval(500);
 
-/// Delay between a probe connection that was lost and the next one.
-constexpr std::chrono::milliseconds kProbeRepeatDelay(20);
-
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServiceUnavailable = 503;
@@ -217,7 +214,8 @@
         if (!answer) {
             fireConnection(connection::TimerFired());
         } else if (std::holds_alternative<core::Error>(*answer)) {
-            boost::this_fiber::sleep_until(std::min(deadline, clock_.now() + kProbeRepeatDelay));
+            boost::this_fiber::sleep_until(
+                std::min(deadline, clock_.now() + job_.limits.probeRepeat));
             fireConnection(connection::ProbeLost());
         } else {
             fireConnection(connection::ProbeAnswered {received_ == 0});
