Share the setup of the tests of an adapter being unloaded

Cause: two cases of AdapterPlacementTest began with the same nine lines. Ruled out: a change of what they check; the setup has its checks, too. Change: a fixture. Measured: AdapterPlacementTest passes.

--- a/packages/decisions/tests/serving/AdapterPlacementTest.cpp
+++ b/packages/decisions/tests/serving/AdapterPlacementTest.cpp
@@ -93,6 +93,24 @@
     core::TimePoint now_ = core::TimePoint(1h);
 };
 
+/// A target that has accepted to unload its only adapter.
+struct UnloadingAdapter
+{
+    UnloadingAdapter()
+    {
+        BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
+        tracker.report(TargetReport {1, 0, false, replicas, {}}, now);
+        tracker.begin({.order = {1, entry.target, {}, swap::OrderKind::Unload, adapter, 0}});
+        tracker.answer(swap::OrderOutcome::Accepted, now);
+    }
+
+    core::TimePoint now = core::TimePoint(1h);
+    const TargetEntry entry = FakeTarget(0).entry();
+    TargetTracker tracker {makeTargetOrderChart(), entry, now};
+    const std::vector<ModelReplica> replicas {{modelOf(0), 1, {{"a0"}}}};
+    const Artifact adapter {modelOf(0), {}, {"a0"}};
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(AdapterPlacementTest)
@@ -156,17 +174,8 @@
 
 // Guards against a target that accepts no orders while a report is on its way that is only to prove
 // an earlier unload, and against such a report that replaces the order sent meanwhile.
-BOOST_AUTO_TEST_CASE(reportForAProofDelaysNoOrder)
+BOOST_FIXTURE_TEST_CASE(reportForAProofDelaysNoOrder, UnloadingAdapter)
 {
-    core::TimePoint now(1h);
-    TargetEntry entry = FakeTarget(0).entry();
-    TargetTracker tracker(makeTargetOrderChart(), entry, now);
-    const std::vector<ModelReplica> replicas {{modelOf(0), 1, {{"a0"}}}};
-    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
-    tracker.report(TargetReport {1, 0, false, replicas, {}}, now);
-    const Artifact adapter {modelOf(0), {}, {"a0"}};
-    tracker.begin({.order = {1, entry.target, {}, swap::OrderKind::Unload, adapter, 0}});
-    tracker.answer(swap::OrderOutcome::Accepted, now);
     BOOST_TEST(tracker.isUnloading(adapter));
     now += 2s;
     BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
@@ -195,17 +204,8 @@
 }
 
 // Guards against an update to all nodes for each report that shows nothing new.
-BOOST_AUTO_TEST_CASE(reportWithoutNewsChangesNoPlacement)
+BOOST_FIXTURE_TEST_CASE(reportWithoutNewsChangesNoPlacement, UnloadingAdapter)
 {
-    core::TimePoint now(1h);
-    TargetEntry entry = FakeTarget(0).entry();
-    TargetTracker tracker(makeTargetOrderChart(), entry, now);
-    const std::vector<ModelReplica> replicas {{modelOf(0), 1, {{"a0"}}}};
-    BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
-    tracker.report(TargetReport {1, 0, false, replicas, {}}, now);
-    const Artifact adapter {modelOf(0), {}, {"a0"}};
-    tracker.begin({.order = {1, entry.target, {}, swap::OrderKind::Unload, adapter, 0}});
-    tracker.answer(swap::OrderOutcome::Accepted, now);
     const std::uint64_t changes = tracker.changes();
     now += 2s;
     BOOST_REQUIRE(tracker.nextReportRequest(now).has_value());
