Add review case 6: a leader that pauses for a second stops model requests on all other nodes

Cause: RoutingTask forgets what it knows after a second without an answer. An answer of the same term to a report from before then holds only changes, is taken for a first answer, and clears the placements without replacing them; the node then claims to know them. Ruled out: a change of the leader (it keeps the lease and the term), the engines (they hold all models and are idle), the configuration (plain routes are served), load (96 requests a second).

--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,9 +1,13 @@
-// A client whose tenant has no limit states a very large maximum of output tokens. The node that
-// reads the request answers nothing any more, also no request that it had passed on before.
+// The leader stands still for a second and goes on. Nodes whose report it answers after they had
+// given it up lose the placements of all engines: they serve no request for a model any more. The
+// route to the engines is one that a later configuration added.
 
 #include <algorithm>
+#include <csignal>
 #include <iostream>
 
+#include <boost/json/value.hpp>
+
 #include "../standins-2/Deployment.hh"
 #include "../standins-2/Fleet.hh"
 #include "../standins-2/Replica.hh"
@@ -12,41 +16,41 @@
 
 using namespace review;
 
-constexpr std::size_t kNodes = 3;
-constexpr std::size_t kReplicas = 4;
-constexpr std::size_t kClientsPerNode = 8;
-constexpr std::int64_t kTimeoutMs = 800; // of the routes
-constexpr std::int64_t kDeadlineMs = 1500;
-/// `grace` of the rule: an answer is missing half a second after the route's timeout.
-constexpr std::int64_t kGraceMs = 500;
-constexpr std::int64_t kCalmMs = 5000;
-constexpr std::int64_t kWatchMs = 20000;
-const std::string kLargeUsage = "800,1000000000000000";
-const std::string kUsualUsage = "800,800";
+constexpr std::size_t kNodes = 7;
+constexpr std::int64_t kDeadlineMs = 6000;
+constexpr std::int64_t kPlainDeadlineMs = 1500;
+constexpr std::int64_t kCalmMs = 6000;
+/// How long the leader stands still, once; the site file freezes it for 4 s.
+constexpr std::int64_t kFreezeMs = 1080;
+/// `recovery-s` of the small deployments, far longer than their `contact-ms` of 3,000.
+constexpr std::int64_t kRecoveryMs = 12000;
+constexpr std::int64_t kWatchMs = 12000;
+/// Fewer requests on the added routes are not judged.
+constexpr int kMinRequests = 20;
 
 struct Attempt
 {
     std::string id;
     std::size_t node = 0;
+    bool isOnAddedRoute = false;
     std::int64_t sentMs = 0;
-    std::int64_t answeredMs = -1;
     int status = 0;
 };
 
+/// Sends requests at a fixed rate to each node, however long the answers take.
 class Clients
 {
 public:
     explicit Clients(const Fleet &fleet)
         : fleet_(fleet)
     {
-        for (std::size_t node = 0; node < fleet.size(); ++node) {
-            for (std::size_t client = 0; client < kClientsPerNode; ++client)
-                threads_.emplace_back([this, node, client] { run(node, client); });
-        }
+        for (std::size_t node = 0; node < fleet.size(); ++node)
+            threads_.emplace_back([this, node] { run(node); });
     }
 
     ~Clients() { stop(); }
 
+    /// Returns when all requests have been answered or have run out of time.
     void stop()
     {
         isStopped_ = true;
@@ -54,125 +58,165 @@
             if (thread.joinable())
                 thread.join();
         }
+        while (open_ > 0)
+            sleepMs(5);
     }
 
     std::vector<Attempt> attempts() const { return attempts_; }
 
 private:
-    void run(std::size_t node, std::size_t client)
+    void run(std::size_t node)
     {
-        constexpr std::int64_t kIntervalMs = 400;
-        Connection connection {Socket()};
-        sleepMs(static_cast<std::int64_t>(client) * kIntervalMs
-                / static_cast<std::int64_t>(kClientsPerNode));
-        for (int number = 0; !isStopped_; ++number) {
-            const std::int64_t next = nowMs() + kIntervalMs;
-            if (!connection.socket().isOpen() || connection.isClosedByPeer())
-                connection = Connection(connectTo(fleet_.ip(node), fleet_.callerPort(), 1000));
-            Attempt attempt {"n" + std::to_string(node) + "-c" + std::to_string(client) + "-"
-                                 + std::to_string(number),
-                             node, nowMs(), -1, 0};
-            if (connection.socket().isOpen()
-                && connection.write(formatRequest("POST", "/hold/" + attempt.id, attempt.id,
-                                                  kDeadlineMs, "hold"))) {
-                const Response response = connection.readResponse(kDeadlineMs);
-                if (response.isComplete) {
-                    attempt.status = response.status;
-                    attempt.answeredMs = nowMs();
-                } else {
-                    connection.socket().close();
-                }
-            }
-            {
-                const std::lock_guard lock(mutex_);
-                attempts_.push_back(attempt);
-            }
+        std::int64_t next = nowMs() + static_cast<std::int64_t>(node) * kIntervalMs / 7;
+        for (int number = 0; !isStopped_; ++number, next += kIntervalMs) {
             sleepMs(next - nowMs());
+            ++open_;
+            std::thread([this, node, number] {
+                send(node, number);
+                --open_;
+            }).detach();
+        }
+    }
+
+    void send(std::size_t node, int number)
+    {
+        // A quarter of the requests of the site are for plain services.
+        const bool isPlain = number % 4 == 3;
+        Attempt attempt {"n" + std::to_string(node) + "-" + std::to_string(number), node, !isPlain,
+                         nowMs(), 0};
+        const std::int64_t deadlineMs = isPlain ? kPlainDeadlineMs : kDeadlineMs;
+        std::string request = formatRequest("POST", (isPlain ? "/hold/" : "/note/") + attempt.id,
+                                            attempt.id, deadlineMs, "body");
+        if (!isPlain)
+            request.insert(request.find("Authorization"),
+                           std::string("X-Model: ") + (number % 2 == 0 ? "m0" : "m1")
+                               + "\r\nX-Token-Usage: 646,70\r\nX-Prompt-Prefix: 5c1e07a2:155,"
+                               + std::to_string(1000 + number) + ":491\r\n");
+        Connection connection(connectTo(fleet_.ip(node), fleet_.callerPort(), 1000));
+        if (connection.socket().isOpen() && connection.write(request)) {
+            const Response response = connection.readResponse(deadlineMs + 500);
+            if (response.isComplete)
+                attempt.status = response.status;
         }
+        const std::lock_guard lock(mutex_);
+        attempts_.push_back(attempt);
     }
 
+    /// The 96 requests a second of the site over its seven machines.
+    static constexpr std::int64_t kIntervalMs = 73;
+
     const Fleet &fleet_;
     std::atomic<bool> isStopped_ = false;
+    std::atomic<int> open_ = 0;
     std::mutex mutex_;
     std::vector<Attempt> attempts_;
     std::vector<std::thread> threads_;
 };
 
-int check(const std::vector<Attempt> &attempts, std::int64_t from, std::int64_t to,
-          const RunLog &log, const Fleet &fleet, Record &record)
+struct Share
 {
-    bool isBroken = false;
-    const std::vector<Run> runs = log.runs();
-    for (std::size_t node = 0; node < fleet.size(); ++node) {
-        int sent = 0;
-        int atTimeout = 0;
-        int later = 0;
-        int ranUnanswered = 0;
-        for (const Attempt &attempt : attempts) {
-            if (attempt.node != node || attempt.sentMs < from - kTimeoutMs || attempt.sentMs > to)
-                continue;
-            ++sent;
-            const std::int64_t took = attempt.answeredMs - attempt.sentMs;
-            if (attempt.answeredMs >= 0 && took <= kTimeoutMs)
-                continue;
-            ++atTimeout;
-            if (attempt.answeredMs >= 0 && took <= kTimeoutMs + kGraceMs)
-                continue;
-            ++later;
-            const bool hasRun = std::ranges::find(runs, attempt.id, &Run::id) != runs.end();
-            ranUnanswered += hasRun ? 1 : 0;
-            if (hasRun)
-                record.line("request " + attempt.id + " sent at " + std::to_string(attempt.sentMs)
-                            + " has run and got no answer");
-        }
-        record.line(fleet.name(node) + ": " + std::to_string(sent) + " requests sent, "
-                    + std::to_string(atTimeout) + " unanswered at the timeout, "
-                    + std::to_string(later) + " half a second later, of these "
-                    + std::to_string(ranUnanswered) + " had run at a replica");
-        // More than half of those unanswered at the timeout have no answer half a second later.
-        isBroken = isBroken || (later > 0 && later * 2 > atTimeout);
+    int sent = 0;
+    int served = 0;
+
+    double value() const { return sent == 0 ? 1 : static_cast<double>(served) / sent; }
+};
+
+/// Requests of the node, or of all nodes, that were sent in the span.
+Share shareOf(const std::vector<Attempt> &attempts, std::size_t node, bool isOnAddedRoute,
+              std::int64_t from, std::int64_t to)
+{
+    Share share;
+    for (const Attempt &attempt : attempts) {
+        if ((node != kNodes && attempt.node != node) || attempt.isOnAddedRoute != isOnAddedRoute
+            || attempt.sentMs < from || attempt.sentMs > to)
+            continue;
+        ++share.sent;
+        share.served += attempt.status == 200 ? 1 : 0;
     }
-    return isBroken ? Broken : Held;
+    return share;
+}
+
+/// Returns whether the requests on added routes are served less than a quarter as often.
+bool compare(const std::vector<Attempt> &attempts, std::size_t node, std::int64_t from,
+             std::int64_t to, const std::string &label, Record &record)
+{
+    const Share first = shareOf(attempts, node, false, from, to);
+    const Share added = shareOf(attempts, node, true, from, to);
+    record.line(label + ": " + std::to_string(first.served) + " of " + std::to_string(first.sent)
+                + " requests served on the first routes, " + std::to_string(added.served) + " of "
+                + std::to_string(added.sent) + " on the added route");
+    return added.sent >= kMinRequests && added.value() * 4 < first.value();
+}
+
+std::size_t leaderOf(Store &store, const Fleet &fleet)
+{
+    const auto lease = store.get("coordination", "lease");
+    return lease.is_object() ? fleet.indexOf(lease.at("holder").as_string().c_str()) : fleet.size();
 }
 
 int runCase(const std::string &folder, Record &record)
 {
     RunLog runs;
     Store store("127.78.0.1");
-    store.put("config", "main", makeConfiguration(1));
+    store.put("config", "main", makeConfiguration(1, false));
     std::vector<std::unique_ptr<Replica>> replicas;
-    for (std::size_t i = 0; i < kReplicas; ++i)
+    const auto addReplica = [&](const std::string &service, std::int64_t workMs, std::int64_t slots,
+                                const std::set<std::string> &models) {
+        const std::size_t number = replicas.size();
         replicas.push_back(std::make_unique<Replica>(
-            Replica::Options {.id = "i-" + std::to_string(i),
-                              .service = "yardbook",
-                              .ip = "127.78.1." + std::to_string(1 + i),
-                              .workMs = 60},
+            Replica::Options {.id = "i-" + std::to_string(number),
+                              .service = service,
+                              .ip = "127.78.1." + std::to_string(1 + number),
+                              .workMs = workMs,
+                              .slots = slots,
+                              .models = models},
             store, runs));
+    };
+    for (int i = 0; i < 4; ++i)
+        addReplica("yardbook", 60, 6, {});
+    for (int i = 0; i < 3; ++i)
+        addReplica("assessor", 280, 64, {"m0", "m1"});
     Fleet fleet({.nodes = kNodes, .platform = store.address()}, folder);
     for (std::size_t i = 0; i < kNodes; ++i)
         fleet.start(i);
     if (!fleet.waitUntilReady(15000))
         return CouldNotRun;
-    sleepMs(2000);
+    sleepMs(3000);
+    store.put("config", "main", makeConfiguration(2, true));
+    record.line("configuration 2 adds the route to the engines");
+    sleepMs(3000);
     Clients clients(fleet);
+    const std::int64_t begin = nowMs();
     sleepMs(kCalmMs);
+    const std::int64_t calmEnd = nowMs() - 1000;
 
-    const std::string usage = isWithoutTrouble() ? kUsualUsage : kLargeUsage;
+    const std::size_t leader = leaderOf(store, fleet);
+    if (leader == kNodes)
+        return CouldNotRun;
+    if (!isWithoutTrouble()) {
+        fleet.signal(leader, SIGSTOP);
+        record.line("frozen " + fleet.name(leader) + ", the leader");
+        sleepMs(kFreezeMs);
+        fleet.signal(leader, SIGCONT);
+        record.line("thawed " + fleet.name(leader));
+    }
+    sleepMs(kRecoveryMs);
     const std::int64_t from = nowMs();
-    record.line("request with X-Token-Usage: " + usage + " to " + fleet.name(0));
-    Connection connection(connectTo(fleet.ip(0), fleet.callerPort(), 1000));
-    std::string request = formatRequest("GET", "/check/large", "large", kDeadlineMs, "");
-    request.insert(request.find("Authorization"), "X-Token-Usage: " + usage + "\r\n");
-    connection.write(request);
-    const Response response = connection.readResponse(kDeadlineMs);
-    record.line("its answer: "
-                + (response.isComplete ? "status " + std::to_string(response.status) : "none"));
-    connection.socket().close();
-    sleepMs(from + kWatchMs - nowMs());
-    record.line(fleet.name(0) + (fleet.isRunning(0) ? " runs" : " has ended")
-                + (fleet.isReady(0) ? " and is ready" : " and does not answer whether it is ready"));
+    sleepMs(kWatchMs);
+    const std::int64_t to = nowMs();
+    for (std::size_t node = 0; node < kNodes; ++node)
+        record.line(fleet.name(node) + (fleet.isReady(node) ? " is ready" : " is not ready")
+                    + (node == leaderOf(store, fleet) ? " and leads" : ""));
     clients.stop();
-    return check(clients.attempts(), from, from + kWatchMs - kDeadlineMs, runs, fleet, record);
+    const auto attempts = clients.attempts();
+    const bool wasBroken = compare(attempts, kNodes, begin, calmEnd, "before, all nodes", record);
+    for (std::size_t node = 0; node < kNodes; ++node)
+        compare(attempts, node, from, to, "later than recovery-s, " + fleet.name(node), record);
+    const bool isBroken =
+        compare(attempts, kNodes, from, to, "later than recovery-s, all nodes", record);
+    if (wasBroken)
+        return CouldNotRun;
+    return isBroken ? Broken : Held;
 }
 
 } // namespace
--- a/review/standins-2/Deployment.hh
+++ b/review/standins-2/Deployment.hh
@@ -10,9 +10,9 @@
 inline const std::string kHost = "yard.example";
 inline const std::string kKey = "key-1";
 
-/// A configuration with an unsafe and a safe route to the service `yardbook`, and one tenant
-/// without a limit.
-boost::json::value makeConfiguration(std::uint64_t version);
+/// A configuration with an unsafe and a safe route to the service `yardbook`, a resumable streaming
+/// route to the engines of `assessor` unless it is left out, and one tenant without a limit.
+boost::json::value makeConfiguration(std::uint64_t version, bool hasStreams = true);
 
 /// The head of a request as clients send it.
 std::string formatRequest(const std::string &method, const std::string &path,
--- a/review/standins-2/Fleet.cc
+++ b/review/standins-2/Fleet.cc
@@ -26,10 +26,10 @@
     constexpr std::size_t kPerNet = 200;
     for (std::size_t i = 0; i < settings_.nodes; ++i) {
         const std::string number = std::to_string(1000 + i).substr(1);
-        nodes_.push_back({"front-" + number,
-                          "127.77." + std::to_string(1 + i / kPerNet) + "."
-                              + std::to_string(1 + i % kPerNet),
-                          -1, ""});
+        nodes_.push_back(
+            {"front-" + number,
+             "127.77." + std::to_string(1 + i / kPerNet) + "." + std::to_string(1 + i % kPerNet),
+             -1, ""});
     }
     choosePorts();
 }
@@ -77,10 +77,9 @@
         + "  \"stopTimeoutMs\": 8000,\n  \"retryRatio\": 0.2,\n  \"retrySlack\": "
         + std::to_string(settings_.retrySlack)
         + ",\n  \"retryWindowMs\": 10000,\n  \"quotaTolerance\": "
-        + std::to_string(settings_.quotaTolerance)
-        + ",\n  \"processorShare\": " + std::to_string(settings_.processorShare)
-        + ",\n  \"memoryMb\": " + std::to_string(settings_.memoryMb)
-        + ",\n  \"chartsDirectory\": \"charts\"\n}\n";
+        + std::to_string(settings_.quotaTolerance) + ",\n  \"processorShare\": "
+        + std::to_string(settings_.processorShare) + ",\n  \"memoryMb\": "
+        + std::to_string(settings_.memoryMb) + ",\n  \"chartsDirectory\": \"charts\"\n}\n";
 }
 
 std::string Fleet::logPath(std::size_t node) const
--- a/review/standins-2/Net.cc
+++ b/review/standins-2/Net.cc
@@ -97,7 +97,8 @@
         const std::int64_t left = deadline - nowMs();
         if (left <= 0)
             return false;
-        const int ready = ::poll(&entry, 1, static_cast<int>(std::min<std::int64_t>(left, 3600000)));
+        const int ready =
+            ::poll(&entry, 1, static_cast<int>(std::min<std::int64_t>(left, 3600000)));
         if (ready < 0 && errno == EINTR)
             continue;
         if (ready <= 0)
@@ -235,7 +236,8 @@
     return size == 0 || (size < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-std::string formatResponse(int status, const std::vector<std::pair<std::string, std::string>> &headers,
+std::string formatResponse(int status,
+                           const std::vector<std::pair<std::string, std::string>> &headers,
                            std::string_view body)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
@@ -271,7 +273,8 @@
 {
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
     const sockaddr_in address = makeAddress(ip, port);
-    if (::connect(socket.fd(), reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0) {
+    if (::connect(socket.fd(), reinterpret_cast<const sockaddr *>(&address), sizeof(address))
+        != 0) {
         if (errno != EINPROGRESS)
             return Socket();
         pollfd entry = {socket.fd(), POLLOUT, 0};
--- a/review/standins-2/Net.hh
+++ b/review/standins-2/Net.hh
@@ -106,7 +106,8 @@
     std::string buffer_;
 };
 
-std::string formatResponse(int status, const std::vector<std::pair<std::string, std::string>> &headers,
+std::string formatResponse(int status,
+                           const std::vector<std::pair<std::string, std::string>> &headers,
                            std::string_view body);
 
 /// Port 0 lets the system choose one. Throws if the address is in use.
--- a/review/standins-2/Replica.cc
+++ b/review/standins-2/Replica.cc
@@ -1,6 +1,9 @@
 #include "Replica.hh"
 
+#include <cstdio>
+
 #include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
 
 namespace review {
 
@@ -62,7 +65,7 @@
                              {"state", "ready"},
                              {"cold-remaining-ms", 0},
                              {"stage", "unified"},
-                             {"models", json::array()},
+                             {"models", json::parse(modelsJson())},
                              {"born", born_},
                              {"sequence", ++sequence_}});
 }
@@ -90,9 +93,18 @@
     if (!expected.empty() && expected != options_.id)
         return connection.write(formatResponse(
             421, {{"X-Attempt-Id", attempt}, {"X-Replica-Id", options_.id}}, "other instance"));
+    if (request.target == "/report")
+        return report(connection);
+    if (request.target == "/order")
+        return order(request, connection);
     if (request.target == "/healthz")
         return connection.write(formatResponse(200, {{"X-Replica-Id", options_.id}}, "ok"));
+    if (!options_.models.empty() && !holds(request.headers.get("X-Model")))
+        return connection.write(formatResponse(
+            421, {{"X-Attempt-Id", attempt}, {"X-Replica-Id", options_.id}}, "model not present"));
     log_.add({attempt, options_.id, nowMs()});
+    if (!options_.models.empty())
+        return stream(attempt, connection);
     sleepMs(options_.workMs);
     return connection.write(formatResponse(
         200,
@@ -100,4 +112,67 @@
         "done " + attempt + "\n"));
 }
 
+bool Replica::holds(const std::string &model)
+{
+    const std::lock_guard lock(mutex_);
+    return options_.models.contains(model);
+}
+
+std::string Replica::modelsJson()
+{
+    std::string text;
+    for (const std::string &model : options_.models)
+        text += (text.empty() ? "" : ",") + std::string("{\"name\":\"") + model
+            + "\",\"version\":1,\"adapters\":[]}";
+    return "[" + text + "]";
+}
+
+bool Replica::report(Connection &connection)
+{
+    const std::lock_guard lock(mutex_);
+    return connection.write(formatResponse(
+        200, {{"Content-Type", "application/json"}},
+        "{\"stage\":\"unified\",\"models\":" + modelsJson()
+            + ",\"busy\":" + (nowMs() < busyUntilMs_ ? "true" : "false")
+            + ",\"sequence\":" + std::to_string(orders_) + ",\"born\":" + std::to_string(born_)
+            + ",\"queued\":0,\"running\":0,\"kv-used\":0,\"kv-total\":200000,\"handles\":0}"));
+}
+
+bool Replica::order(const Request &request, Connection &connection)
+{
+    const json::value body = json::parse(request.body);
+    const std::string model = body.at("model").as_string().c_str();
+    const bool isLoad = body.at("operation").as_string() == "load";
+    const std::lock_guard lock(mutex_);
+    const auto *expected = body.as_object().if_contains("precondition");
+    if (nowMs() < busyUntilMs_ || (expected && expected->to_number<std::uint64_t>() != orders_))
+        return connection.write(formatResponse(409, {}, "{}"));
+    if (isLoad == options_.models.contains(model))
+        return connection.write(formatResponse(200, {}, "{}"));
+    ++orders_;
+    busyUntilMs_ = nowMs() + options_.loadMs;
+    if (isLoad)
+        options_.models.insert(model);
+    else
+        options_.models.erase(model);
+    return connection.write(formatResponse(202, {}, "{}"));
+}
+
+bool Replica::stream(const std::string &attempt, Connection &connection)
+{
+    constexpr int kEvents = 14;
+    bool isOpen = connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt
+                                   + "\r\nX-Server-Stamp: stamp." + options_.id + "." + attempt
+                                   + "\r\nContent-Type: text/event-stream\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n");
+    for (int number = 1; isOpen && number <= kEvents; ++number) {
+        sleepMs(options_.workMs / kEvents);
+        const std::string event = "id: " + std::to_string(number) + "\ndata: " + attempt + "\n\n";
+        char size[16];
+        std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
+        isOpen = connection.write(size + event + "\r\n");
+    }
+    return isOpen && connection.write("0\r\n\r\n");
+}
+
 } // namespace review
--- a/review/standins-2/Replica.hh
+++ b/review/standins-2/Replica.hh
@@ -1,5 +1,6 @@
-// Stand-in for a replica of a plain service. It registers itself in the store, answers 421 to
-// requests for another instance, runs each request for a set time and records what it ran.
+// Stand-in for a replica. It registers itself in the store, answers 421 to requests for another
+// instance or for a model that it does not hold, runs each request for a set time and records what
+// it ran. A replica with models answers with a stream, reports what it holds and takes orders.
 #pragma once
 
 #include "Store.hh"
@@ -38,6 +39,9 @@
         std::int64_t workMs = 20;
         std::int64_t heartbeatMs = 1200;
         std::int64_t slots = 6;
+        /// Models that an engine holds at its start; without any, the replica is a plain service.
+        std::set<std::string> models = {};
+        std::int64_t loadMs = 600;
     };
 
     Replica(Options options, Store &store, RunLog &log);
@@ -53,6 +57,11 @@
 private:
     bool handle(const Request &request, Connection &connection);
     void beat();
+    bool holds(const std::string &model);
+    bool report(Connection &connection);
+    bool order(const Request &request, Connection &connection);
+    bool stream(const std::string &attempt, Connection &connection);
+    std::string modelsJson();
 
     Options options_;
     Store &store_;
@@ -60,6 +69,8 @@
     std::int64_t born_;
     std::mutex mutex_;
     std::uint64_t sequence_ = 0;
+    std::uint64_t orders_ = 0;
+    std::int64_t busyUntilMs_ = 0;
     bool isListed_ = true;
     std::atomic<bool> isStopped_ = false;
     std::unique_ptr<Server> server_;
--- a/review/standins-2/Store.cc
+++ b/review/standins-2/Store.cc
@@ -36,8 +36,8 @@
 } // namespace
 
 Store::Store(const std::string &ip)
-    : server_(std::make_unique<Server>(
-        ip, 0, [this](const Request &request, Connection &connection) {
+    : server_(
+        std::make_unique<Server>(ip, 0, [this](const Request &request, Connection &connection) {
             return handle(request, connection);
         }))
 {
@@ -107,9 +107,10 @@
         }
         items.push_back(render(position->first.second, position->second));
     }
-    return reply(200, json::object {{"items", std::move(items)},
-                                    {"truncated", isTruncated},
-                                    {"store-revision", revision_}});
+    return reply(200,
+                 json::object {{"items", std::move(items)},
+                               {"truncated", isTruncated},
+                               {"store-revision", revision_}});
 }
 
 std::string Store::watch(const std::string &kind, std::uint64_t since, std::int64_t waitMs)
@@ -118,16 +119,16 @@
     std::unique_lock lock(mutex_);
     while (true) {
         std::string events;
-        for (auto change = history_.rbegin();
-             change != history_.rend() && change->revision > since; ++change) {
+        for (auto change = history_.rbegin(); change != history_.rend() && change->revision > since;
+             ++change) {
             if (change->kind == kind)
                 events = change->event + (events.empty() ? "" : ",") + events;
         }
         const std::int64_t left = deadline - nowMs();
         if (!events.empty() || left <= 0 || isStopped_)
             return formatResponse(200, {{"Content-Type", "application/json"}},
-                                  "{\"events\":[" + events + "],\"store-revision\":"
-                                      + std::to_string(revision_) + "}");
+                                  "{\"events\":[" + events
+                                      + "],\"store-revision\":" + std::to_string(revision_) + "}");
         changed_.wait_for(lock, std::chrono::milliseconds(left));
     }
 }
@@ -153,10 +154,9 @@
     if (position == objects_.end())
         return;
     position->second.revision = ++revision_;
-    history_.push_back(
-        {revision_, key.first,
-         json::serialize(json::object {{"object", render(key.second, position->second)},
-                                       {"deleted", true}})});
+    history_.push_back({revision_, key.first,
+                        json::serialize(json::object {
+                            {"object", render(key.second, position->second)}, {"deleted", true}})});
     objects_.erase(position);
     changed_.notify_all();
 }
@@ -196,7 +196,8 @@
         erase(key);
         return reply(200, json::object {});
     }
-    write(key, body.is_object() && body.as_object().contains("spec") ? body.at("spec") : json::value());
+    write(key,
+          body.is_object() && body.as_object().contains("spec") ? body.at("spec") : json::value());
     return reply(request.method == "POST" ? 201 : 200, render(name, objects_.at(key)));
 }
 
