Apply changes of the fleet's state only to the versions they build on

Cause: RoutingTask discards the versions that it knows after a second without an answer, but the report in flight still names them. Its answer holds no changes; the router took them for the complete list of a new coordinator and cleared its placements, and the node then reported the coordinator's versions as known. FleetState and VersionedList accepted differences that skip versions in the same way, and a list of targets that was not accepted under a new coordinator kept the version number of the previous term.

Ruled out: the planner (all engines had room and reported both models), the configuration (the plain routes and the leader itself served on), and the relays (seven nodes have none).

Change: changes and updates name the versions that they are relative to, also on the wire (field "since"). FleetState and the new FleetFollower ignore those that do not fit; event 1709 names the versions, and the next report, sent at once, gets the whole state. Senders without the field are accepted as before. AuthenticationTest lists the new field in its round trip.

--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -214,6 +214,8 @@
 struct FleetUpdate
 {
     FleetVersions versions;
+    /// Versions that the update is relative to; zero if it is complete.
+    FleetVersions since = {};
     std::optional<std::vector<FleetMember>> members;
     std::optional<std::vector<TargetEntry>> targets;
     /// Only the placements that changed.
--- a/packages/decisions/include/boragerack/decisions/serving/FleetState.h
+++ b/packages/decisions/include/boragerack/decisions/serving/FleetState.h
@@ -35,7 +35,9 @@
     /// Requests in flight at each target, empty before the first report of them.
     const std::optional<TargetLoads> &loads() const { return loads_; }
 
-    void apply(const FleetChange &change);
+    /// False, with nothing applied, if the change belongs to an earlier term, or is relative to
+    /// versions that this state has not reached.
+    bool apply(const FleetChange &change);
     /// Ignores loads for another version of the targets.
     void apply(const TargetLoads &loads);
 
--- a/packages/decisions/include/boragerack/decisions/serving/VersionedList.h
+++ b/packages/decisions/include/boragerack/decisions/serving/VersionedList.h
@@ -63,11 +63,14 @@
         forgetOldRemovals();
     }
 
-    /// Applies a change that its sender computed for the version of this list, or a complete list.
-    /// False if the change is older than this list.
+    /// Whether this list has all changes before the given one.
+    bool fits(const Change &change) const { return change.isComplete || change.since <= version_; }
+
+    /// Applies a change, or a complete list. False if the change is older than this list, or
+    /// relative to a version that this list has not reached.
     bool apply(const Change &change)
     {
-        if (change.version < version_)
+        if (change.version < version_ || !fits(change))
             return false;
         if (change.isComplete) {
             entries_.clear();
@@ -92,7 +95,10 @@
     /// Changes after `known`; the complete list if the removals since then are not known.
     Change since(std::uint64_t known) const
     {
-        Change change {version_, known == 0 || known < oldestDifference_, {}, {}};
+        Change change;
+        change.version = version_;
+        change.isComplete = known == 0 || known < oldestDifference_;
+        change.since = change.isComplete ? 0 : known;
         for (const auto &[key, entry] : entries_) {
             if (change.isComplete || entry.changedAt > known)
                 change.changed.push_back(entry.value);
--- a/packages/decisions/src/serving/FleetState.cpp
+++ b/packages/decisions/src/serving/FleetState.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <utility>
 
 namespace boragerack::decisions {
 
@@ -37,7 +38,7 @@
 void FleetState::updatePlacements(std::uint64_t version,
                                   const std::vector<TargetPlacement> &placements)
 {
-    placements_.apply({version, false, placements, {}});
+    placements_.apply({.version = version, .since = placements_.version(), .changed = placements});
     updateVersions();
 }
 
@@ -70,18 +71,27 @@
             rates_.since(isSameTerm ? known.rates : 0)};
 }
 
-void FleetState::apply(const FleetChange &change)
+bool FleetState::apply(const FleetChange &change)
 {
     // Terms increase, so a relay that sends an older one has not yet followed the new coordinator.
     if (change.term < versions_.term)
-        return;
-    if (change.term != versions_.term)
-        *this = FleetState(change.term);
+        return false;
+    if (change.term != versions_.term) {
+        FleetState next(change.term);
+        if (!next.apply(change))
+            return false;
+        *this = std::move(next);
+        return true;
+    }
+    if (!members_.fits(change.members) || !targets_.fits(change.targets)
+        || !placements_.fits(change.placements) || !rates_.fits(change.rates))
+        return false;
     members_.apply(change.members);
     targets_.apply(change.targets);
     placements_.apply(change.placements);
     rates_.apply(change.rates);
     updateVersions();
+    return true;
 }
 
 void FleetState::apply(const TargetLoads &loads)
@@ -95,6 +105,8 @@
     const bool isSameTerm = known.term == versions_.term;
     FleetUpdate update;
     update.versions = versions_;
+    if (isSameTerm)
+        update.since = known;
     if (!isSameTerm || known.members != versions_.members)
         update.members = members_.values();
     if (!isSameTerm || known.targets != versions_.targets)
--- a/packages/decisions/tests/serving/FleetStateTest.cpp
+++ b/packages/decisions/tests/serving/FleetStateTest.cpp
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include "FleetStateSource.h"
 #include "boragerack/core/SeededRandomSource.h"
 #include "boragerack/decisions/serving/FleetState.h"
 
@@ -9,52 +10,6 @@
 
 namespace {
 
-FleetMember memberOf(std::uint64_t number)
-{
-    return {{"n" + std::to_string(number)}, "a:1", {"x"}, "a:2", 100};
-}
-
-TargetEntry targetOf(std::uint64_t number)
-{
-    TargetEntry entry;
-    entry.target.value = "t" + std::to_string(number);
-    entry.address = "b:" + std::to_string(number);
-    return entry;
-}
-
-/// Members and targets of a coordinator, which change at random.
-struct Source
-{
-    std::vector<FleetMember> members;
-    std::vector<TargetEntry> targets;
-    std::uint64_t placementVersion = 1;
-    FleetState state {1};
-
-    void change(core::SeededRandomSource &random)
-    {
-        const std::uint64_t number = random.next() % 12;
-        if (random.next() % 2 == 0) {
-            if (std::erase(members, memberOf(number)) == 0)
-                members.push_back(memberOf(number));
-            state.setMembers(members);
-        } else {
-            const auto isSame = [&](const TargetEntry &entry) {
-                return entry.target == targetOf(number).target;
-            };
-            const auto position = std::ranges::find_if(targets, isSame);
-            if (position == targets.end())
-                targets.push_back(targetOf(number));
-            else if (random.next() % 2 == 0)
-                position->isLeaving = !position->isLeaving;
-            else
-                targets.erase(position);
-            state.setTargets(targets);
-        }
-        ++placementVersion;
-        state.updatePlacements(placementVersion, {{targetOf(number).target, placementVersion, {}}});
-    }
-};
-
 bool isSameContent(const FleetState &left, const FleetState &right)
 {
     return left.updateSince({}) == right.updateSince({});
@@ -70,17 +25,12 @@
 {
     const bool passed = rc::check([](std::uint64_t seed) {
         core::SeededRandomSource random(seed);
-        Source source;
+        FleetStateSource source;
         std::vector<FleetState> relays(3);
         FleetState node;
         for (int step = 0; step < 120; ++step) {
-            if (random.next() % 20 == 0) {
-                // A successor numbers its versions from the beginning.
-                source.state = FleetState(source.state.versions().term + 1);
-                source.placementVersion = 1;
-                source.state.setMembers(source.members);
-                source.state.setTargets(source.targets);
-            }
+            if (random.next() % 20 == 0)
+                source.changeTerm();
             source.change(random);
             FleetState &relay = relays[random.next() % relays.size()];
             if (random.next() % 3 != 0)
@@ -150,6 +100,24 @@
     BOOST_TEST(isSameContent(copy, successor));
 }
 
+// Guards against a copy that misses changes for good, because a difference was applied to an
+// earlier version than the one that it builds on.
+BOOST_AUTO_TEST_CASE(changeThatSkipsVersionsIsIgnored)
+{
+    FleetState source(1);
+    source.setMembers({memberOf(1)});
+    FleetState copy;
+    BOOST_TEST(copy.apply(source.changesSince({})));
+    source.setMembers({memberOf(1), memberOf(2)});
+    const FleetVersions skipped = source.versions();
+    source.setMembers({memberOf(1), memberOf(2), memberOf(3)});
+    BOOST_TEST(!copy.apply(source.changesSince(skipped)));
+    BOOST_TEST(copy.memberCount() == 1U);
+    BOOST_TEST(!FleetState().apply(source.changesSince(skipped)));
+    BOOST_TEST(copy.apply(source.changesSince(copy.versions())));
+    BOOST_TEST(isSameContent(copy, source));
+}
+
 // Guards against nodes that use a target again, which they removed, because the coordinator keeps
 // it after failed calls of its own.
 BOOST_AUTO_TEST_CASE(unconfirmedTargetsAreNotDistributed)
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -1,6 +1,7 @@
 #include "ReportTask.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include <boost/fiber/operations.hpp>
@@ -137,7 +138,7 @@
 {
     const bool isLocal = lease_.lease().hasTerm();
     const decisions::CoordinationReport report = takeReport();
-    const Answer answer = sendReport(report, isLocal);
+    Answer answer = sendReport(report, isLocal);
     if (answer)
         apply(*answer, isLocal);
     if (!isFromCoordinator(answer))
@@ -284,7 +285,7 @@
     return receiver->reply.waitUntil(std::chrono::steady_clock::now() + kAnswerTimeout);
 }
 
-void ReportTask::apply(const decisions::CoordinationAnswer &answer, bool isLocal)
+void ReportTask::apply(decisions::CoordinationAnswer &answer, bool isLocal)
 {
     if (!isLocal && answer.holder && relay_
         && !lease_.trySend(LeaseTask::HolderReported {*answer.holder}))
@@ -298,13 +299,27 @@
         setRelay(answer.relay);
     else
         unresponsiveRelay_ = {};
-    if (answer.change)
-        state_.apply(*answer.change);
-    if (answer.loads)
-        state_.apply(*answer.loads);
+    applyState(answer);
     reportInterval_ = answer.reportAfter;
 }
 
+void ReportTask::applyState(decisions::CoordinationAnswer &answer)
+{
+    if (!answer.change)
+        return;
+    if (state_.apply(*answer.change)) {
+        if (answer.loads)
+            state_.apply(*answer.loads);
+        return;
+    }
+    runtime::logEvent(runtime::LogEvent::FleetUpdateIgnored,
+                      "term=" + std::to_string(answer.change->term)
+                          + " since_placements=" + std::to_string(answer.change->placements.since)
+                          + " known_placements=" + std::to_string(state_.versions().placements));
+    answer.change.reset();
+    answer.loads.reset();
+}
+
 void ReportTask::setRelay(const std::optional<decisions::FleetMember> &relay)
 {
     if (relay_ == relay)
@@ -366,8 +381,10 @@
     result.standing = answer->standing;
     if (answer->holder)
         result.holder = answer->holder;
-    result.change = state_.changesSince(report.known);
-    result.loads = state_.loads();
+    if (answer->change) {
+        result.change = state_.changesSince(report.known);
+        result.loads = state_.loads();
+    }
     result.platformReadStatus = answer->platformReadStatus;
     result.lease = answer->lease;
     result.quarantined = answer->quarantined;
--- a/packages/gateway/src/ReportTask.h
+++ b/packages/gateway/src/ReportTask.h
@@ -64,7 +64,9 @@
     std::optional<decisions::FleetMember> nextMember();
     void delayFirstReport(const decisions::LeaseRecord &holder);
 
-    void apply(const decisions::CoordinationAnswer &answer, bool isLocal);
+    void apply(decisions::CoordinationAnswer &answer, bool isLocal);
+    /// Removes from the answer a change that does not fit this node's copy of the state.
+    void applyState(decisions::CoordinationAnswer &answer);
     void setRelay(const std::optional<decisions::FleetMember> &relay);
     void forwardLeaseObservation(const decisions::CoordinationAnswer &answer);
     void updateNodeCount();
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -289,8 +289,9 @@
     lastAnswer_ = now;
     nextReport_ = now + answer.reportAfter;
     reportInterval_ = answer.reportAfter;
-    const std::uint64_t relayedTargets =
-        relay(message, answer) ? message.update.versions.targets : known_.targets;
+    // The versions that the report named may have been discarded since.
+    const bool isUpdateFitting = follower_.fits(message.update);
+    const bool areTargetsAdopted = isUpdateFitting && relay(message, answer);
     tokenLimiter_.stopAccruing();
     for (const decisions::TokenAmount &grant : answer.granted)
         tokenLimiter_.credit(grant);
@@ -298,19 +299,28 @@
     // An answer that names a relay has no state, so the rates are reported again to the relay.
     if (answer.change)
         route(decisions::routing::PermitsGranted {answer.permits});
-    applyUpdate(message.update);
-    // A list that was not relayed has to be in the next update as well.
-    known_.targets = relayedTargets;
+    if (isUpdateFitting)
+        applyUpdate(message.update, areTargetsAdopted);
+    else
+        requestCompleteUpdate(message.update);
     handleCrashesAccepted(message.update.versions.term);
     adoptRefusals(answer, message.update.versions.term);
     if (answer.loads && message.update.loads)
         route(decisions::routing::LoadsReported {*message.update.loads, message.hadUses});
 }
 
-void RoutingTask::applyUpdate(const decisions::FleetUpdate &update)
+void RoutingTask::requestCompleteUpdate(const decisions::FleetUpdate &update)
+{
+    hasUrgentReport_ = true;
+    runtime::logEvent(runtime::LogEvent::FleetUpdateIgnored,
+                      "term=" + std::to_string(update.versions.term)
+                          + " since_placements=" + std::to_string(update.since.placements)
+                          + " known_placements=" + std::to_string(follower_.known().placements));
+}
+
+void RoutingTask::applyUpdate(const decisions::FleetUpdate &update, bool areTargetsAdopted)
 {
-    if (update.versions.term != known_.term) {
-        known_ = {.term = update.versions.term};
+    if (update.versions.term != follower_.known().term) {
         route(decisions::routing::PlacementsOutdated());
         route(decisions::routing::CoordinatorChanged());
         runtime::logEvent(runtime::LogEvent::CoordinatorFollowed,
@@ -325,10 +335,10 @@
     }
     if (update.rates)
         route(decisions::routing::RatesDistributed {*update.rates});
-    if (update.versions.placements != known_.placements)
+    if (update.versions.placements != update.since.placements)
         route(decisions::routing::PlacementsChanged {update.placements});
     updateLongPromptTargets();
-    known_ = update.versions;
+    follower_.adopt(update, areTargetsAdopted);
 }
 
 bool RoutingTask::relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer)
@@ -354,7 +364,7 @@
 
 void RoutingTask::handleCoordinatorTimeout()
 {
-    known_ = {};
+    follower_.reset();
     runtime::logEvent(runtime::LogEvent::CoordinatorLost, "reason=no_answer");
     route(decisions::routing::PlacementsOutdated());
     updateLongPromptTargets();
@@ -369,7 +379,7 @@
         fleet_.set(std::move(view));
     }
     if (now - lastAnswer_ > kCoordinatorTimeout) {
-        if (known_.term != 0)
+        if (follower_.known().term != 0)
             handleCoordinatorTimeout();
         tokenLimiter_.accrue(now, nodeCount());
         route(decisions::routing::CoordinatorAbsent {rank(), nodeCount()});
@@ -400,7 +410,7 @@
     decisions::CoordinationReport report;
     report.member = self_;
     report.isStopping = isStopping_;
-    report.known = known_;
+    report.known = follower_.known();
     report.demands = router_.takeDemands(now);
     report.uses = router_.uses();
     report.wanted = tokenLimiter_.wanted(now);
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -14,6 +14,7 @@
 #include "boragerack/core/RandomSource.h"
 #include "boragerack/decisions/CrashReporter.h"
 #include "boragerack/decisions/RequestQueue.h"
+#include "boragerack/decisions/serving/FleetFollower.h"
 #include "boragerack/decisions/serving/NodeTokenLimiter.h"
 #include "boragerack/decisions/serving/RequestRouter.h"
 #include "boragerack/decisions/serving/RetryBudget.h"
@@ -107,7 +108,9 @@
     void handleCrashesAccepted(std::uint64_t term);
     void adoptRefusals(const decisions::CoordinationAnswer &answer, std::uint64_t term);
     void reportCrashes(decisions::CoordinationReport &report);
-    void applyUpdate(const decisions::FleetUpdate &update);
+    void applyUpdate(const decisions::FleetUpdate &update, bool areTargetsAdopted);
+    /// Handles an update that is relative to versions that are not known any more.
+    void requestCompleteUpdate(const decisions::FleetUpdate &update);
     void handleCoordinatorTimeout();
     void setNodes(std::size_t nodes);
     decisions::RetryBudget &retryBudgetFor(const core::ServiceId &service);
@@ -159,7 +162,7 @@
     /// The report in flight contains the refusals.
     bool wereRefusalsReported_ = false;
     /// Versions of the fleet's state that the router and other tasks have.
-    decisions::FleetVersions known_;
+    decisions::FleetFollower follower_;
     bool isRefusing_ = false;
     bool isReporting_ = false;
     bool hasUrgentReport_ = false;
--- a/packages/gateway/src/RoutingTaskCrashes.cpp
+++ b/packages/gateway/src/RoutingTaskCrashes.cpp
@@ -65,7 +65,7 @@
     decisions::CrashReports reports = crashReporter_.takePending(now);
     report.crashes = std::move(reports.crashes);
     report.completed = std::move(reports.completed);
-    if (known_.term == refusalsTerm_ && known_.term != 0)
+    if (follower_.known().term == refusalsTerm_ && refusalsTerm_ != 0)
         return;
     for (const auto &[fingerprint, until] : fleet_.get()->quarantined) {
         if (until > now)
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -41,9 +41,10 @@
             [this](const RoutingTask::Relay &) { return isRelayAccepted; });
     }
 
-    void waitForReport()
+    void waitForReport() { waitForReportAfter(reports); }
+
+    void waitForReportAfter(int before)
     {
-        const int before = reports;
         for (int i = 0; i < 200 && reports == before; ++i)
             boost::this_fiber::sleep_for(10ms);
         BOOST_REQUIRE(reports > before);
@@ -65,6 +66,20 @@
         BOOST_REQUIRE(isSent);
     }
 
+    /// Answers the report in flight with this state of the fleet.
+    void answerWith(const decisions::FleetUpdate &update)
+    {
+        decisions::CoordinationAnswer answer;
+        answer.standing = decisions::CoordinatorStanding::Holding;
+        answer.reportAfter = 30ms;
+        ReportAnswered message;
+        message.answer = answer;
+        message.update = update;
+        message.reportedAt = clock.now();
+        const bool isSent = task.trySend(std::move(message));
+        BOOST_REQUIRE(isSent);
+    }
+
     void loseReport()
     {
         waitForReport();
@@ -85,19 +100,21 @@
         BOOST_REQUIRE(task.trySend(message));
     }
 
-    void setTargets(const std::vector<decisions::TargetEntry> &list)
+    void setTargets(const std::vector<decisions::TargetEntry> &list, bool hasReplicas = true)
     {
         auto entries = std::make_shared<decisions::TargetEntries>();
         for (const decisions::TargetEntry &entry : list)
             entries->emplace(entry.target, entry);
-        BOOST_REQUIRE(task.trySend(TargetListChanged {entries, true}));
+        BOOST_REQUIRE(task.trySend(TargetListChanged {entries, hasReplicas}));
     }
 
-    std::string chooseTarget(std::uint64_t number)
+    std::string chooseTarget(std::uint64_t number,
+                             const std::optional<decisions::Artifact> &artifact = std::nullopt)
     {
         RouteRequest message;
         message.request = number;
         message.requirements.service = kService;
+        message.requirements.artifact = artifact;
         message.deadline = clock.now() + 1s;
         BOOST_REQUIRE(task.trySend(message));
         const auto grant = message.reply.waitUntil(clock.now() + 1s);
@@ -196,6 +213,46 @@
     BOOST_TEST(lastKnown.targets == 5U);
 }
 
+// Guards against a list of an earlier term that is confirmed as current, because the list of the
+// new term, which the node did not get, has the same version number.
+BOOST_AUTO_TEST_CASE(lostRelayedListOfANewTermIsRequestedAgain)
+{
+    answerReport(5, 1);
+    answerReport(5, 1);
+    BOOST_TEST(lastKnown.targets == 5U);
+    isRelayAccepted = false;
+    answerReport(5, 2);
+    waitForReport();
+    BOOST_TEST(lastKnown.term == 2U);
+    BOOST_TEST(lastKnown.targets == 0U);
+}
+
+// Guards against a node that serves no model any more after its coordinator stood still for a
+// second: the late answer holds only the changes since versions that the node has discarded.
+BOOST_AUTO_TEST_CASE(answerAfterTheTimeoutKeepsThePlacements)
+{
+    const decisions::Artifact model {{"m"}, {}, {}};
+    setTargets({entryOf("a")}, false);
+    decisions::FleetUpdate update;
+    update.versions = {.term = 1, .members = 1, .targets = 1, .placements = 1};
+    update.placements = {{{"a"}, 1, {model}}};
+    waitForReport();
+    answerWith(update);
+    BOOST_TEST(chooseTarget(1, model) == "a");
+
+    waitForReport();
+    decisions::FleetUpdate unchanged;
+    unchanged.versions = update.versions;
+    unchanged.since = lastKnown;
+    BOOST_TEST((lastKnown == update.versions));
+    boost::this_fiber::sleep_for(1200ms);
+    const int before = reports;
+    answerWith(unchanged);
+    BOOST_TEST(chooseTarget(2, model) == "a");
+    waitForReportAfter(before);
+    BOOST_TEST((lastKnown == decisions::FleetVersions()));
+}
+
 // Guards against crashes that no coordinator counts, because their report was not answered.
 BOOST_AUTO_TEST_CASE(crashIsReportedUntilACoordinatorAnswers)
 {
--- a/packages/peer/src/FromWire.cpp
+++ b/packages/peer/src/FromWire.cpp
@@ -379,6 +379,7 @@
 {
     change.version = in.version();
     change.isComplete = in.complete();
+    change.since = in.since();
     for (const auto &record : in.changed())
         change.changed.push_back(read(record));
     for (const std::string &key : in.removed())
--- a/packages/peer/src/ToWire.cpp
+++ b/packages/peer/src/ToWire.cpp
@@ -186,6 +186,7 @@
 {
     out.set_version(change.version);
     out.set_complete(change.isComplete);
+    out.set_since(change.since);
     for (const auto &value : change.changed)
         write(value, *out.add_changed());
     for (const auto &key : change.removed)
--- a/packages/peer/tests/AuthenticationTest.cpp
+++ b/packages/peer/tests/AuthenticationTest.cpp
@@ -124,11 +124,12 @@
             {"relay"}},
         decisions::CoordinationAnswer {
             decisions::CoordinatorStanding::Lapsed,
-            decisions::FleetChange {1,
-                                    {2, true, {member}, {{"gone"}}},
-                                    {3, false, {listed}, {{"t-gone"}}},
-                                    {4, true, {{core::TargetId {"t"}, 4, {artifact}, {{"m"}}}}, {}},
-                                    {5, false, {{core::TargetId {"t"}, 4, 2.5}}, {{"u"}}}},
+            decisions::FleetChange {
+                1,
+                {2, true, 0, {member}, {{"gone"}}},
+                {3, false, 2, {listed}, {{"t-gone"}}},
+                {4, true, 0, {{core::TargetId {"t"}, 4, {artifact}, {{"m"}}}}, {}},
+                {5, false, 3, {{core::TargetId {"t"}, 4, 2.5}}, {{"u"}}}},
             member,
             {6, milliseconds(7), milliseconds(8)},
             {9, 10, milliseconds(11)},
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -52,6 +52,7 @@
     MemberLost = 1706,
     RelayAssigned = 1707,
     RelayLost = 1708,
+    FleetUpdateIgnored = 1709,
     MessageDropped = 1801,
     SettingsChanged = 1802,
     LinesDropped = 1803,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -120,6 +120,8 @@
         return {Severity::Info, "node reports through a relay"};
     case LogEvent::RelayLost:
         return {Severity::Warning, "relay does not answer; reporting to the coordinator"};
+    case LogEvent::FleetUpdateIgnored:
+        return {Severity::Info, "changes of the fleet's state do not fit"};
     case LogEvent::MemberLost:
         return {Severity::Warning, "node does not report"};
     case LogEvent::MessageDropped:
