Deliver messages on which the state of a task depends to full mailboxes

What could happen: a node whose routing task is so busy that its mailbox is full stops reporting to the coordinator for good, or counts requests that have ended as active for good.

Cause: these messages were dropped with event 1801 when a mailbox was full, but each is sent once. The routing task waits for the answer to its report before it sends the next one, the planner for the outcome of each order and report of a target, and the configuration is announced once for each version. In the product's own front end the same holds for released targets, settled reservations, members and limits.

Change: the senders wait for space. None of the receivers waits for its sender, and each closes its mailbox when its loop ends. A report that cannot be sent is followed by another one.

Measured: with the former behaviour, RoutingTaskTest fails in reportThatCannotBeSentIsFollowedByAnother and endOfARequestWaitsForSpaceInTheMailbox.

--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -93,6 +93,11 @@
     return mailbox_.trySend(std::move(message));
 }
 
+bool CoordinatorTask::send(CoordinatorMessage message)
+{
+    return mailbox_.send(std::move(message));
+}
+
 void CoordinatorTask::run()
 {
     while (isRunning_ && !mailbox_.isClosed()) {
@@ -106,6 +111,8 @@
         else if (term_)
             plan(swap::Tick());
     }
+    // Releases calls that wait for space in the mailbox.
+    mailbox_.close();
 }
 
 void CoordinatorTask::updateTerm()
@@ -410,7 +417,8 @@
             "boragerack_orders_total",
             runtime::makeLabels({{"kind", order.kind == swap::OrderKind::Load ? "load" : "unload"},
                                  {"outcome", nameOf(outcome)}}));
-        if (!mailbox_.trySend(OrderFinished {{order.target, order.order, outcome}}))
+        // The planner waits for the outcome of each order and report.
+        if (!mailbox_.send(OrderFinished {{order.target, order.order, outcome}}))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=order_finished");
     });
 }
@@ -438,7 +446,7 @@
                                   + core::errorOf(report).message + "\"");
         metrics_.add("boragerack_target_reports_total",
                      runtime::makeLabels({{"answered", received.report ? "yes" : "no"}}));
-        if (!mailbox_.trySend(TargetReported {std::move(received)}))
+        if (!mailbox_.send(TargetReported {std::move(received)}))
             runtime::logEvent(runtime::LogEvent::MessageDropped, "message=target_reported");
     });
 }
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -46,6 +46,8 @@
     void start(const runtime::Published<FleetView> &fleet);
     void stop();
     [[nodiscard]] bool trySend(CoordinatorMessage message);
+    /// Waits for space in the mailbox. False if the task has ended.
+    [[nodiscard]] bool send(CoordinatorMessage message);
     /// Whether this node is the coordinator at present.
     bool isCoordinating() const { return term_ != nullptr; }
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -262,8 +262,10 @@
             const RouteTablePointer table = configuration.table();
             report.isPlatformLost = configuration.isPlatformLost();
             report.configurationVersion = table ? table->configuration().version : 0;
-            if (!reports.trySend(OwnReport {std::move(report)}))
+            const bool isSent = reports.trySend(OwnReport {std::move(report)});
+            if (!isSent)
                 runtime::logEvent(runtime::LogEvent::MessageDropped, "message=report");
+            return isSent;
         },
         [this](RoutingTask::Relay relay) { return relayToTasks(std::move(relay)); });
     crashChecks.start();
@@ -276,9 +278,10 @@
     configuration.start(
         [this](const RouteTablePointer &table) {
             callerServer.updateLimits(limitsOf(table->configuration().limits));
-            const bool isSent = routing.trySend(ConfigurationChanged {table})
-                && coordinator.trySend(CoordinatorConfigurationChanged {table})
-                && lifecycle.trySend(LifecycleTask::ConfigurationArrived());
+            // Each version is announced once. These tasks never wait for this one.
+            bool isSent = routing.send(ConfigurationChanged {table});
+            isSent = coordinator.send(CoordinatorConfigurationChanged {table}) && isSent;
+            isSent = lifecycle.send(LifecycleTask::ConfigurationArrived()) && isSent;
             if (!isSent)
                 runtime::logEvent(runtime::LogEvent::MessageDropped,
                                   "message=configuration_changed");
--- a/packages/gateway/src/ReportTask.cpp
+++ b/packages/gateway/src/ReportTask.cpp
@@ -359,8 +359,10 @@
     if (!ownReport_)
         return;
     const SentOwnReport sent = *std::exchange(ownReport_, std::nullopt);
-    if (!routing_.trySend(ReportAnswered {answer, state_.updateSince(sent.known), sent.at, isLocal,
-                                          lease_.lease().peakNodeCount(), hadUses}))
+    // The routing task sends no further report before it has the answer, so the answer must not be
+    // dropped. That task never waits for this one.
+    if (!routing_.send(ReportAnswered {answer, state_.updateSince(sent.known), sent.at, isLocal,
+                                       lease_.lease().peakNodeCount(), hadUses}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=report_answered");
 }
 
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -107,8 +107,7 @@
     }
     endRoute(decisions::AttemptOutcome::Abandoned);
     if (outcome_.verdict == core::Verdict::NotRun && admitted_.tokens > 0
-        && !dependencies_.routing.trySend(
-            TokensReturned {admitted_.organisation, admitted_.tokens}))
+        && !dependencies_.routing.send(TokensReturned {admitted_.organisation, admitted_.tokens}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=tokens_returned");
     return outcome_;
 }
@@ -396,7 +395,8 @@
     RouteRequestEnded message {admitted_.number, outcome, isMissing, firstPiece_, {}};
     if (isHarmless)
         message.harmless = suspects();
-    if (!dependencies_.routing.trySend(std::move(message)))
+    // The routing task would count the request as active for good.
+    if (!dependencies_.routing.send(std::move(message)))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=route_ended");
 }
 
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -76,6 +76,11 @@
     return mailbox_.trySend(std::move(message));
 }
 
+bool RoutingTask::send(RoutingMessage message)
+{
+    return mailbox_.send(std::move(message));
+}
+
 void RoutingTask::run()
 {
     core::TimePoint nextTick = clock_.now();
@@ -89,6 +94,8 @@
         }
         report();
     }
+    // Releases tasks that wait for space in the mailbox.
+    mailbox_.close();
 }
 
 void RoutingTask::on(RouteRequest &message)
@@ -417,7 +424,8 @@
     report.permits = router_.takePermitRequests(now);
     report.rates = router_.takeRateObservations(now);
     reportCrashes(report);
-    sendReport_(std::move(report));
+    // The next report would wait for the answer to one that was not sent.
+    isReporting_ = sendReport_(std::move(report));
 }
 
 std::uint32_t RoutingTask::nodeCount() const
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -29,8 +29,9 @@
 class RoutingTask
 {
 public:
-    /// Sends a report; the answer is delivered as ReportAnswered.
-    using SendReport = std::function<void(decisions::CoordinationReport)>;
+    /// Sends a report; the answer is delivered as ReportAnswered. False if it cannot be sent; no
+    /// answer follows.
+    using SendReport = std::function<bool(decisions::CoordinationReport)>;
     /// What the coordinator has read from the platform. `targets` is empty if unchanged.
     struct Relay
     {
@@ -62,6 +63,8 @@
     void stop();
     /// False if the mailbox is full.
     [[nodiscard]] bool trySend(RoutingMessage message);
+    /// Waits for space in the mailbox. False if the task has ended.
+    [[nodiscard]] bool send(RoutingMessage message);
 
     const runtime::Published<FleetView> &fleet() const { return fleet_; }
 
--- a/packages/gateway/tests/CrashCheckTaskTest.cpp
+++ b/packages/gateway/tests/CrashCheckTaskTest.cpp
@@ -75,6 +75,7 @@
             [this](const decisions::CoordinationReport &report) {
                 crashes += report.crashes.size();
                 acceptReport();
+                return true;
             },
             [](const RoutingTask::Relay &) { return true; });
         checks.start();
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -37,6 +37,7 @@
                 lastKnown = report.known;
                 lastCrashes = report.crashes;
                 ++reports;
+                return isReportAccepted;
             },
             [this](const RoutingTask::Relay &) { return isRelayAccepted; });
     }
@@ -134,6 +135,7 @@
     decisions::FleetVersions lastKnown;
     std::vector<decisions::quarantine::CrashReport> lastCrashes;
     int reports = 0;
+    bool isReportAccepted = true;
     bool isRelayAccepted = true;
     runtime::FiberRuntime fibers;
     core::MonotonicClock clock;
@@ -253,6 +255,33 @@
     BOOST_TEST((lastKnown == decisions::FleetVersions()));
 }
 
+// Guards against a node that reports no more, because it waits for the answer to a report that the
+// full mailbox of the next task did not take.
+BOOST_AUTO_TEST_CASE(reportThatCannotBeSentIsFollowedByAnother)
+{
+    isReportAccepted = false;
+    waitForReport();
+    waitForReport();
+    isReportAccepted = true;
+    answerReport(1);
+    waitForReport();
+    BOOST_TEST(lastKnown.term == 1U);
+}
+
+// Guards against a request that counts as active for good, because the full mailbox of the task did
+// not take the message about its end.
+BOOST_AUTO_TEST_CASE(endOfARequestWaitsForSpaceInTheMailbox)
+{
+    setTargets({entryOf("a")});
+    // More requests than are active at a time.
+    constexpr std::uint64_t kRequests = 40;
+    for (std::uint64_t number = 1; number <= kRequests; ++number) {
+        BOOST_TEST(chooseTarget(number) == "a");
+        while (task.trySend(TokensReturned {})) { }
+        BOOST_TEST(task.send(RouteRequestEnded {.request = number}));
+    }
+}
+
 // Guards against crashes that no coordinator counts, because their report was not answered.
 BOOST_AUTO_TEST_CASE(crashIsReportedUntilACoordinatorAnswers)
 {
--- a/packages/node/src/BudgetTask.cpp
+++ b/packages/node/src/BudgetTask.cpp
@@ -88,6 +88,11 @@
     return mailbox_.trySend(std::move(message));
 }
 
+bool BudgetTask::send(BudgetMessage message)
+{
+    return mailbox_.send(std::move(message));
+}
+
 core::Result<decisions::RequestNumber> BudgetTask::reserve(const core::OrganisationId &organisation,
                                                            std::int64_t tokens,
                                                            core::TimePoint deadline)
--- a/packages/node/src/BudgetTask.h
+++ b/packages/node/src/BudgetTask.h
@@ -25,6 +25,8 @@
     void start();
     void stop();
     [[nodiscard]] bool trySend(BudgetMessage message);
+    /// Waits for space in the mailbox. False if the task has ended.
+    [[nodiscard]] bool send(BudgetMessage message);
 
     /// Reserves tokens; blocks the calling fiber at most until shortly after the deadline.
     core::Result<decisions::RequestNumber> reserve(const core::OrganisationId &organisation,
--- a/packages/node/src/ModelHandler.cpp
+++ b/packages/node/src/ModelHandler.cpp
@@ -76,7 +76,7 @@
     const ForwardingResult result = runner.run();
     const std::int64_t used =
         result.verdict == core::Verdict::NotRun ? 0 : countTokens(parsed, result, sink);
-    static_cast<void>(services_.budget.trySend(
+    static_cast<void>(services_.budget.send(
         decisions::ReservationSettled {core::valueOf(reservation), std::min(used, tokens)}));
     reportOutcome(suspects, result);
     countRequest(services_.metrics, context.organisation, parsed.model, result.verdict,
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -28,7 +28,6 @@
 
 constexpr std::chrono::milliseconds kPollInterval(1000);
 constexpr std::chrono::milliseconds kPeerTimeout(1000);
-constexpr std::chrono::milliseconds kMailboxRetryDelay(20);
 
 std::string formatAddress(const config::SocketAddress &address)
 {
@@ -289,14 +288,11 @@
             if (!fleet_->configuration().waitUntil(limit, isNewer))
                 continue;
             const auto active = fleet_->configuration().get();
-            // The planner must not miss an evacuation because its mailbox is full.
-            if (!placement_->trySend(listArtifacts(active->catalogue))) {
-                boost::this_fiber::sleep_for(kMailboxRetryDelay);
-                continue;
-            }
+            // Each version is announced once, so no task may miss it because its mailbox is full.
+            static_cast<void>(placement_->send(listArtifacts(active->catalogue)));
             version = active->version;
             evacuations.onConfiguration(*active, *targets_->table().get());
-            static_cast<void>(budget_->trySend(RateLimitsChanged {listLimits(active->catalogue)}));
+            static_cast<void>(budget_->send(RateLimitsChanged {listLimits(active->catalogue)}));
         }
     }
 
@@ -324,8 +320,8 @@
             if (member.record.region == identity_.region && !member.isSuspected)
                 candidates.instances.push_back(member.record.instance);
         }
-        static_cast<void>(placement_->trySend(std::move(candidates)));
-        static_cast<void>(budget_->trySend(std::move(budgetMembers)));
+        static_cast<void>(placement_->send(std::move(candidates)));
+        static_cast<void>(budget_->send(std::move(budgetMembers)));
     }
 
     runtime::FiberRuntime &fiberRuntime_;
--- a/packages/node/src/PlacementTask.cpp
+++ b/packages/node/src/PlacementTask.cpp
@@ -117,6 +117,11 @@
     return mailbox_.trySend(std::move(message));
 }
 
+bool PlacementTask::send(PlacementMessage message)
+{
+    return mailbox_.send(std::move(message));
+}
+
 void PlacementTask::onTargetChanges(const TargetChanges &changes)
 {
     static_cast<void>(mailbox_.send(changes));
--- a/packages/node/src/PlacementTask.h
+++ b/packages/node/src/PlacementTask.h
@@ -33,6 +33,8 @@
 
     /// Returns false if the mailbox is full.
     [[nodiscard]] bool trySend(PlacementMessage message);
+    /// Waits for space in the mailbox. False if the task has ended.
+    [[nodiscard]] bool send(PlacementMessage message);
 
     void onTargetChanges(const TargetChanges &changes) override;
     void onInstances(const std::vector<platform::InstanceRecord> &instances) override;
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -363,7 +363,8 @@
 {
     if (!route_)
         return;
-    static_cast<void>(routing_.trySend(TargetReleased {job_.destination, route_->target}));
+    // The routing task would count the request as active for good.
+    static_cast<void>(routing_.send(TargetReleased {job_.destination, route_->target}));
     route_.reset();
 }
 
--- a/packages/node/src/RoutingTask.cpp
+++ b/packages/node/src/RoutingTask.cpp
@@ -57,6 +57,11 @@
     return mailbox_.trySend(std::move(message));
 }
 
+bool RoutingTask::send(RoutingMessage message)
+{
+    return mailbox_.send(std::move(message));
+}
+
 void RoutingTask::run()
 {
     while (isRunning_) {
--- a/packages/node/src/RoutingTask.h
+++ b/packages/node/src/RoutingTask.h
@@ -116,6 +116,8 @@
                const runtime::Published<ActiveConfiguration> &configuration);
     void stop();
     [[nodiscard]] bool trySend(RoutingMessage message);
+    /// Waits for space in the mailbox. False if the task has ended.
+    [[nodiscard]] bool send(RoutingMessage message);
 
 private:
     /// The target reported that it does not hold the artifact; it is not selected for it before
--- a/packages/node/src/ServiceHandler.cpp
+++ b/packages/node/src/ServiceHandler.cpp
@@ -72,7 +72,7 @@
             responder.send(makeErrorResponse(core::errorOf(reservation)));
             return;
         }
-        static_cast<void>(services_.budget.trySend(
+        static_cast<void>(services_.budget.send(
             decisions::ReservationSettled {core::valueOf(reservation), kServiceCallTokens}));
     }
     if (call.route.atMostOnce && !call.idempotencyKey.empty()) {
