Keep the latest version of each target record in the node's watch

What could happen: a node sends requests to a replica that was unloaded, or none to one that is ready, until the record changes again.

Cause: TargetWatchTask reads all records again when one of its two watches has lost its place. A change that the other watch has read before can be handled afterwards, and replaced the newer record. PlacementLedger compares versions, the watch did not.

Change: the decision is in TargetRecords, which keeps the version of each record; a complete read drops the records that it lacks unless they are newer.

--- a/packages/node/src/TargetWatchTask.cpp
+++ b/packages/node/src/TargetWatchTask.cpp
@@ -87,9 +87,7 @@
             addChange(changes, object.key, object.version, object.value);
     }
     revision_ = changes.revision;
-    records_.clear();
-    for (const auto &target : changes.targets)
-        records_[target.record.target] = target.record;
+    records_.replace(changes.revision, changes.targets);
     publish();
     for (TargetWatchListener *listener : listeners_)
         listener->onTargetChanges(changes);
@@ -130,7 +128,7 @@
     if (changes.models.empty() && changes.targets.empty())
         return;
     for (const auto &target : changes.targets)
-        records_[target.record.target] = target.record;
+        records_.update(target);
     publish();
     for (TargetWatchListener *listener : listeners_)
         listener->onTargetChanges(changes);
@@ -143,8 +141,8 @@
         if (instance.kind != platform::InstanceKind::Node)
             table.targets[core::TargetId {instance.instance.value}] = instance;
     }
-    for (const auto &[target, record] : records_) {
-        for (const decisions::MemoryReservation &reservation : record.reservations) {
+    for (const auto &[target, known] : records_.records()) {
+        for (const decisions::MemoryReservation &reservation : known.record.reservations) {
             if (reservation.phase == decisions::ReservationPhase::Ready
                 && table.targets.contains(target))
                 table.ready[reservation.artifact].push_back(target);
--- a/packages/node/src/TargetWatchTask.h
+++ b/packages/node/src/TargetWatchTask.h
@@ -2,12 +2,12 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
 #include "TargetTable.h"
 #include "boragerack/decisions/PlacementRecords.h"
+#include "boragerack/decisions/TargetRecords.h"
 #include "boragerack/platform/PlatformStore.h"
 #include "boragerack/runtime/FiberGroup.h"
 #include "boragerack/runtime/Published.h"
@@ -71,7 +71,7 @@
     bool isStopping_ = false;
     std::uint64_t revision_ = 0;
     std::vector<platform::InstanceRecord> instances_;
-    std::map<core::TargetId, decisions::TargetRecord> records_;
+    decisions::TargetRecords records_;
     runtime::Published<TargetTable> table_;
     runtime::Published<bool> isReachable_ = runtime::Published<bool>(true);
     runtime::FiberGroup fibers_;
