Count a body without a length as complete only if the request was written

Callers saw: a target answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: the exchange writes and reads at the same time on one socket. The system reports the error of a reset once. If the write got it, the read saw the end of the connection, which is the end of a body without a length; the failed write only kept the connection out of the pool.

Ruled out: the framing (bodies with a length or in chunks fail as before), and the front ends, which both use this code.

Change: such a body is complete once the request has been written. While the write is pending, the exchange waits for its end. A failed write ends the exchange as a lost connection: 502, or a stream that breaks off.

--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -166,9 +166,11 @@
         WrittenRequest {formatRequestHead(request_, address_), std::move(request_.body)});
     const std::array parts {boost::asio::buffer(request->head), boost::asio::buffer(request->body)};
     boost::asio::async_write(*stream_, parts,
-                             [self = shared_from_this(), request,
-                              stream = stream_](const boost::system::error_code &error,
-                                                std::size_t) { self->isWritten_ = !error; });
+                             [self = shared_from_this(), request, stream = stream_](
+                                 const boost::system::error_code &error, std::size_t) {
+                                 self->isWritten_ = !error;
+                                 self->written_.set(!error);
+                             });
 }
 
 bool HttpExchange::State::readHead(Parser &parser)
@@ -221,15 +223,29 @@
         if (size > 0 && !events_.send(HttpBodyPart {std::string(bytes.data(), size)}))
             return;
     }
+    // A reset that ends the write is not reported to the read as well, which then sees the end of
+    // the connection.
+    if (!isFramed && !waitUntilWritten()) {
+        fail(core::ErrorCode::ConnectionFailed,
+             "the connection ended before the request was written");
+        return;
+    }
     stream_->expires_never();
     if (use_ != ConnectionUse::SingleUse && parser.keep_alive() && buffer_.size() == 0
-        && !isCancelled_ && isWritten_)
+        && !isCancelled_ && isWritten_.value_or(false))
         keepConnection(head_);
     else
         stream_->close();
     static_cast<void>(events_.send(HttpCompleted {isFramed}));
 }
 
+bool HttpExchange::State::waitUntilWritten()
+{
+    if (!isWritten_)
+        written_.waitUntil(std::chrono::steady_clock::now() + options_.inactivityTimeout);
+    return isWritten_.value_or(false);
+}
+
 void HttpExchange::State::keepConnection(const HttpResponseHead &head)
 {
     // The server closes idle connections at its own timeout; a request sent at that moment would be
--- a/packages/runtime/src/ExchangeState.h
+++ b/packages/runtime/src/ExchangeState.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -11,6 +12,7 @@
 #include "ConnectionPool.h"
 #include "boragerack/runtime/HttpExchange.h"
 #include "boragerack/runtime/Mailbox.h"
+#include "boragerack/runtime/ReplyChannel.h"
 
 namespace boragerack::runtime {
 
@@ -36,6 +38,8 @@
     bool connect();
     void startWriting();
     bool readHead(Parser &parser);
+    /// Waits until the write of the request has ended. False if it failed.
+    bool waitUntilWritten();
     void readResponse();
     void keepConnection(const HttpResponseHead &head);
     void fail(core::ErrorCode code, const std::string &reason);
@@ -55,9 +59,11 @@
     Mailbox<HttpEvent> events_;
     core::Verdict verdict_ = core::Verdict::NotRun;
     bool isCancelled_ = false;
-    /// Whether the request has been written completely. A server may respond earlier; the
-    /// connection is then not reused.
-    bool isWritten_ = false;
+    /// Whether the request has been written completely; empty while it is being written. A server
+    /// may respond earlier; the connection is then not reused.
+    std::optional<bool> isWritten_;
+    /// Receives the same when the write ends.
+    ReplyChannel<bool> written_;
 };
 
 } // namespace boragerack::runtime
