Fail an answer with an invalid status at once

Cause: each status below 200 counted as an interim response, so the exchange waited for a final one. 101, which no request asks for, was waited on as well, and a status above 599 was passed on.

Ruled out: the parser, which accepts three digits of any value, as specified for the head; the front ends, which saw no answer.

Change: a status outside of 100 to 599, or 101, ends the exchange with ProtocolViolation. The caller gets 502 without the stamp of the target, or another target is tried where the request may be repeated. Such an answer is no sign of a crash in either front end.

--- a/packages/gateway/src/RequestExecutionAnswer.cpp
+++ b/packages/gateway/src/RequestExecutionAnswer.cpp
@@ -145,7 +145,8 @@
 {
     if (outcome_.isCallerGone)
         return;
-    if (event.verdict != core::Verdict::NotRun)
+    // A target that answers with a violation of the protocol has not crashed.
+    if (event.verdict != core::Verdict::NotRun && event.code != core::ErrorCode::ProtocolViolation)
         reportCrash();
     failAttempt();
 }
--- a/packages/node/src/RequestForwarder.cpp
+++ b/packages/node/src/RequestForwarder.cpp
@@ -358,6 +358,11 @@
 
 void RequestForwarder::onExchange(const core::Error &event)
 {
+    // A target that answers with a violation of the protocol has not crashed.
+    if (event.code == core::ErrorCode::ProtocolViolation) {
+        fire(attempt::ConnectionLost {connectionAttempt_, false});
+        return;
+    }
     if (event.verdict != core::Verdict::NotRun) {
         fireConnection(connection::Lost());
         return;
--- a/packages/node/tests/EarlyAnswerTest.cpp
+++ b/packages/node/tests/EarlyAnswerTest.cpp
@@ -59,3 +59,18 @@
         }
     }
 }
+
+// Guards against a status that is none, which its caller gets as an answer, or for which it waits
+// until its deadline (issue 46, MIXED).
+BOOST_FIXTURE_TEST_CASE(invalidStatusIsAnsweredAtOnce, EarlyAnswerFixture)
+{
+    answer = "HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\nok";
+    // The first request waits until the node owns shares of the budget.
+    postHold(0, "zero-0", "{}");
+    const auto begin = std::chrono::steady_clock::now();
+    const auto result = postHold(0, "zero-1", "{}");
+    BOOST_REQUIRE(core::isOk(result));
+    BOOST_TEST(core::valueOf(result).status >= 500U);
+    BOOST_TEST(errorMember(core::valueOf(result), "verdict") == "may_have_run");
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 1s));
+}
--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -29,7 +29,10 @@
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// Interim responses (status 1xx) that may precede a response.
 constexpr int kMaxInterimResponses = 8;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 
 /// A request as it is written.
 struct WrittenRequest
@@ -46,6 +49,13 @@
         ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value)));
 }
 
+/// Whether HTTP defines the class of the status, and it can be an answer to a request that asks for
+/// no other protocol.
+bool isExpectedStatus(unsigned status)
+{
+    return status >= kFirstStatus && status <= kLastStatus && status != kSwitchingProtocols;
+}
+
 /// Parses "timeout=<seconds>" in a Keep-Alive header.
 std::optional<std::chrono::milliseconds> parseKeepAliveTimeout(std::string_view header)
 {
@@ -193,7 +203,12 @@
         finalParser.emplace();
         if (!readHead(*finalParser))
             return;
-        if (finalParser->get().result_int() >= kFirstFinalStatus)
+        const unsigned status = finalParser->get().result_int();
+        if (!isExpectedStatus(status)) {
+            fail(core::ErrorCode::ProtocolViolation, "invalid status " + std::to_string(status));
+            return;
+        }
+        if (status >= kFirstFinalStatus)
             break;
     }
     Parser &parser = *finalParser;
--- a/packages/runtime/tests/EarlyAnswerTest.cpp
+++ b/packages/runtime/tests/EarlyAnswerTest.cpp
@@ -60,6 +60,40 @@
     BOOST_TEST(core::valueOf(result).body == "the beginning");
 }
 
+// Guards against a status that is none, which is waited for until the request times out, or passed
+// on as an answer.
+BOOST_AUTO_TEST_CASE(invalidStatusFailsAtOnce)
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        RawHttpServer server([&status](const std::string &) {
+            return RawHttpServer::Answer {"HTTP/1.1 " + status
+                                          + " Odd\r\nContent-Length: 2\r\n\r\nok"};
+        });
+        const auto start = std::chrono::steady_clock::now();
+        const auto result = upload(server, 10);
+        BOOST_TEST_CONTEXT(status)
+        {
+            BOOST_REQUIRE(!core::isOk(result));
+            BOOST_TEST((core::errorOf(result).verdict == core::Verdict::MayHaveRun));
+            BOOST_TEST((core::errorOf(result).code == core::ErrorCode::ProtocolViolation));
+            BOOST_TEST((std::chrono::steady_clock::now() - start < 1s));
+        }
+    }
+}
+
+// Guards against an answer that fails because others of the status 1xx precede it.
+BOOST_AUTO_TEST_CASE(interimResponsesPrecedeTheAnswer)
+{
+    RawHttpServer server([](const std::string &) {
+        return RawHttpServer::Answer {"HTTP/1.1 100 Continue\r\n\r\n"
+                                      "HTTP/1.1 103 Early Hints\r\n\r\n"
+                                      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+    });
+    const auto result = upload(server, 10);
+    BOOST_REQUIRE(core::isOk(result));
+    BOOST_TEST(core::valueOf(result).body == "ok");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::runtime::testing
