--- a/packages/decisions/src/serving/TargetWorkModel.cpp
+++ b/packages/decisions/src/serving/TargetWorkModel.cpp
@@ -35,8 +35,10 @@
 
 core::Duration fromMs(double ms)
 {
+    // Longer than any request; much longer times are not representable.
+    constexpr double kMaxMs = 86'400'000;
     return std::chrono::duration_cast<core::Duration>(
-        std::chrono::duration<double, std::milli>(ms));
+        std::chrono::duration<double, std::milli>(std::min(ms, kMaxMs)));
 }
 
 void average(double &mean, double value)
--- a/packages/decisions/tests/RequestQueueTest.cpp
+++ b/packages/decisions/tests/RequestQueueTest.cpp
@@ -1,9 +1,12 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <deque>
+#include <limits>
 #include <map>
 #include <set>
 
+#include "boragerack/core/SeededRandomSource.h"
 #include "boragerack/decisions/DeficitRoundRobinPolicy.h"
 #include "boragerack/decisions/FirstComeFirstServedPolicy.h"
 #include "boragerack/decisions/RequestQueue.h"
@@ -41,6 +44,63 @@
 
 } // namespace
 
+// Guards against a request that keeps the processor for good because it states a very large number
+// of tokens, and against rounds that are skipped unevenly.
+BOOST_AUTO_TEST_CASE(statedTokensDoNotCostProcessorTime)
+{
+    constexpr std::int64_t kHuge = std::numeric_limits<std::int64_t>::max();
+    DeficitRoundRobinPolicy policy;
+    policy.push({.request = 1, .organisation = {"a"}, .tokens = kHuge});
+    policy.push({.request = 2, .organisation = {"b"}, .tokens = kHuge, .weight = kHuge});
+    policy.push({.request = 3, .organisation = {"c"}, .tokens = 1'000'000'000'000'000});
+    policy.push({.request = 4, .organisation = {"d"}, .tokens = 100});
+    std::vector<std::uint64_t> order;
+    while (const auto request = policy.pop())
+        order.push_back(request->request);
+    const std::vector<std::uint64_t> expected {2, 4, 3, 1};
+    BOOST_TEST(order == expected, boost::test_tools::per_element());
+}
+
+// Guards against another order than that of rounds that are counted one by one.
+BOOST_AUTO_TEST_CASE(skippedRoundsKeepTheOrder)
+{
+    const bool passed = rc::check([](std::uint64_t seed) {
+        core::SeededRandomSource random(seed);
+        DeficitRoundRobinPolicy policy(64);
+        std::map<core::OrganisationId, std::deque<QueuedRequest>> waiting;
+        std::deque<core::OrganisationId> order;
+        for (std::uint64_t number = 0; number < 40; ++number) {
+            QueuedRequest request;
+            request.request = number;
+            request.organisation = {"o" + std::to_string(random.next() % 5)};
+            request.tokens = static_cast<std::int64_t>(random.next() % 3000);
+            request.weight = request.organisation.value == "o1" ? 3 : 1;
+            if (waiting[request.organisation].empty())
+                order.push_back(request.organisation);
+            waiting[request.organisation].push_back(request);
+            policy.push(request);
+        }
+        std::map<core::OrganisationId, std::int64_t> deficits;
+        while (!order.empty()) {
+            const core::OrganisationId organisation = order.front();
+            std::deque<QueuedRequest> &requests = waiting[organisation];
+            deficits[organisation] += 64 * requests.front().weight;
+            while (!requests.empty() && requests.front().tokens <= deficits[organisation]) {
+                deficits[organisation] -= requests.front().tokens;
+                const auto served = policy.pop();
+                RC_ASSERT(served.has_value());
+                RC_ASSERT(served->request == requests.front().request);
+                requests.pop_front();
+            }
+            order.pop_front();
+            if (!requests.empty())
+                order.push_back(organisation);
+        }
+        RC_ASSERT(!policy.pop().has_value());
+    });
+    BOOST_TEST(passed);
+}
+
 // Guards against sharing by number of requests instead of by weighted tokens.
 BOOST_AUTO_TEST_CASE(backloggedOrganisationsShareTokensByWeight)
 {
