Confirm a relayed list of targets only by the list's own version

Cause: an answer that names a relay holds no state, but the age of the coordinator's list. The routing task passed it on as a confirmation without a list, and TargetDirectory put the last relayed list into force, that of the previous coordinator. The same answer ended the refusals of requests that crash targets, because the term was that of an earlier answer.

Ruled out: relayed lists themselves; a list that a coordinator sends names the time of its content correctly.

Change: an answer without state says nothing about targets, crashes and refusals. A relayed list has a version, and TargetDirectory accepts a confirmation for this version only. The answers of the test fixtures hold state, as those of a coordinator do.

Measured: RoutingTaskTest/answerWithoutStateConfirmsNoTargets and TargetDirectoryTest/confirmationOfAnotherListIsIgnored fail without the checks.

--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -51,12 +51,21 @@
     friend bool operator==(const Confirmed &, const Confirmed &) = default;
 };
 
-/// A list that another node read, or its confirmation if the list has not changed since the
-/// previous one. It includes all changes up to `contentAt`.
+/// Identifies a list that a coordinator distributes.
+struct ListVersion
+{
+    std::uint64_t term = 0;
+    std::uint64_t version = 0;
+    friend auto operator<=>(const ListVersion &, const ListVersion &) = default;
+};
+
+/// A list that another node read, or the confirmation of the list of this version, which was
+/// relayed before. It includes all changes up to `contentAt`.
 struct Relayed
 {
     std::optional<std::vector<TargetEntry>> entries;
     core::TimePoint contentAt = {};
+    ListVersion version = {};
     friend bool operator==(const Relayed &, const Relayed &) = default;
 };
 
@@ -104,6 +113,11 @@
     core::TimePoint contentAt() const { return contentAt_; }
     /// Whether the entries are those of a relayed list.
     bool isRelayed() const { return isRelayed_; }
+    /// Whether this version was relayed last, so that it can be confirmed.
+    bool canConfirm(const targets::ListVersion &version) const
+    {
+        return relayedEntries_ && relayedVersion_ == version;
+    }
 
 private:
     /// The last process of a target that the platform has listed.
@@ -135,6 +149,7 @@
     bool isRelayed_ = false;
     /// The last relayed list, which later confirmations refer to, even if it is not in use.
     std::optional<std::vector<TargetEntry>> relayedEntries_;
+    targets::ListVersion relayedVersion_;
     bool isRelayApplied_ = false;
     std::map<core::TargetId, core::TimePoint> lapsing_;
     std::optional<core::TimePoint> platformFailedAt_;
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -130,9 +130,10 @@
 {
     if (event.entries) {
         relayedEntries_ = event.entries;
+        relayedVersion_ = event.version;
         isRelayApplied_ = false;
     }
-    if (!relayedEntries_ || event.contentAt <= contentAt_)
+    if (!canConfirm(event.version) || event.contentAt <= contentAt_)
         return false;
     // A list may arrive with the time of the one before, if only the evacuations have changed.
     const bool isKnown = std::exchange(isRelayed_, true) && std::exchange(isRelayApplied_, true);
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -241,6 +241,20 @@
     BOOST_TEST(!directory.entries().contains({"b"}));
 }
 
+// Guards against a target that left and gets requests again, because the confirmation of another
+// list puts the last relayed one into force (review/8, DRAIN).
+BOOST_AUTO_TEST_CASE(confirmationOfAnotherListIsIgnored)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Relayed {{{entryOf("a"), entryOf("b")}}, kNow, {5, 1}}, kNow);
+    directory.handle(targets::Listed {{entryOf("b")}}, kNow + 1s);
+    directory.handle(targets::Confirmed {kNow + 1s}, kNow + 1s);
+    BOOST_TEST(!directory.entries().contains({"a"}));
+    BOOST_TEST(!directory.handle(targets::Relayed {std::nullopt, kNow + 2s, {6, 1}}, kNow + 2s));
+    BOOST_TEST(!directory.entries().contains({"a"}));
+    BOOST_TEST((directory.contentAt() == kNow + 1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -311,9 +311,10 @@
             relay.configurationVersion, relay.configurationProvenAt,
             std::move(relay.configuration)}))
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=relayed_configuration");
-    const bool hasList = relay.targets.has_value();
-    const bool isAccepted =
-        targets.trySend(TargetTask::RelayedTargets {std::move(relay.targets), relay.targetsReadAt});
+    if (!relay.targets)
+        return false;
+    const bool hasList = relay.targets->entries.has_value();
+    const bool isAccepted = targets.trySend(std::move(*relay.targets));
     if (!isAccepted)
         runtime::logEvent(runtime::LogEvent::MessageDropped,
                           std::string("message=relayed_targets changed=")
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -297,9 +297,11 @@
     lastAnswer_ = now;
     nextReport_ = now + answer.reportAfter;
     reportInterval_ = answer.reportAfter;
-    // The versions that the report named may have been discarded since.
-    const bool isUpdateFitting = follower_.fits(message.update);
-    const bool areTargetsAdopted = isUpdateFitting && relay(message, answer);
+    // An answer that names a relay holds no state. The update is then that of an earlier answer,
+    // perhaps of another coordinator. The versions that the report named may have been discarded
+    // since.
+    const bool isUpdateFitting = answer.change && follower_.fits(message.update);
+    const bool areTargetsAdopted = relay(message, answer, isUpdateFitting);
     tokenLimiter_.stopAccruing();
     for (const decisions::TokenAmount &grant : answer.granted)
         tokenLimiter_.credit(grant);
@@ -309,10 +311,13 @@
         route(decisions::routing::PermitsGranted {answer.permits});
     if (isUpdateFitting)
         applyUpdate(message.update, areTargetsAdopted);
-    else
+    else if (answer.change)
         requestCompleteUpdate(message.update);
-    handleCrashesAccepted(message.update.versions.term);
-    adoptRefusals(answer, message.update.versions.term);
+    // Without state, the term is that of an earlier answer.
+    if (answer.change) {
+        handleCrashesAccepted(message.update.versions.term);
+        adoptRefusals(answer, message.update.versions.term);
+    }
     if (answer.loads && message.update.loads)
         route(decisions::routing::LoadsReported {*message.update.loads, message.hadUses});
 }
@@ -349,7 +354,8 @@
     follower_.adopt(update, areTargetsAdopted);
 }
 
-bool RoutingTask::relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer)
+bool RoutingTask::relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer,
+                        bool hasState)
 {
     if (message.isLocal || answer.standing != decisions::CoordinatorStanding::Holding)
         return false;
@@ -357,10 +363,12 @@
     // never too recent.
     Relay relay {answer.platformReadStatus.configurationVersion,
                  message.reportedAt - answer.platformReadStatus.configurationAge,
-                 answer.configuration, message.reportedAt - answer.platformReadStatus.targetsAge,
-                 std::nullopt};
-    relay.targets = message.update.targets;
-    return onRelay_(std::move(relay));
+                 answer.configuration, std::nullopt};
+    if (hasState)
+        relay.targets = {message.update.targets,
+                         message.reportedAt - answer.platformReadStatus.targetsAge,
+                         {message.update.versions.term, message.update.versions.targets}};
+    return onRelay_(std::move(relay)) && hasState;
 }
 
 void RoutingTask::setNodes(std::size_t nodes)
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -32,15 +32,15 @@
     /// Sends a report; the answer is delivered as ReportAnswered. False if it cannot be sent; no
     /// answer follows.
     using SendReport = std::function<bool(decisions::CoordinationReport)>;
-    /// What the coordinator has read from the platform. `targets` is empty if unchanged.
+    /// What the coordinator has read from the platform.
     struct Relay
     {
         std::uint64_t configurationVersion = 0;
         core::TimePoint configurationProvenAt = {};
         /// Empty if this node already has it.
         std::string configuration;
-        core::TimePoint targetsReadAt = {};
-        std::optional<std::vector<decisions::TargetEntry>> targets;
+        /// Empty if the answer holds no state of the fleet.
+        std::optional<TargetTask::RelayedTargets> targets;
     };
     /// False if the target list was not accepted; it is then requested again.
     using OnRelay = std::function<bool(Relay)>;
@@ -105,9 +105,10 @@
     void serveTokenQueue(bool refuseReported);
     void updateWaitingTokens();
     void adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
-    /// Passes on what the coordinator has read. False if it is not valid for this node or was not
-    /// accepted.
-    bool relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
+    /// Passes on what the coordinator has read, with the targets if the answer holds state that
+    /// this node can adopt. False if the targets were not accepted.
+    bool relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer,
+               bool hasState);
     void handleCrashesAccepted(std::uint64_t term);
     void adoptRefusals(const decisions::CoordinationAnswer &answer, std::uint64_t term);
     void reportCrashes(decisions::CoordinationReport &report);
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -129,9 +129,12 @@
 
 bool TargetTask::handleRelayed(const RelayedTargets &relayed)
 {
+    if (!relayed.entries && !directory_.canConfirm(relayed.version))
+        return false;
     relayedAt_ = std::max(relayedAt_, relayed.contentAt);
     const bool isChanged = directory_.handle(
-        decisions::targets::Relayed {relayed.entries, relayed.contentAt}, clock_.now());
+        decisions::targets::Relayed {relayed.entries, relayed.contentAt, relayed.version},
+        clock_.now());
     // The changes since the last own read do not apply to a relayed list.
     if (directory_.isRelayed())
         revision_ = 0;
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -41,6 +41,7 @@
         std::optional<std::vector<decisions::TargetEntry>> entries;
         /// Time up to which the list includes all changes.
         core::TimePoint contentAt = {};
+        decisions::targets::ListVersion version = {};
     };
     /// `maxEvacuationDelay` is the time in which an evacuation must take effect; with zero,
     /// evacuations are not read.
--- a/packages/gateway/tests/CrashCheckTaskTest.cpp
+++ b/packages/gateway/tests/CrashCheckTaskTest.cpp
@@ -86,6 +86,7 @@
     {
         decisions::CoordinationAnswer answer;
         answer.standing = decisions::CoordinatorStanding::Holding;
+        answer.change.emplace();
         answer.reportAfter = 30ms;
         ReportAnswered message;
         message.answer = answer;
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -39,7 +39,10 @@
                 ++reports;
                 return isReportAccepted;
             },
-            [this](const RoutingTask::Relay &) { return isRelayAccepted; });
+            [this](const RoutingTask::Relay &relay) {
+                relayedTargets += relay.targets ? 1 : 0;
+                return isRelayAccepted;
+            });
     }
 
     void waitForReport() { waitForReportAfter(reports); }
@@ -57,6 +60,7 @@
         waitForReport();
         decisions::CoordinationAnswer answer;
         answer.standing = decisions::CoordinatorStanding::Holding;
+        answer.change.emplace();
         // Messages that follow an answer are in the next report.
         answer.reportAfter = 30ms;
         ReportAnswered message;
@@ -68,10 +72,12 @@
     }
 
     /// Answers the report in flight with this state of the fleet.
-    void answerWith(const decisions::FleetUpdate &update)
+    void answerWith(const decisions::FleetUpdate &update, bool hasState = true)
     {
         decisions::CoordinationAnswer answer;
         answer.standing = decisions::CoordinatorStanding::Holding;
+        if (hasState)
+            answer.change.emplace();
         answer.reportAfter = 30ms;
         ReportAnswered message;
         message.answer = answer;
@@ -137,6 +143,7 @@
     int reports = 0;
     bool isReportAccepted = true;
     bool isRelayAccepted = true;
+    int relayedTargets = 0;
     runtime::FiberRuntime fibers;
     core::MonotonicClock clock;
     core::SeededRandomSource random {1};
@@ -229,6 +236,22 @@
     BOOST_TEST(lastKnown.targets == 0U);
 }
 
+// Guards against a list of the previous coordinator that is confirmed as current, because the next
+// one names a relay in an answer without state (review/8, DRAIN).
+BOOST_AUTO_TEST_CASE(answerWithoutStateConfirmsNoTargets)
+{
+    answerReport(5, 1);
+    waitForReport();
+    BOOST_TEST(relayedTargets == 1);
+    decisions::FleetUpdate earlier;
+    earlier.versions = lastKnown;
+    earlier.since = lastKnown;
+    answerWith(earlier, false);
+    waitForReport();
+    BOOST_TEST(relayedTargets == 1);
+    BOOST_TEST(lastKnown.targets == 5U);
+}
+
 // Guards against a node that serves no model any more after its coordinator stood still for a
 // second: the late answer holds only the changes since versions that the node has discarded.
 BOOST_AUTO_TEST_CASE(answerAfterTheTimeoutKeepsThePlacements)
