Close the connection of a cancelled exchange at once

Cause: cancel() cancelled the operations of the socket, and the fiber of the exchange closed it when it ran again. Until then the target works on for a caller that has gone. In the test, the thread that runs the fibers waits for the target's thread, which blocks in send() on that connection (gdb: join() in ~EndlessServer, send() in EndlessServer::serve()).

Ruled out: the budget of buffers; the test body had ended.

Change: cancel() closes the socket, as its header says.

--- a/packages/runtime/src/ExchangeState.cpp
+++ b/packages/runtime/src/ExchangeState.cpp
@@ -130,8 +130,9 @@
     isCancelled_ = true;
     events_.close();
     requests_.close();
+    // The fiber may run much later, and the server works on until the connection is closed.
     if (stream_)
-        stream_->cancel();
+        stream_->close();
 }
 
 void HttpExchange::State::fail(core::ErrorCode code, const std::string &reason)
