--- a/packages/decisions/include/boragerack/decisions/DeficitRoundRobinPolicy.h
+++ b/packages/decisions/include/boragerack/decisions/DeficitRoundRobinPolicy.h
@@ -28,8 +28,8 @@
     };
 
     std::int64_t quantumOf(const OrganisationQueue &queue) const;
-    /// Adds the quanta of all rounds in which no organisation can be served. Without it, the time to
-    /// serve a request would grow with its tokens, which its caller states.
+    /// Adds the quanta of all rounds in which no organisation can be served. Without it, the time
+    /// to serve a request would grow with its tokens, which its caller states.
     void skipRounds();
 
     std::int64_t quantumTokens_;
