Close the mailbox of the lifecycle task when its loop ends

The configuration task waits for space in it since messages on which a task's state depends are no longer dropped. A gateway that is destroyed after its lifecycle has ended, and after 63 further configurations, would wait for good.

--- a/packages/gateway/src/LifecycleTask.cpp
+++ b/packages/gateway/src/LifecycleTask.cpp
@@ -75,8 +75,10 @@
         // Returns before the process is killed, because an orderly shutdown closes the connections.
         if (const auto termination = lifecycle_.terminationTime();
             termination && now >= *termination)
-            return;
+            break;
     }
+    // Releases the task that announces configurations.
+    mailbox_.close();
 }
 
 core::TimePoint LifecycleTask::nextWakeUp() const
