--- a/packages/decisions/include/boragerack/decisions/serving/FleetFollower.h
+++ b/packages/decisions/include/boragerack/decisions/serving/FleetFollower.h
@@ -5,8 +5,8 @@
 namespace boragerack::decisions {
 
 /// Versions of the fleet's state that a task has adopted. Its reports name them, and the answers
-/// contain the changes since then. While a report is in flight, the task may discard what it knows;
-/// the changes in the answer are then no substitute for the discarded lists.
+/// contain the changes since then. The task may discard its lists while a report is in flight; the
+/// changes in the answer do not restore them.
 class FleetFollower
 {
 public:
--- a/packages/runtime/include/boragerack/runtime/ExceptionBoundary.h
+++ b/packages/runtime/include/boragerack/runtime/ExceptionBoundary.h
@@ -19,8 +19,8 @@
 template<class Function>
 bool runGuarded(std::string_view activity, Function &&function)
 {
-    // Fibers must not be switched inside a catch block, because the exception is state of the
-    // thread. Logging does not switch, but callers may.
+    // A caught exception belongs to the thread, so no other fiber may run before the catch block
+    // has ended.
     std::string reason;
     try {
         std::forward<Function>(function)();
--- a/packages/runtime/tests/EarlyAnswerTest.cpp
+++ b/packages/runtime/tests/EarlyAnswerTest.cpp
@@ -16,6 +16,8 @@
 
 const std::string kBeginning = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nthe beginning";
 
+constexpr std::size_t kUploadBytes = 4100000;
+
 struct ClientFixture
 {
     core::Result<HttpResponse> upload(const RawHttpServer &server, std::size_t bytes)
@@ -51,11 +53,10 @@
 // upload.
 BOOST_AUTO_TEST_CASE(answerWithoutALengthIsCompleteOnceTheUploadWasRead)
 {
-    constexpr std::size_t kBytes = 4100000;
     RawHttpServer server([](const std::string &) {
-        return RawHttpServer::Answer {.bytes = kBeginning, .closeAfterBytes = kBytes};
+        return RawHttpServer::Answer {.bytes = kBeginning, .closeAfterBytes = kUploadBytes};
     });
-    const auto result = upload(server, kBytes);
+    const auto result = upload(server, kUploadBytes);
     BOOST_REQUIRE(core::isOk(result));
     BOOST_TEST(core::valueOf(result).body == "the beginning");
 }
