Log when a removed target is listed again

Cause: neither logs nor metrics showed that a node used a target again that it had removed, nor which list brought it back.

Ruled out: deriving it from event 1306 alone, which names departures only.

Change: TargetDirectory reports the processes that return after their removal, and event 1313 names the target, the source of the list and the age of its content.

--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -113,6 +114,8 @@
     core::TimePoint contentAt() const { return contentAt_; }
     /// Whether the entries are those of a relayed list.
     bool isRelayed() const { return isRelayed_; }
+    /// Processes that were removed from the entries and have returned since the last call.
+    std::vector<TargetProcess> takeReturned() { return std::exchange(returned_, {}); }
     /// Whether this version was relayed last, so that it can be confirmed.
     bool canConfirm(const targets::ListVersion &version) const
     {
@@ -152,6 +155,7 @@
     targets::ListVersion relayedVersion_;
     bool isRelayApplied_ = false;
     std::map<core::TargetId, core::TimePoint> lapsing_;
+    std::vector<TargetProcess> returned_;
     std::optional<core::TimePoint> platformFailedAt_;
     /// No list that is more recent than the last failed call has arrived.
     bool isPlatformLost_ = false;
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -93,6 +93,8 @@
         return false;
     lapsing_.erase(updated.target);
     Process &process = processes_[updated.target];
+    if (process.removedAt && process.startedAt == updated.startedAt)
+        returned_.push_back(updated.process());
     // A leaving target stays leaving until its process restarts.
     const bool staysLeaving = process.isLeaving && process.startedAt == updated.startedAt;
     process = {updated.startedAt, heartbeat, updated.isLeaving || staysLeaving, std::nullopt};
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -241,6 +241,21 @@
     BOOST_TEST(!directory.entries().contains({"b"}));
 }
 
+// Guards against a log that does not show which list brought a removed target back.
+BOOST_AUTO_TEST_CASE(returnOfARemovedTargetIsReportedOnce)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("a"), entryOf("b")}}, kNow);
+    directory.handle(targets::Listed {}, kNow + 1s);
+    directory.handle(targets::Updated {entryOf("a")}, kNow + 2s);
+    // Another process of the target has not left.
+    directory.handle(targets::Updated {entryOf("b", 2)}, kNow + 2s);
+    const auto returned = directory.takeReturned();
+    BOOST_REQUIRE(returned.size() == 1U);
+    BOOST_TEST((returned.front() == entryOf("a").process()));
+    BOOST_TEST(directory.takeReturned().empty());
+}
+
 // Guards against a target that left and gets requests again, because the confirmation of another
 // list puts the last relayed one into force (review/8, DRAIN).
 BOOST_AUTO_TEST_CASE(confirmationOfAnotherListIsIgnored)
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -145,6 +145,7 @@
 {
     if (isChanged) {
         logDepartures(directory_.entries(), hasReplicas);
+        logReturns(hasReplicas);
         logEvacuations(directory_.entries());
         published_ = std::make_shared<const decisions::TargetEntries>(directory_.entries());
     }
@@ -166,10 +167,22 @@
                           + " age_ms=" + ageText(clock_.now(), directory_.contentAt()));
 }
 
-void TargetTask::logDepartures(const decisions::TargetEntries &next, bool hasReplicas) const
+std::string TargetTask::describeSource(bool hasReplicas) const
 {
-    const std::string details = std::string(" source=") + (hasReplicas ? "platform" : "coordinator")
+    return std::string(" source=") + (hasReplicas ? "platform" : "coordinator")
         + " age_ms=" + ageText(clock_.now(), directory_.contentAt());
+}
+
+void TargetTask::logReturns(bool hasReplicas)
+{
+    for (const decisions::TargetProcess &process : directory_.takeReturned())
+        runtime::logEvent(runtime::LogEvent::TargetReturned,
+                          "target=" + process.target.value + describeSource(hasReplicas));
+}
+
+void TargetTask::logDepartures(const decisions::TargetEntries &next, bool hasReplicas) const
+{
+    const std::string details = describeSource(hasReplicas);
     for (const auto &[target, entry] : *published_) {
         const auto position = next.find(target);
         if (position == next.end())
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -74,6 +75,8 @@
     void notifyListener();
     void logSource(bool isRelayed);
     void logEvacuations(const decisions::TargetEntries &next) const;
+    std::string describeSource(bool hasReplicas) const;
+    void logReturns(bool hasReplicas);
     void logDepartures(const decisions::TargetEntries &next, bool hasReplicas) const;
 
     ServingSource &source_;
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -30,6 +30,7 @@
     DataCentreEvacuated = 1310,
     DataCentreReturned = 1311,
     LongPromptTargetsChanged = 1312,
+    TargetReturned = 1313,
     RequestFailed = 1401,
     RequestQuarantined = 1402,
     ConnectionSilent = 1403,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -70,6 +70,8 @@
         return {Severity::Info, "target changed its request rate"};
     case LogEvent::LongPromptTargetsChanged:
         return {Severity::Info, "other targets read the long prompts for a model"};
+    case LogEvent::TargetReturned:
+        return {Severity::Info, "removed target is listed again"};
     case LogEvent::DataCentreEvacuated:
         return {Severity::Info, "data centre evacuated"};
     case LogEvent::DataCentreReturned:
