Apply a relayed list only to targets of which nothing later was read

Cause: a watch waits at the store. Its answer confirms the changes of up to the call, but contains those of up to the answer. TargetDirectory compared a relayed list with the first time only, so a list that a new coordinator read between the two counted as newer than an answer that had the removal. It waits in the mailbox of TargetTask during the read and was applied after it. Relayed entries bear no heartbeat and passed the check against outdated entries.

Ruled out: a confirmation of another list, which the version check refuses; ages that are too low, since they count from before the report.

Change: TargetDirectory keeps when it handled its own reads, for each target and for complete lists. A relayed list applies to a target only if its content is from after that, and stays stored until it is in effect for all targets.

Measured: on TargetDirectoryTest/relayedListOfBeforeAnAnswerDoesNot- ReplaceIt and relayedListOfBeforeACompleteListIsNotUsed fail, as does TargetTaskTest/relayedListThatWaitsForAReadDoesNotReplaceItsAnswer; all pass with the change.

--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -96,9 +96,11 @@
 /// Targets that may be used. An entry that is removed during or shortly after a platform outage may
 /// have lapsed although its target is live, so it remains usable for at least `kLapseGrace`, marked
 /// as unconfirmed. An entry that a restore of the platform brings back is not used unless its
-/// target has written it since. A relayed list is used only if it is more recent than what this
-/// node has read itself. Entries that this node has read are marked with the evacuations that it
-/// has read; relayed entries carry the marks of the node that read them.
+/// target has written it since. A relayed list replaces only what is older than its content, for
+/// each target: an answer of the platform may contain changes of up to the time at which it was
+/// handled, although it confirms only those of up to the time of the call. Entries that this node
+/// has read are marked with the evacuations that it has read; relayed entries carry the marks of
+/// the node that read them.
 class TargetDirectory
 {
 public:
@@ -131,6 +133,8 @@
         bool isLeaving = false;
         /// When its entry was removed; empty while it is listed.
         std::optional<core::TimePoint> removedAt;
+        /// When this node handled the last change of the target that it has read itself.
+        core::TimePoint readAt = {};
     };
 
     bool update(const TargetEntry &updated, std::uint64_t heartbeat);
@@ -138,9 +142,14 @@
     TargetEntry withEvacuation(TargetEntry entry) const;
     /// The entry is older than what the platform has listed for the target before.
     bool isOutdated(const TargetEntry &entry, std::uint64_t heartbeat) const;
-    bool replace(const std::vector<TargetEntry> &entries,
-                 const std::map<core::TargetId, std::uint64_t> &heartbeats, core::TimePoint now);
+    bool updateRead(const TargetEntry &updated, std::uint64_t heartbeat, core::TimePoint now);
+    bool removeRead(const core::TargetId &target, core::TimePoint now);
+    bool replace(const targets::Listed &list, core::TimePoint now);
     bool relay(const targets::Relayed &event, core::TimePoint now);
+    /// Applies the relayed list to the targets of which this node has read nothing later.
+    bool applyRelayed(core::TimePoint contentAt, core::TimePoint now);
+    bool hasReadSince(const core::TargetId &target, core::TimePoint contentAt) const;
+    std::vector<core::TargetId> missingFrom(const std::vector<TargetEntry> &list) const;
     bool removeLapsed(core::TimePoint now);
     bool remove(const core::TargetId &target, core::TimePoint now);
     bool hadRecentOutage(core::TimePoint now) const;
@@ -149,10 +158,13 @@
     std::set<core::DataCentreId> evacuated_;
     std::map<core::TargetId, Process> processes_;
     core::TimePoint contentAt_ = {};
+    /// When this node handled the last complete list that it has read itself.
+    core::TimePoint listedAt_ = {};
     bool isRelayed_ = false;
     /// The last relayed list, which later confirmations refer to, even if it is not in use.
     std::optional<std::vector<TargetEntry>> relayedEntries_;
     targets::ListVersion relayedVersion_;
+    /// The relayed list is in use for all targets.
     bool isRelayApplied_ = false;
     std::map<core::TargetId, core::TimePoint> lapsing_;
     std::vector<TargetProcess> returned_;
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -1,7 +1,6 @@
 #include "boragerack/decisions/serving/TargetDirectory.h"
 
 #include <algorithm>
-#include <iterator>
 #include <set>
 #include <utility>
 
@@ -36,18 +35,14 @@
         return relay(*relayed, now);
     // All others come from a call to the platform that succeeded.
     isPlatformLost_ = false;
-    if (const auto *listed = std::get_if<targets::Listed>(&event)) {
-        std::vector<TargetEntry> entries;
-        std::ranges::transform(listed->entries, std::back_inserter(entries),
-                               [this](const TargetEntry &entry) { return withEvacuation(entry); });
-        return replace(entries, listed->heartbeats, now);
-    }
+    if (const auto *listed = std::get_if<targets::Listed>(&event))
+        return replace(*listed, now);
     if (const auto *updated = std::get_if<targets::Updated>(&event))
-        return update(withEvacuation(updated->entry), updated->heartbeat);
+        return updateRead(updated->entry, updated->heartbeat, now);
     if (const auto *evacuations = std::get_if<targets::EvacuationsListed>(&event))
         return markEvacuated(evacuations->dataCentres);
     if (const auto *removed = std::get_if<targets::Removed>(&event))
-        return remove(removed->target, now);
+        return removeRead(removed->target, now);
     contentAt_ = std::max(contentAt_, std::get<targets::Confirmed>(event).contentAt);
     isRelayed_ = false;
     return false;
@@ -93,11 +88,14 @@
         return false;
     lapsing_.erase(updated.target);
     Process &process = processes_[updated.target];
-    if (process.removedAt && process.startedAt == updated.startedAt)
+    const bool isSameProcess = process.startedAt == updated.startedAt;
+    if (process.removedAt && isSameProcess)
         returned_.push_back(updated.process());
     // A leaving target stays leaving until its process restarts.
-    const bool staysLeaving = process.isLeaving && process.startedAt == updated.startedAt;
-    process = {updated.startedAt, heartbeat, updated.isLeaving || staysLeaving, std::nullopt};
+    process.isLeaving = updated.isLeaving || (process.isLeaving && isSameProcess);
+    process.heartbeat = heartbeat;
+    process.startedAt = updated.startedAt;
+    process.removedAt.reset();
     TargetEntry &entry = entries_[updated.target];
     if (entry == updated)
         return false;
@@ -106,25 +104,76 @@
     return true;
 }
 
-bool TargetDirectory::replace(const std::vector<TargetEntry> &entries,
-                              const std::map<core::TargetId, std::uint64_t> &heartbeats,
-                              core::TimePoint now)
+bool TargetDirectory::updateRead(const TargetEntry &updated, std::uint64_t heartbeat,
+                                 core::TimePoint now)
+{
+    Process &process = processes_[updated.target];
+    process.readAt = now;
+    return update(withEvacuation(updated), heartbeat);
+}
+
+bool TargetDirectory::removeRead(const core::TargetId &target, core::TimePoint now)
 {
+    Process &process = processes_[target];
+    process.readAt = now;
+    if (!process.removedAt)
+        process.removedAt = now;
+    return remove(target, now);
+}
+
+bool TargetDirectory::replace(const targets::Listed &list, core::TimePoint now)
+{
+    listedAt_ = now;
     bool isChanged = false;
-    std::set<core::TargetId> present;
-    for (const TargetEntry &entry : entries) {
-        present.insert(entry.target);
-        const auto heartbeat = heartbeats.find(entry.target);
+    for (const TargetEntry &entry : list.entries) {
+        const auto heartbeat = list.heartbeats.find(entry.target);
         isChanged =
-            update(entry, heartbeat == heartbeats.end() ? 0 : heartbeat->second) || isChanged;
+            updateRead(entry, heartbeat == list.heartbeats.end() ? 0 : heartbeat->second, now)
+            || isChanged;
     }
+    for (const core::TargetId &target : missingFrom(list.entries))
+        isChanged = remove(target, now) || isChanged;
+    return isChanged;
+}
+
+std::vector<core::TargetId>
+TargetDirectory::missingFrom(const std::vector<TargetEntry> &list) const
+{
+    std::set<core::TargetId> present;
+    for (const TargetEntry &entry : list)
+        present.insert(entry.target);
     std::vector<core::TargetId> missing;
     for (const auto &[target, entry] : entries_) {
         if (!present.contains(target))
             missing.push_back(target);
     }
-    for (const core::TargetId &target : missing)
-        isChanged = remove(target, now) || isChanged;
+    return missing;
+}
+
+bool TargetDirectory::hasReadSince(const core::TargetId &target, core::TimePoint contentAt) const
+{
+    const auto position = processes_.find(target);
+    return listedAt_ > contentAt
+        || (position != processes_.end() && position->second.readAt > contentAt);
+}
+
+bool TargetDirectory::applyRelayed(core::TimePoint contentAt, core::TimePoint now)
+{
+    isRelayApplied_ = true;
+    bool isChanged = false;
+    const auto isCurrent = [&](const core::TargetId &target) {
+        const bool isNewer = !hasReadSince(target, contentAt);
+        isRelayApplied_ = isRelayApplied_ && isNewer;
+        return isNewer;
+    };
+    for (const TargetEntry &entry : *relayedEntries_) {
+        if (isCurrent(entry.target))
+            isChanged = update(entry, 0) || isChanged;
+    }
+    for (const core::TargetId &target : missingFrom(*relayedEntries_)) {
+        if (isCurrent(target))
+            isChanged = remove(target, now) || isChanged;
+    }
     return isChanged;
 }
 
@@ -138,9 +187,8 @@
     if (!canConfirm(event.version) || event.contentAt <= contentAt_)
         return false;
     // A list may arrive with the time of the one before, if only the evacuations have changed.
-    const bool isKnown = std::exchange(isRelayed_, true) && std::exchange(isRelayApplied_, true);
-    isRelayApplied_ = true;
-    const bool isChanged = !isKnown && replace(*relayedEntries_, {}, now);
+    const bool isKnown = std::exchange(isRelayed_, true) && isRelayApplied_;
+    const bool isChanged = !isKnown && applyRelayed(event.contentAt, now);
     contentAt_ = event.contentAt;
     isPlatformLost_ = isPlatformLost_ && contentAt_ <= *platformFailedAt_;
     return isChanged;
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -270,6 +270,41 @@
     BOOST_TEST((directory.contentAt() == kNow + 1s));
 }
 
+// Guards against requests to a target whose removal this node has read, because a relayed list with
+// the content of the time between the call and its answer brings it back (review/8, DRAIN); and
+// against the loss of a target that joined in that time.
+BOOST_AUTO_TEST_CASE(relayedListOfBeforeAnAnswerDoesNotReplaceIt)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("a"), entryOf("b")}}, kNow);
+    directory.handle(targets::Confirmed {kNow}, kNow);
+    constexpr auto kSentAt = kNow + 1s;
+    constexpr auto kAnsweredAt = kNow + 3s;
+    directory.handle(targets::Removed {{"a"}}, kAnsweredAt);
+    directory.handle(targets::Updated {entryOf("c")}, kAnsweredAt);
+    directory.handle(targets::Confirmed {kSentAt}, kAnsweredAt);
+    const std::vector<TargetEntry> relayed {entryOf("a"), entryOf("b")};
+    directory.handle(targets::Relayed {relayed, kNow + 2s, {5, 1}}, kAnsweredAt);
+    BOOST_TEST(!directory.entries().contains({"a"}));
+    BOOST_TEST(directory.entries().contains({"c"}));
+    // The list that the coordinator read later is the same, since the targets have changed back.
+    directory.handle(targets::Relayed {std::nullopt, kNow + 4s, {5, 1}}, kNow + 4s);
+    BOOST_TEST(directory.entries().contains({"a"}));
+    BOOST_TEST(!directory.entries().contains({"c"}));
+}
+
+// Guards against requests to a target that the complete list did not contain, because a relayed
+// list with the content of the time before the answer names it (review/8, DRAIN).
+BOOST_AUTO_TEST_CASE(relayedListOfBeforeACompleteListIsNotUsed)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("b")}}, kNow + 2s);
+    directory.handle(targets::Confirmed {kNow}, kNow + 2s);
+    const std::vector<TargetEntry> relayed {entryOf("a"), entryOf("b")};
+    BOOST_TEST(!directory.handle(targets::Relayed {relayed, kNow + 1s, {5, 1}}, kNow + 2s));
+    BOOST_TEST(!directory.entries().contains({"a"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
--- a/packages/gateway/tests/TargetTaskTest.cpp
+++ b/packages/gateway/tests/TargetTaskTest.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/fiber/operations.hpp>
@@ -74,8 +75,9 @@
         if (isFailing)
             return fail();
         answeredAt = clock.now();
+        TargetsRead read {1, std::exchange(changes, {}), false};
         boost::this_fiber::sleep_for(delay);
-        return TargetsRead {1, {}, false};
+        return read;
     }
 
     core::Error fail()
@@ -86,6 +88,8 @@
 
     core::MonotonicClock clock;
     std::vector<std::string> names;
+    /// Answer to the next watch.
+    std::vector<decisions::targets::Event> changes;
     bool isFailing = false;
     int failures = 0;
     std::set<core::DataCentreId> evacuated;
@@ -196,6 +200,23 @@
     BOOST_TEST(has("b"));
 }
 
+// Guards against requests to a target whose removal this node has read, because a relayed list that
+// arrived during the read is applied after it (review/8, DRAIN).
+BOOST_AUTO_TEST_CASE(relayedListThatWaitsForAReadDoesNotReplaceItsAnswer)
+{
+    source.names = {"a", "b"};
+    start(false);
+    source.delay = 400ms;
+    source.changes = {decisions::targets::Removed {{"a"}}};
+    for (int i = 0; i < 200 && !source.changes.empty(); ++i)
+        boost::this_fiber::sleep_for(10ms);
+    BOOST_REQUIRE(source.changes.empty());
+    BOOST_REQUIRE(task.trySend({entriesOf({"a", "b"}), source.clock.now(), {1, 1}}));
+    boost::this_fiber::sleep_for(600ms);
+    BOOST_TEST(!has("a"));
+    BOOST_TEST(has("b"));
+}
+
 // Guards against requests to a removed target because the receiver's mailbox was full at its
 // removal and no later read changes the list.
 BOOST_AUTO_TEST_CASE(listThatWasNotAcceptedIsSentAgain)
