Keep the known heartbeat of a target while its list is relayed

Cause: an entry of a copy is refused if its heartbeat is not newer than the known one. Relayed entries have none, and TargetDirectory wrote zero over the heartbeat that the node had read. A node that had followed the coordinator, or knew the target from relayed lists only, accepted any entry of the copy. A new coordinator would relay it to all.

Ruled out: nodes that read the store all the time; they keep the heartbeats.

Change: a relayed entry leaves the known heartbeat. If the heartbeat of a removed target is unknown, the first one read after a restore is only recorded, and a later one shows that the target is live.

Measured: TargetDirectoryTest/relayedListKeepsTheHeartbeatsThatThisNodeHasRead and entryFromACopyIsNotUsedIfItsHeartbeatIsUnknown fail on and pass with the change.

--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -129,6 +129,7 @@
     struct Process
     {
         std::uint64_t startedAt = 0;
+        /// The largest that this node has read; zero if unknown.
         std::uint64_t heartbeat = 0;
         bool isLeaving = false;
         /// When its entry was removed; empty while it is listed.
@@ -169,6 +170,7 @@
     std::map<core::TargetId, core::TimePoint> lapsing_;
     std::vector<TargetProcess> returned_;
     std::optional<core::TimePoint> platformFailedAt_;
+    std::optional<core::TimePoint> platformRestoredAt_;
     /// No list that is more recent than the last failed call has arrived.
     bool isPlatformLost_ = false;
 };
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -27,6 +27,7 @@
     }
     if (std::holds_alternative<targets::PlatformRestored>(event)) {
         platformFailedAt_ = now;
+        platformRestoredAt_ = now;
         return false;
     }
     if (std::holds_alternative<targets::Tick>(event))
@@ -91,9 +92,10 @@
     const bool isSameProcess = process.startedAt == updated.startedAt;
     if (process.removedAt && isSameProcess)
         returned_.push_back(updated.process());
-    // A leaving target stays leaving until its process restarts.
+    // A leaving target stays leaving until its process restarts, and a relayed entry has no
+    // heartbeat.
     process.isLeaving = updated.isLeaving || (process.isLeaving && isSameProcess);
-    process.heartbeat = heartbeat;
+    process.heartbeat = isSameProcess ? std::max(process.heartbeat, heartbeat) : heartbeat;
     process.startedAt = updated.startedAt;
     process.removedAt.reset();
     TargetEntry &entry = entries_[updated.target];
@@ -109,6 +111,13 @@
 {
     Process &process = processes_[updated.target];
     process.readAt = now;
+    // The first heartbeat that is read after a restore may be that of the copy, so only a later one
+    // shows that the target is live.
+    if (process.removedAt && process.heartbeat == 0 && process.startedAt == updated.startedAt
+        && platformRestoredAt_ && *process.removedAt < *platformRestoredAt_) {
+        process.heartbeat = heartbeat;
+        return false;
+    }
     return update(withEvacuation(updated), heartbeat);
 }
 
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -305,6 +305,37 @@
     BOOST_TEST(!directory.entries().contains({"a"}));
 }
 
+// Guards against requests to a target that left, whose entry a restored platform lists again to a
+// node that follows the list of the coordinator and has read the entry itself long before.
+BOOST_AUTO_TEST_CASE(relayedListKeepsTheHeartbeatsThatThisNodeHasRead)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Updated {entryOf("a"), 7}, kNow);
+    directory.handle(targets::Relayed {{{entryOf("a")}}, kNow + 1s, {5, 1}}, kNow + 1s);
+    directory.handle(targets::Relayed {{{}}, kNow + 2s, {5, 2}}, kNow + 2s);
+    BOOST_TEST(directory.entries().empty());
+    directory.handle(targets::PlatformRestored(), kNow + 5s);
+    directory.handle(targets::Listed {{entryOf("a")}, {{{"a"}, 5}}}, kNow + 5s);
+    BOOST_TEST(directory.entries().empty());
+    directory.handle(targets::Updated {entryOf("a"), 8}, kNow + 6s);
+    BOOST_TEST(directory.entries().contains({"a"}));
+}
+
+// Guards against the same at a node that knows the target from relayed lists only.
+BOOST_AUTO_TEST_CASE(entryFromACopyIsNotUsedIfItsHeartbeatIsUnknown)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Relayed {{{entryOf("a")}}, kNow + 1s, {5, 1}}, kNow + 1s);
+    directory.handle(targets::Relayed {{{}}, kNow + 2s, {5, 2}}, kNow + 2s);
+    directory.handle(targets::PlatformRestored(), kNow + 5s);
+    directory.handle(targets::Listed {{entryOf("a")}, {{{"a"}, 5}}}, kNow + 5s);
+    BOOST_TEST(directory.entries().empty());
+    directory.handle(targets::Listed {{entryOf("a")}, {{{"a"}, 5}}}, kNow + 6s);
+    BOOST_TEST(directory.entries().empty());
+    directory.handle(targets::Updated {entryOf("a"), 6}, kNow + 7s);
+    BOOST_TEST(directory.entries().contains({"a"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::decisions::testing
