--- a/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
+++ b/packages/decisions/include/boragerack/decisions/serving/CoordinationMessages.h
@@ -198,7 +198,7 @@
     /// Targets whose rate is limited.
     ListChange<core::TargetId, TargetRate> rates;
 
-    friend bool operator==(const FleetChange &, const FleetChange &) = default;
+    friend auto operator<=>(const FleetChange &, const FleetChange &) = default;
 };
 
 /// Requests in flight at each target, in the order of the target list of this version.
@@ -207,7 +207,7 @@
     std::uint64_t targetsVersion = 0;
     std::vector<std::uint32_t> inFlight;
 
-    friend bool operator==(const TargetLoads &, const TargetLoads &) = default;
+    friend auto operator<=>(const TargetLoads &, const TargetLoads &) = default;
 };
 
 /// Changes of FleetState for the tasks of a node; lists that did not change are empty.
--- a/packages/decisions/include/boragerack/decisions/serving/FleetState.h
+++ b/packages/decisions/include/boragerack/decisions/serving/FleetState.h
@@ -44,6 +44,8 @@
     /// Changes after `known` with complete lists of members, targets and rates.
     FleetUpdate updateSince(const FleetVersions &known) const;
 
+    friend auto operator<=>(const FleetState &, const FleetState &) = default;
+
 private:
     void updateVersions();
 
--- a/packages/decisions/include/boragerack/decisions/serving/ListChange.h
+++ b/packages/decisions/include/boragerack/decisions/serving/ListChange.h
@@ -19,7 +19,7 @@
     std::vector<Value> changed;
     std::vector<Key> removed;
 
-    friend bool operator==(const ListChange &, const ListChange &) = default;
+    friend auto operator<=>(const ListChange &, const ListChange &) = default;
 };
 
 } // namespace boragerack::decisions
--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -67,7 +67,7 @@
     std::optional<std::vector<TargetEntry>> entries;
     core::TimePoint contentAt = {};
     ListVersion version = {};
-    friend bool operator==(const Relayed &, const Relayed &) = default;
+    friend auto operator<=>(const Relayed &, const Relayed &) = default;
 };
 
 /// A call to the platform failed.
@@ -124,6 +124,8 @@
         return relayedEntries_ && relayedVersion_ == version;
     }
 
+    friend auto operator<=>(const TargetDirectory &, const TargetDirectory &) = default;
+
 private:
     /// The last process of a target that the platform has listed.
     struct Process
@@ -136,6 +138,7 @@
         std::optional<core::TimePoint> removedAt;
         /// When this node handled the last change of the target that it has read itself.
         core::TimePoint readAt = {};
+        friend auto operator<=>(const Process &, const Process &) = default;
     };
 
     bool update(const TargetEntry &updated, std::uint64_t heartbeat);
--- a/packages/decisions/include/boragerack/decisions/serving/VersionedList.h
+++ b/packages/decisions/include/boragerack/decisions/serving/VersionedList.h
@@ -110,6 +110,8 @@
         return change;
     }
 
+    friend auto operator<=>(const VersionedList &, const VersionedList &) = default;
+
 private:
     /// Removals that are kept for differences. Receivers that are further behind get the complete
     /// list.
@@ -119,6 +121,7 @@
     {
         Value value;
         std::uint64_t changedAt = 0;
+        friend auto operator<=>(const Entry &, const Entry &) = default;
     };
 
     bool set(const Key &key, const Value &value, std::uint64_t version)
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -145,8 +145,7 @@
     return isChanged;
 }
 
-std::vector<core::TargetId>
-TargetDirectory::missingFrom(const std::vector<TargetEntry> &list) const
+std::vector<core::TargetId> TargetDirectory::missingFrom(const std::vector<TargetEntry> &list) const
 {
     std::set<core::TargetId> present;
     for (const TargetEntry &entry : list)
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -297,11 +297,9 @@
     lastAnswer_ = now;
     nextReport_ = now + answer.reportAfter;
     reportInterval_ = answer.reportAfter;
-    // An answer that names a relay holds no state. The update is then that of an earlier answer,
-    // perhaps of another coordinator. The versions that the report named may have been discarded
-    // since.
-    const bool isUpdateFitting = answer.change && follower_.fits(message.update);
-    const bool areTargetsAdopted = relay(message, answer, isUpdateFitting);
+    decisions::AnswerContent content =
+        follower_.examine(answer, message.update, message.reportedAt);
+    const bool areTargetsAdopted = relay(message, answer, std::move(content.targets));
     tokenLimiter_.stopAccruing();
     for (const decisions::TokenAmount &grant : answer.granted)
         tokenLimiter_.credit(grant);
@@ -309,7 +307,7 @@
     // An answer that names a relay has no state, so the rates are reported again to the relay.
     if (answer.change)
         route(decisions::routing::PermitsGranted {answer.permits});
-    if (isUpdateFitting)
+    if (content.hasState)
         applyUpdate(message.update, areTargetsAdopted);
     else if (answer.change)
         requestCompleteUpdate(message.update);
@@ -355,20 +353,17 @@
 }
 
 bool RoutingTask::relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer,
-                        bool hasState)
+                        std::optional<decisions::targets::Relayed> targets)
 {
     if (message.isLocal || answer.standing != decisions::CoordinatorStanding::Holding)
         return false;
+    const bool hasTargets = targets.has_value();
     // The ages are relative to the answer. The time of the report is earlier, so the result is
     // never too recent.
     Relay relay {answer.platformReadStatus.configurationVersion,
                  message.reportedAt - answer.platformReadStatus.configurationAge,
-                 answer.configuration, std::nullopt};
-    if (hasState)
-        relay.targets = {message.update.targets,
-                         message.reportedAt - answer.platformReadStatus.targetsAge,
-                         {message.update.versions.term, message.update.versions.targets}};
-    return onRelay_(std::move(relay)) && hasState;
+                 answer.configuration, std::move(targets)};
+    return onRelay_(std::move(relay)) && hasTargets;
 }
 
 void RoutingTask::setNodes(std::size_t nodes)
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -40,7 +40,7 @@
         /// Empty if this node already has it.
         std::string configuration;
         /// Empty if the answer holds no state of the fleet.
-        std::optional<TargetTask::RelayedTargets> targets;
+        std::optional<decisions::targets::Relayed> targets;
     };
     /// False if the target list was not accepted; it is then requested again.
     using OnRelay = std::function<bool(Relay)>;
@@ -105,10 +105,10 @@
     void serveTokenQueue(bool refuseReported);
     void updateWaitingTokens();
     void adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
-    /// Passes on what the coordinator has read, with the targets if the answer holds state that
-    /// this node can adopt. False if the targets were not accepted.
+    /// Passes on what the coordinator has read, with the targets if there are any. False if these
+    /// were not accepted.
     bool relay(const ReportAnswered &message, const decisions::CoordinationAnswer &answer,
-               bool hasState);
+               std::optional<decisions::targets::Relayed> targets);
     void handleCrashesAccepted(std::uint64_t term);
     void adoptRefusals(const decisions::CoordinationAnswer &answer, std::uint64_t term);
     void reportCrashes(decisions::CoordinationReport &report);
--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -127,14 +127,12 @@
         + std::max(pace_->isCoordinating() ? kUrgentReadDelay : kReadDelay, pace.afterSuccess());
 }
 
-bool TargetTask::handleRelayed(const RelayedTargets &relayed)
+bool TargetTask::handleRelayed(const decisions::targets::Relayed &relayed)
 {
     if (!relayed.entries && !directory_.canConfirm(relayed.version))
         return false;
     relayedAt_ = std::max(relayedAt_, relayed.contentAt);
-    const bool isChanged = directory_.handle(
-        decisions::targets::Relayed {relayed.entries, relayed.contentAt, relayed.version},
-        clock_.now());
+    const bool isChanged = directory_.handle(relayed, clock_.now());
     // The changes since the last own read do not apply to a relayed list.
     if (directory_.isRelayed())
         revision_ = 0;
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -36,14 +36,6 @@
     /// was not accepted; it is then sent again.
     using Listener = std::function<bool(const Update &)>;
 
-    /// A list read by the coordinator; no entries if unchanged since its previous message.
-    struct RelayedTargets
-    {
-        std::optional<std::vector<decisions::TargetEntry>> entries;
-        /// Time up to which the list includes all changes.
-        core::TimePoint contentAt = {};
-        decisions::targets::ListVersion version = {};
-    };
     /// `maxEvacuationDelay` is the time in which an evacuation must take effect; with zero,
     /// evacuations are not read.
     TargetTask(ServingSource &source, const core::Clock &clock, core::RandomSource &random,
@@ -55,7 +47,7 @@
     void stop() { isRunning_ = false; }
     /// Stops and waits until the task has ended.
     void shutDown();
-    [[nodiscard]] bool trySend(RelayedTargets targets)
+    [[nodiscard]] bool trySend(decisions::targets::Relayed targets)
     {
         return mailbox_.trySend(std::move(targets));
     }
@@ -70,7 +62,7 @@
     /// False if the evacuations could not be read.
     bool readEvacuations();
     void handleFailure(std::string_view list, const core::Error &error);
-    bool handleRelayed(const RelayedTargets &relayed);
+    bool handleRelayed(const decisions::targets::Relayed &relayed);
     void publish(bool isChanged, bool hasReplicas);
     void notifyListener();
     void logSource(bool isRelayed);
@@ -93,7 +85,7 @@
     std::uint64_t revision_ = 0;
     /// Era of the platform's store at the last read; empty before it.
     std::optional<std::uint64_t> era_;
-    runtime::Mailbox<RelayedTargets> mailbox_;
+    runtime::Mailbox<decisions::targets::Relayed> mailbox_;
     /// Time up to which the last relayed list includes all changes.
     core::TimePoint relayedAt_ = {};
     core::TimePoint startedAt_ = {};
