Distribute a list of targets only with the time of its own read

Callers could see: requests to a target that had left, from nodes that took an outdated list for current, shortly after a change of the coordinator.

Cause: CoordinatorTask kept the time of the last list apart from the list. A list that the previous coordinator relayed, handled after the term had begun, replaced the time but not the distributed list, since it names no replicas.

Ruled out: a term that begins after the relayed list; it distributes nothing until the node has read the list itself.

Change: DistributedTargets holds the entries together with their time.

--- a/packages/gateway/src/CoordinatorTask.cpp
+++ b/packages/gateway/src/CoordinatorTask.cpp
@@ -185,26 +185,14 @@
 
 void CoordinatorTask::applyTargets()
 {
-    if (!entries_ || !term_)
+    const TargetEntriesPointer &entries = targets_.entries();
+    if (!entries || !term_)
         return;
-    plan(swap::TargetsChanged {entries_});
-    term_->permitIssuer.retain([this](const decisions::TargetProcess &process) {
-        return decisions::isListed(*entries_, process);
+    plan(swap::TargetsChanged {entries});
+    term_->permitIssuer.retain([&entries](const decisions::TargetProcess &process) {
+        return decisions::isListed(*entries, process);
     });
-    std::vector<decisions::TargetEntry> listed;
-    listed.reserve(entries_->size());
-    for (const auto &[target, entry] : *entries_)
-        listed.push_back({.target = target,
-                          .service = entry.service,
-                          .address = entry.address,
-                          .dataCentre = entry.dataCentre,
-                          .slots = entry.slots,
-                          .isLeaving = entry.isLeaving,
-                          .isUnconfirmed = entry.isUnconfirmed,
-                          .isEvacuated = entry.isEvacuated,
-                          .isCold = entry.isCold,
-                          .startedAt = entry.startedAt});
-    term_->state.setTargets(listed);
+    term_->state.setTargets(targets_.withoutReplicas());
 }
 
 void CoordinatorTask::updateState()
@@ -242,7 +230,7 @@
     const auto provenAt = configuration_.provenAt();
     const RouteTablePointer table = configuration_.table();
     return {table ? table->configuration().version : 0, provenAt ? ageOf(*provenAt) : kUnknown,
-            term_->state.versions().targets > 0 ? ageOf(targetsContentAt_) : kUnknown};
+            std::min(kUnknown, targets_.age(now).value_or(kUnknown))};
 }
 
 void CoordinatorTask::plan(const swap::Event &event)
@@ -383,13 +371,8 @@
 void CoordinatorTask::on(CoordinatorTargetsChanged &message)
 {
     const TargetTask::Update &update = message.update;
-    targetsContentAt_ = update.contentAt;
-    // Entries relayed by another coordinator do not list the replicas of the targets.
-    const TargetEntriesPointer entries = update.hasReplicas ? update.entries : nullptr;
-    if (entries == entries_)
-        return;
-    entries_ = entries;
-    applyTargets();
+    if (targets_.update(update.entries, update.hasReplicas, update.contentAt))
+        applyTargets();
 }
 
 void CoordinatorTask::on(CoordinatorConfigurationChanged &message)
--- a/packages/gateway/src/CoordinatorTask.h
+++ b/packages/gateway/src/CoordinatorTask.h
@@ -13,6 +13,7 @@
 #include "LeaseTask.h"
 #include "boragerack/core/Clock.h"
 #include "boragerack/decisions/Quarantine.h"
+#include "boragerack/decisions/serving/DistributedTargets.h"
 #include "boragerack/decisions/serving/FleetState.h"
 #include "boragerack/decisions/serving/FleetTokenLimiter.h"
 #include "boragerack/decisions/serving/MembershipTracker.h"
@@ -107,10 +108,7 @@
     const core::Clock &clock_;
     runtime::Metrics &metrics_;
     runtime::Mailbox<CoordinatorMessage> mailbox_;
-    /// Null until this node has read the list from the platform.
-    TargetEntriesPointer entries_;
-    /// Time up to which the entries include all changes.
-    core::TimePoint targetsContentAt_ = {};
+    decisions::DistributedTargets targets_;
     RouteTablePointer table_;
     const runtime::Published<FleetView> *fleet_ = nullptr;
     /// When the lease and the members are next checked.
