Notice a restore of the store at the first own read of the targets

Callers saw: requests to a target that had left, after a restore of the store from an older copy.

Cause: a node compares the era of the store with that of its last own read. A node that had only followed the coordinator had none, so its first read took the entries of the copy for new ones, although it knew of the removal.

Ruled out: the configuration, whose versions contain the era.

Change: the term of a relayed list is a version of the store; its era counts until the node has read the list itself.

Measured: TargetTaskTest/firstReadAfterARestoreDoesNotBringBackARemovedTarget fails without the change and passes with it.

--- a/packages/gateway/src/TargetTask.cpp
+++ b/packages/gateway/src/TargetTask.cpp
@@ -132,6 +132,9 @@
     if (!relayed.entries && !directory_.canConfirm(relayed.version))
         return false;
     relayedAt_ = std::max(relayedAt_, relayed.contentAt);
+    // The term is a version of the store, so the first read of this node shows a restore since.
+    if (!era_)
+        era_ = core::toStoreVersion(relayed.version.term).era;
     const bool isChanged = directory_.handle(relayed, clock_.now());
     // The changes since the last own read do not apply to a relayed list.
     if (directory_.isRelayed())
--- a/packages/gateway/src/TargetTask.h
+++ b/packages/gateway/src/TargetTask.h
@@ -83,7 +83,8 @@
     bool hasReplicas_ = true;
     bool isAccepted_ = true;
     std::uint64_t revision_ = 0;
-    /// Era of the platform's store at the last read; empty before it.
+    /// Era of the platform's store at the last read, or before it at the term of the first relayed
+    /// list; empty before both.
     std::optional<std::uint64_t> era_;
     runtime::Mailbox<decisions::targets::Relayed> mailbox_;
     /// Time up to which the last relayed list includes all changes.
--- a/packages/gateway/tests/TargetTaskTest.cpp
+++ b/packages/gateway/tests/TargetTaskTest.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -12,6 +13,7 @@
 #include "TargetTask.h"
 #include "boragerack/core/Clock.h"
 #include "boragerack/core/SeededRandomSource.h"
+#include "boragerack/core/StoreVersion.h"
 #include "boragerack/runtime/FiberRuntime.h"
 
 namespace boragerack::gateway::testing {
@@ -64,8 +66,8 @@
         if (isFailing)
             return fail();
         TargetsRead read;
-        read.revision = 1;
-        read.events.emplace_back(decisions::targets::Listed {entriesOf(names)});
+        read.revision = revision;
+        read.events.emplace_back(decisions::targets::Listed {entriesOf(names), heartbeats});
         answeredAt = clock.now();
         boost::this_fiber::sleep_for(delay);
         return read;
@@ -75,7 +77,7 @@
         if (isFailing)
             return fail();
         answeredAt = clock.now();
-        TargetsRead read {1, std::exchange(changes, {}), false};
+        TargetsRead read {revision, std::exchange(changes, {}), false};
         boost::this_fiber::sleep_for(delay);
         return read;
     }
@@ -88,6 +90,8 @@
 
     core::MonotonicClock clock;
     std::vector<std::string> names;
+    std::map<core::TargetId, std::uint64_t> heartbeats;
+    std::uint64_t revision = 1;
     /// Answer to the next watch.
     std::vector<decisions::targets::Event> changes;
     bool isFailing = false;
@@ -217,6 +221,30 @@
     BOOST_TEST(has("b"));
 }
 
+// Guards against requests to a target that left, which the copy of a restored platform lists to a
+// node that has never read the list before, but knows of the removal from the coordinator.
+BOOST_AUTO_TEST_CASE(firstReadAfterARestoreDoesNotBringBackARemovedTarget)
+{
+    BOOST_REQUIRE(task.trySend({entriesOf({"a", "b"}), source.clock.now(), {1, 1}}));
+    start(false);
+    BOOST_TEST(has("a"));
+    BOOST_REQUIRE(task.trySend({entriesOf({"b"}), source.clock.now(), {1, 2}}));
+    source.names = {"a", "b"};
+    source.heartbeats = {{{"a"}, 5}, {{"b"}, 5}};
+    source.revision = core::toVersionNumber({1, 1});
+    source.answeredAt = {};
+    for (int i = 0; i < 300 && source.answeredAt == core::TimePoint(); ++i)
+        boost::this_fiber::sleep_for(10ms);
+    BOOST_REQUIRE((source.answeredAt != core::TimePoint()));
+    boost::this_fiber::sleep_for(source.delay + 100ms);
+    BOOST_TEST(!has("a"));
+    BOOST_TEST(has("b"));
+    source.changes = {decisions::targets::Updated {entriesOf({"a"}).front(), 6}};
+    for (int i = 0; i < 200 && !has("a"); ++i)
+        boost::this_fiber::sleep_for(10ms);
+    BOOST_TEST(has("a"));
+}
+
 // Guards against requests to a removed target because the receiver's mailbox was full at its
 // removal and no later read changes the list.
 BOOST_AUTO_TEST_CASE(listThatWasNotAcceptedIsSentAgain)
