Let a relayed list count as current only where all of it is in effect

Callers could see: requests to a target that left, from a node that handled the answer to its own read late, for up to the time until its next relayed list.

Cause: a relayed list skips the targets of which the node has read something later, judged by when it handled the answer. The answer may be much older then, on a node that was short of processor time or frozen. The list's time nevertheless counted for all targets, so the node did not read them itself.

Change: the time of a relayed list counts only once the list is in effect for all targets.

Measured: before, the model finds it after 262,666 states: follower begins to read; store answers the read; target leaves; coordinator reads; target joins; follower reports; coordinator answers; follower receives; follower handles the answer. TargetDirectoryTest/listIsNotCurrentWhileALateAnswerCountsForSomeTargets fails too.

--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -197,7 +197,10 @@
     // A list may arrive with the time of the one before, if only the evacuations have changed.
     const bool isKnown = std::exchange(isRelayed_, true) && isRelayApplied_;
     const bool isChanged = !isKnown && applyRelayed(event.contentAt, now);
-    contentAt_ = event.contentAt;
+    // What this node has read of the other targets may be older than the relayed list, if the
+    // answer was handled late.
+    if (isRelayApplied_)
+        contentAt_ = event.contentAt;
     isPlatformLost_ = isPlatformLost_ && contentAt_ <= *platformFailedAt_;
     return isChanged;
 }
--- a/packages/decisions/tests/serving/FleetKnowledgeModel.cpp
+++ b/packages/decisions/tests/serving/FleetKnowledgeModel.cpp
@@ -155,6 +155,8 @@
     bool hasRelay = false;
     std::optional<Exchange> exchange;
     std::optional<core::TimePoint> readSentAt;
+    /// The store as it was when it answered the read in progress; empty before.
+    std::optional<Store> served;
     /// Time of the store at the last read; a complete list is read if it is empty.
     std::optional<core::TimePoint> readUpTo;
     /// Lists that arrived during a read.
@@ -184,26 +186,17 @@
         return true;
     }
 
-    void finishRead(const Store &store, const KnowledgeModelSettings &settings)
+    /// Handles the answer to the read in progress; time may have passed since the store sent it.
+    void finishRead(core::TimePoint now, const KnowledgeModelSettings &settings)
     {
         const core::TimePoint sentAt = *std::exchange(readSentAt, std::nullopt);
-        const core::TimePoint handledAt = settings.datesAnswersByTheirCall ? sentAt : store.now;
-        if (!readUpTo) {
+        const Store store = served.value();
+        served.reset();
+        const core::TimePoint handledAt = settings.datesAnswersByTheirCall ? sentAt : now;
+        if (!readUpTo)
             directory.handle(targets::Listed {store.entries(), store.heartbeats}, handledAt);
-        } else {
-            for (const auto &[target, presences] : store.history) {
-                for (const Presence &presence : presences) {
-                    if (presence.since <= *readUpTo)
-                        continue;
-                    if (presence.isListed)
-                        directory.handle(
-                            targets::Updated {store.entryOf(target), store.heartbeats.at(target)},
-                            handledAt);
-                    else
-                        directory.handle(targets::Removed {target}, handledAt);
-                }
-            }
-        }
+        else
+            handleChanges(store, handledAt);
         directory.handle(targets::Confirmed {sentAt}, handledAt);
         readUpTo = store.now;
         for (const auto &[target, presences] : store.history)
@@ -211,7 +204,24 @@
         if (arePlacementsOutdated)
             placements.clear();
         for (const targets::Relayed &relayed : std::exchange(mailbox, {}))
-            handle(relayed, store.now);
+            handle(relayed, now);
+    }
+
+    /// The answer to a watch.
+    void handleChanges(const Store &store, core::TimePoint handledAt)
+    {
+        for (const auto &[target, presences] : store.history) {
+            for (const Presence &presence : presences) {
+                if (presence.since <= *readUpTo)
+                    continue;
+                if (presence.isListed)
+                    directory.handle(
+                        targets::Updated {store.entryOf(target), store.heartbeats.at(target)},
+                        handledAt);
+                else
+                    directory.handle(targets::Removed {target}, handledAt);
+            }
+        }
     }
 
     void receive(const Store &store, const KnowledgeModelSettings &settings)
@@ -377,9 +387,12 @@
          }},
         {"follower begins to read", [](const Fleet &fleet) { return !fleet.follower.readSentAt; },
          [](Fleet &fleet) { fleet.follower.readSentAt = fleet.store.now; }},
-        {"follower ends its read",
-         [](const Fleet &fleet) { return fleet.follower.readSentAt.has_value(); },
-         [settings](Fleet &fleet) { fleet.follower.finishRead(fleet.store, settings); }},
+        {"store answers the read",
+         [](const Fleet &fleet) { return fleet.follower.readSentAt && !fleet.follower.served; },
+         [](Fleet &fleet) { fleet.follower.served = fleet.store; }},
+        {"follower handles the answer of the store",
+         [](const Fleet &fleet) { return fleet.follower.served.has_value(); },
+         [settings](Fleet &fleet) { fleet.follower.finishRead(fleet.store.now, settings); }},
         {"follower restarts", [](const Fleet &fleet) { return fleet.follower != Follower(); },
          [](Fleet &fleet) { fleet.follower = Follower(); }},
         {"relay restarts", [](const Fleet &fleet) { return fleet.relay != FleetState(); },
@@ -403,8 +416,11 @@
 
 std::string findDivergence(Fleet fleet, const KnowledgeModelSettings &settings)
 {
-    if (fleet.follower.readSentAt)
-        fleet.follower.finishRead(fleet.store, settings);
+    if (fleet.follower.readSentAt) {
+        if (!fleet.follower.served)
+            fleet.follower.served = fleet.store;
+        fleet.follower.finishRead(fleet.store.now, settings);
+    }
     if (fleet.follower.exchange)
         fleet.loseReport();
     for (int round = 0; round < kRounds; ++round) {
--- a/packages/decisions/tests/serving/FleetKnowledgeModelTest.cpp
+++ b/packages/decisions/tests/serving/FleetKnowledgeModelTest.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Depth of the exploration in CI; BORAGERACK_MODEL_STEPS sets another one.
-constexpr std::size_t kSteps = 8;
+constexpr std::size_t kSteps = 9;
 /// Depth at which the exploration must have found each fault.
 constexpr std::size_t kFaultSteps = 10;
 
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -293,6 +293,20 @@
     BOOST_TEST(!directory.entries().contains({"c"}));
 }
 
+// Guards against a list that counts as current although an answer that was handled late, and is
+// older than the relayed list, still counts for some targets.
+BOOST_AUTO_TEST_CASE(listIsNotCurrentWhileALateAnswerCountsForSomeTargets)
+{
+    TargetDirectory directory;
+    directory.handle(targets::Listed {{entryOf("a")}}, kNow + 3s);
+    directory.handle(targets::Confirmed {kNow}, kNow + 3s);
+    directory.handle(targets::Relayed {{{}}, kNow + 2s, {5, 1}}, kNow + 3s);
+    BOOST_TEST((directory.contentAt() == kNow));
+    directory.handle(targets::Relayed {std::nullopt, kNow + 4s, {5, 1}}, kNow + 4s);
+    BOOST_TEST((directory.contentAt() == kNow + 4s));
+    BOOST_TEST(directory.entries().empty());
+}
+
 // Guards against requests to a target that the complete list did not contain, because a relayed
 // list with the content of the time before the answer names it (review/8, DRAIN).
 BOOST_AUTO_TEST_CASE(relayedListOfBeforeACompleteListIsNotUsed)
