Take the replicas of a restored copy where the known entry was relayed

Cause: an entry of the copy is older than the heartbeat that the node has read, so it was refused as outdated. If the known entry was relayed, it names no replicas, and the node published it as read: routers found no model, and a new coordinator took all targets for empty.

Ruled out: the load of the machine; the refusals begin with the restore.

Change: the heartbeat of the entry in use, which is zero if it is relayed, is kept apart from the largest that was read. Only the latter decides whether a removed target is live.

Measured: TargetDirectoryTest/replicasOfACopyCountWhereTheListWasRelayed fails before and passes with the change.

--- a/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetDirectory.h
@@ -131,8 +131,10 @@
     struct Process
     {
         std::uint64_t startedAt = 0;
-        /// The largest that this node has read; zero if unknown.
+        /// Of the entry in use; zero if it is relayed.
         std::uint64_t heartbeat = 0;
+        /// The largest that this node has read; zero if none.
+        std::uint64_t highestHeartbeat = 0;
         bool isLeaving = false;
         /// When its entry was removed; empty while it is listed.
         std::optional<core::TimePoint> removedAt;
--- a/packages/decisions/src/serving/TargetDirectory.cpp
+++ b/packages/decisions/src/serving/TargetDirectory.cpp
@@ -80,7 +80,8 @@
     if (heartbeat == 0)
         return false;
     // A target whose entry lapsed writes it again, with the next heartbeat.
-    return process.removedAt ? heartbeat <= process.heartbeat : heartbeat < process.heartbeat;
+    return process.removedAt ? heartbeat <= process.highestHeartbeat
+                             : heartbeat < process.heartbeat;
 }
 
 bool TargetDirectory::update(const TargetEntry &updated, std::uint64_t heartbeat)
@@ -92,10 +93,11 @@
     const bool isSameProcess = process.startedAt == updated.startedAt;
     if (process.removedAt && isSameProcess)
         returned_.push_back(updated.process());
-    // A leaving target stays leaving until its process restarts, and a relayed entry has no
-    // heartbeat.
+    // A leaving target stays leaving until its process restarts.
     process.isLeaving = updated.isLeaving || (process.isLeaving && isSameProcess);
-    process.heartbeat = isSameProcess ? std::max(process.heartbeat, heartbeat) : heartbeat;
+    process.heartbeat = heartbeat;
+    process.highestHeartbeat =
+        isSameProcess ? std::max(process.highestHeartbeat, heartbeat) : heartbeat;
     process.startedAt = updated.startedAt;
     process.removedAt.reset();
     TargetEntry &entry = entries_[updated.target];
@@ -113,9 +115,9 @@
     process.readAt = now;
     // The first heartbeat that is read after a restore may be that of the copy, so only a later one
     // shows that the target is live.
-    if (process.removedAt && process.heartbeat == 0 && process.startedAt == updated.startedAt
+    if (process.removedAt && process.highestHeartbeat == 0 && process.startedAt == updated.startedAt
         && platformRestoredAt_ && *process.removedAt < *platformRestoredAt_) {
-        process.heartbeat = heartbeat;
+        process.highestHeartbeat = heartbeat;
         return false;
     }
     return update(withEvacuation(updated), heartbeat);
--- a/packages/decisions/tests/serving/TargetDirectoryTest.cpp
+++ b/packages/decisions/tests/serving/TargetDirectoryTest.cpp
@@ -335,7 +335,21 @@
     BOOST_TEST(directory.entries().contains({"a"}));
 }
 
-// Guards against the same at a node that knows the target from relayed lists only.
+// Guards against a node that takes its targets for empty after a restore: the copy is older than
+// the heartbeat that it knows, but relayed entries name no replicas.
+BOOST_AUTO_TEST_CASE(replicasOfACopyCountWhereTheListWasRelayed)
+{
+    TargetDirectory directory;
+    TargetEntry entry = entryOf("a");
+    entry.replicas = {{{"m"}, 1, {}}};
+    directory.handle(targets::Updated {entry, 7}, kNow);
+    directory.handle(targets::Relayed {{{entryOf("a")}}, kNow + 1s, {5, 1}}, kNow + 1s);
+    directory.handle(targets::PlatformRestored(), kNow + 5s);
+    directory.handle(targets::Listed {{entry}, {{{"a"}, 5}}}, kNow + 5s);
+    BOOST_TEST((directory.entries().at({"a"}).replicas == entry.replicas));
+}
+
+// Guards against requests to such a target from a node that knows it from relayed lists only.
 BOOST_AUTO_TEST_CASE(entryFromACopyIsNotUsedIfItsHeartbeatIsUnknown)
 {
     TargetDirectory directory;
