Split the model of a node's knowledge by store, follower and fleet

Ruled out: fewer checks in the model; it keeps all.

Change: KnowledgeModelStore, KnowledgeModelFollower and FleetKnowledgeModel.

--- a/packages/decisions/tests/serving/FleetKnowledgeModel.cpp
+++ b/packages/decisions/tests/serving/FleetKnowledgeModel.cpp
@@ -1,6 +1,6 @@
 #include "FleetKnowledgeModel.h"
 
-#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -9,96 +9,23 @@
 #include <utility>
 #include <vector>
 
-#include "boragerack/decisions/serving/FleetFollower.h"
-#include "boragerack/decisions/serving/FleetState.h"
-#include "boragerack/decisions/serving/TargetDirectory.h"
+#include "KnowledgeModelFollower.h"
+#include "KnowledgeModelStore.h"
 
 namespace boragerack::decisions::testing {
 
 namespace {
 
 using namespace std::chrono_literals;
+using Answer = KnowledgeModelAnswer;
+using Store = KnowledgeModelStore;
+using Follower = KnowledgeModelFollower;
 
-/// Time passes only with a change of the store; nothing else depends on it.
-constexpr core::TimePoint kStart(1s);
-constexpr core::Duration kTick = 1s;
 /// Age that every node treats as expired.
 constexpr std::chrono::milliseconds kUnknownAge = 1h;
 /// Rounds of reports after which a follower must know the state of the coordinator.
 constexpr int kRounds = 4;
 
-const core::TargetId kLeaving {"a"};
-const core::TargetId kJoining {"c"};
-
-/// Since when a target is listed, or not.
-struct Presence
-{
-    core::TimePoint since = {};
-    bool isListed = false;
-    friend auto operator<=>(const Presence &, const Presence &) = default;
-};
-
-struct Store
-{
-    core::TimePoint now = kStart;
-    std::map<core::TargetId, std::vector<Presence>> history {
-        {kLeaving, {{{}, false}, {kStart, true}}}, {kJoining, {{{}, false}}}};
-    std::map<core::TargetId, std::uint64_t> heartbeats {{kLeaving, 1}};
-
-    bool has(const core::TargetId &target) const { return history.at(target).back().isListed; }
-
-    void change(const core::TargetId &target)
-    {
-        now += kTick;
-        const bool isListed = !has(target);
-        history[target].push_back({now, isListed});
-        if (isListed)
-            ++heartbeats[target];
-    }
-
-    TargetEntry entryOf(const core::TargetId &target) const
-    {
-        TargetEntry entry;
-        entry.target = target;
-        entry.startedAt = 1;
-        return entry;
-    }
-
-    std::vector<TargetEntry> entries() const
-    {
-        std::vector<TargetEntry> result;
-        for (const auto &[target, presences] : history) {
-            if (has(target))
-                result.push_back(entryOf(target));
-        }
-        return result;
-    }
-
-    /// Whether the target was listed, or not, at some time since then.
-    bool wasEver(const core::TargetId &target, bool isListed, core::TimePoint since) const
-    {
-        const auto &presences = history.at(target);
-        for (std::size_t i = 0; i < presences.size(); ++i) {
-            const bool isOver = i + 1 < presences.size() && presences[i + 1].since <= since;
-            if (!isOver && presences[i].isListed == isListed)
-                return true;
-        }
-        return false;
-    }
-
-    friend auto operator<=>(const Store &, const Store &) = default;
-};
-
-/// The part of an answer that concerns the state of the fleet.
-struct Answer
-{
-    CoordinatorStanding standing = CoordinatorStanding::Holding;
-    std::optional<FleetChange> change;
-    bool namesRelay = false;
-    std::chrono::milliseconds targetsAge = {};
-    friend auto operator<=>(const Answer &, const Answer &) = default;
-};
-
 struct Coordinator
 {
     FleetState state;
@@ -108,7 +35,7 @@
     void place()
     {
         ++placementVersion;
-        state.updatePlacements(placementVersion, {{kLeaving, placementVersion, {}}});
+        state.updatePlacements(placementVersion, {{kLeavingTarget, placementVersion, {}}});
     }
 
     void read(const Store &store)
@@ -131,142 +58,6 @@
     friend auto operator<=>(const Coordinator &, const Coordinator &) = default;
 };
 
-/// A report of the follower, and its answer once it has one.
-struct Exchange
-{
-    FleetVersions knownToRouting;
-    FleetVersions knownToReports;
-    core::TimePoint reportedAt = {};
-    /// Coordinator to which the report was sent, unless it went to the relay.
-    std::size_t coordinator = 0;
-    bool isAtRelay = false;
-    std::optional<Answer> answer;
-    friend auto operator<=>(const Exchange &, const Exchange &) = default;
-};
-
-/// What the report, routing and target tasks of a node know.
-struct Follower
-{
-    FleetState state;
-    FleetFollower follower;
-    TargetDirectory directory;
-    std::map<core::TargetId, TargetPlacement> placements;
-    bool arePlacementsOutdated = false;
-    bool hasRelay = false;
-    std::optional<Exchange> exchange;
-    std::optional<core::TimePoint> readSentAt;
-    /// The store as it was when it answered the read in progress; empty before.
-    std::optional<Store> served;
-    /// Time of the store at the last read; a complete list is read if it is empty.
-    std::optional<core::TimePoint> readUpTo;
-    /// Lists that arrived during a read.
-    std::vector<targets::Relayed> mailbox;
-    targets::ListVersion relayedVersion;
-    /// When this process last read each target.
-    std::map<core::TargetId, core::TimePoint> seenAt;
-
-    void handle(const targets::Relayed &relayed, core::TimePoint now)
-    {
-        if (relayed.entries)
-            relayedVersion = relayed.version;
-        directory.handle(relayed, now);
-        if (directory.isRelayed())
-            readUpTo.reset();
-    }
-
-    /// False if the mailbox is full.
-    bool accept(const targets::Relayed &relayed, core::TimePoint now)
-    {
-        if (!readSentAt)
-            handle(relayed, now);
-        else if (mailbox.empty())
-            mailbox.push_back(relayed);
-        else
-            return false;
-        return true;
-    }
-
-    /// Handles the answer to the read in progress; time may have passed since the store sent it.
-    void finishRead(core::TimePoint now, const KnowledgeModelSettings &settings)
-    {
-        const core::TimePoint sentAt = *std::exchange(readSentAt, std::nullopt);
-        const Store store = served.value();
-        served.reset();
-        const core::TimePoint handledAt = settings.datesAnswersByTheirCall ? sentAt : now;
-        if (!readUpTo)
-            directory.handle(targets::Listed {store.entries(), store.heartbeats}, handledAt);
-        else
-            handleChanges(store, handledAt);
-        directory.handle(targets::Confirmed {sentAt}, handledAt);
-        readUpTo = store.now;
-        for (const auto &[target, presences] : store.history)
-            seenAt[target] = store.now;
-        if (arePlacementsOutdated)
-            placements.clear();
-        for (const targets::Relayed &relayed : std::exchange(mailbox, {}))
-            handle(relayed, now);
-    }
-
-    /// The answer to a watch.
-    void handleChanges(const Store &store, core::TimePoint handledAt)
-    {
-        for (const auto &[target, presences] : store.history) {
-            for (const Presence &presence : presences) {
-                if (presence.since <= *readUpTo)
-                    continue;
-                if (presence.isListed)
-                    directory.handle(
-                        targets::Updated {store.entryOf(target), store.heartbeats.at(target)},
-                        handledAt);
-                else
-                    directory.handle(targets::Removed {target}, handledAt);
-            }
-        }
-    }
-
-    void receive(const Store &store, const KnowledgeModelSettings &settings)
-    {
-        const Exchange done = exchange.value();
-        const Answer received = done.answer.value();
-        exchange.reset();
-        CoordinationAnswer answer;
-        answer.standing = received.standing;
-        answer.change = received.change;
-        answer.platformReadStatus.targetsAge = received.targetsAge;
-        hasRelay = hasRelay || received.namesRelay;
-        if (answer.change && !state.apply(*answer.change))
-            answer.change.reset();
-        const FleetUpdate update = state.updateSince(done.knownToRouting);
-        AnswerContent content = follower.examine(answer, update, done.reportedAt);
-        if (settings.confirmsWithoutState && !answer.change && follower.fits(update))
-            content.targets = targets::Relayed {
-                update.targets, done.reportedAt - received.targetsAge, relayedVersion};
-        if (settings.adoptsAnyUpdate)
-            content.hasState = answer.change.has_value();
-        const bool areTargetsAdopted = content.targets && accept(*content.targets, store.now);
-        if (content.hasState)
-            adopt(update, areTargetsAdopted, settings);
-    }
-
-    void adopt(const FleetUpdate &update, bool areTargetsAdopted,
-               const KnowledgeModelSettings &settings)
-    {
-        if (update.versions.term != follower.known().term)
-            arePlacementsOutdated = true;
-        const std::uint64_t before =
-            settings.adoptsAnyUpdate ? follower.known().placements : update.since.placements;
-        if (update.versions.placements != before) {
-            if (std::exchange(arePlacementsOutdated, false))
-                placements.clear();
-            for (const TargetPlacement &placement : update.placements)
-                placements.insert_or_assign(placement.target, placement);
-        }
-        follower.adopt(update, areTargetsAdopted);
-    }
-
-    friend auto operator<=>(const Follower &, const Follower &) = default;
-};
-
 struct Fleet
 {
     Store store;
@@ -277,20 +68,11 @@
 
     Coordinator &current() { return coordinators.back(); }
 
-    void report()
-    {
-        Exchange exchange;
-        exchange.knownToRouting = follower.follower.known();
-        exchange.knownToReports = follower.state.versions();
-        exchange.reportedAt = store.now;
-        exchange.coordinator = coordinators.size() - 1;
-        exchange.isAtRelay = follower.hasRelay;
-        follower.exchange = exchange;
-    }
+    void report() { follower.report(store.now, coordinators.size() - 1); }
 
     void answerDirectly(bool namesRelay)
     {
-        Exchange &exchange = *follower.exchange;
+        KnowledgeModelExchange &exchange = *follower.exchange;
         const bool isCurrent = exchange.coordinator + 1 == coordinators.size();
         exchange.answer =
             coordinators[exchange.coordinator].answer(exchange.knownToReports, store, isCurrent);
@@ -312,12 +94,6 @@
         follower.exchange->answer = answer;
     }
 
-    void loseReport()
-    {
-        follower.exchange.reset();
-        follower.hasRelay = false;
-    }
-
     friend auto operator<=>(const Fleet &, const Fleet &) = default;
 };
 
@@ -341,10 +117,10 @@
     };
     return {
         {"target leaves or returns",
-         [](const Fleet &fleet) { return fleet.store.history.at(kLeaving).size() < 4; },
-         [](Fleet &fleet) { fleet.store.change(kLeaving); }},
-        {"target joins", [](const Fleet &fleet) { return !fleet.store.has(kJoining); },
-         [](Fleet &fleet) { fleet.store.change(kJoining); }},
+         [](const Fleet &fleet) { return fleet.store.history.at(kLeavingTarget).size() < 4; },
+         [](Fleet &fleet) { fleet.store.change(kLeavingTarget); }},
+        {"target joins", [](const Fleet &fleet) { return !fleet.store.has(kJoiningTarget); },
+         [](Fleet &fleet) { fleet.store.change(kJoiningTarget); }},
         {"coordinator reads",
          [](const Fleet &fleet) { return fleet.coordinators.back().contentAt < fleet.store.now; },
          [](Fleet &fleet) { fleet.current().read(fleet.store); }},
@@ -376,15 +152,12 @@
          [](const Fleet &fleet) {
              return fleet.follower.exchange && fleet.follower.exchange->answer;
          },
-         [settings](Fleet &fleet) { fleet.follower.receive(fleet.store, settings); }},
+         [settings](Fleet &fleet) { fleet.follower.receive(fleet.store.now, settings); }},
         {"report is lost", [](const Fleet &fleet) { return fleet.follower.exchange.has_value(); },
-         [](Fleet &fleet) { fleet.loseReport(); }},
+         [](Fleet &fleet) { fleet.follower.loseReport(); }},
         {"follower gives its coordinator up",
          [](const Fleet &fleet) { return fleet.follower.follower.known().term != 0; },
-         [](Fleet &fleet) {
-             fleet.follower.follower.reset();
-             fleet.follower.arePlacementsOutdated = true;
-         }},
+         [](Fleet &fleet) { fleet.follower.giveCoordinatorUp(); }},
         {"follower begins to read", [](const Fleet &fleet) { return !fleet.follower.readSentAt; },
          [](Fleet &fleet) { fleet.follower.readSentAt = fleet.store.now; }},
         {"store answers the read",
@@ -400,20 +173,6 @@
     };
 }
 
-std::string findOutdatedTarget(const Fleet &fleet)
-{
-    const Follower &follower = fleet.follower;
-    for (const auto &[target, presences] : fleet.store.history) {
-        core::TimePoint since = follower.directory.contentAt();
-        if (const auto seen = follower.seenAt.find(target); seen != follower.seenAt.end())
-            since = std::max(since, seen->second);
-        const bool isUsed = follower.directory.entries().contains(target);
-        if (!fleet.store.wasEver(target, isUsed, since))
-            return "an outdated list of targets is used";
-    }
-    return {};
-}
-
 std::string findDivergence(Fleet fleet, const KnowledgeModelSettings &settings)
 {
     if (fleet.follower.readSentAt) {
@@ -422,16 +181,16 @@
         fleet.follower.finishRead(fleet.store.now, settings);
     }
     if (fleet.follower.exchange)
-        fleet.loseReport();
+        fleet.follower.loseReport();
     for (int round = 0; round < kRounds; ++round) {
-        fleet.store.now += kTick;
+        fleet.store.now += kModelTick;
         fleet.current().read(fleet.store);
         fleet.report();
         if (fleet.follower.hasRelay)
             fleet.answerThroughRelay(fleet.coordinators.size() - 1);
         else
             fleet.answerDirectly(false);
-        fleet.follower.receive(fleet.store, settings);
+        fleet.follower.receive(fleet.store.now, settings);
     }
     for (const auto &[target, presences] : fleet.store.history) {
         if (fleet.follower.directory.entries().contains(target) != fleet.store.has(target))
@@ -492,7 +251,7 @@
                 if (!isNew)
                     continue;
                 visited.push_back({&*position, index, event.name});
-                std::string violation = findOutdatedTarget(*position);
+                std::string violation = position->follower.findOutdatedTarget(position->store);
                 if (violation.empty())
                     violation = findDivergence(*position, settings);
                 result.states = known.size();
