Show that a fraction among the bounds keeps the gateway from starting

Cause: the settings template appends "000" to bounds in seconds, and the parser of the settings takes integers for all bounds but the retry ratio. The users' pages allow fractions.

Ruled out: the change of the settings as such; with another whole number the restarted processes become ready.

--- a/review/standins-3/Node.cc
+++ b/review/standins-3/Node.cc
@@ -111,12 +111,21 @@
     return folders_.temporary + "/" + name_ + ".log";
 }
 
-void Node::start()
+std::string Node::settingsPath() const
+{
+    return folders_.temporary + "/" + name_ + ".json";
+}
+
+void Node::writeSettings() const
 {
-    const std::string settings = folders_.temporary + "/" + name_ + ".json";
-    std::ofstream(settings) << renderTemplate(
+    std::ofstream(settingsPath()) << renderTemplate(
         readFile(folders_.repository + "/deploy/gateway.json"), fields_);
-    const std::string variable = "BORAGERACK_SETTINGS=" + settings;
+}
+
+void Node::start()
+{
+    writeSettings();
+    const std::string variable = "BORAGERACK_SETTINGS=" + settingsPath();
     const std::string program = folders_.repository + "/target/bin/boragerackd";
     const std::string log = logPath();
     pid_ = ::fork();
--- a/review/standins-3/Node.hh
+++ b/review/standins-3/Node.hh
@@ -33,6 +33,8 @@
     Node &operator=(const Node &) = delete;
     ~Node();
 
+    /// Writes the settings as the platform does at every start and with each change.
+    void writeSettings() const;
     void start();
     void signal(int number) const;
     /// The exit status once the process has ended; -1 while it runs.
@@ -43,6 +45,8 @@
     std::string logPath() const;
 
 private:
+    std::string settingsPath() const;
+
     Folders folders_;
     std::string name_;
     Fields fields_;
