Choose the ports of the review's nodes below the ephemeral range

Cause: a port was chosen among the ephemeral ones and released before the node listened on it, so an outgoing connection could take it ([BR1005] Address already in use). The scripts then exited with 2.

--- a/review/standins-3/Http.cc
+++ b/review/standins-3/Http.cc
@@ -209,8 +209,10 @@
     sockaddr_in address = loopback(port);
     socklen_t size = sizeof address;
     if (::bind(socket_, reinterpret_cast<const sockaddr *>(&address), size) != 0
-        || ::listen(socket_, 1024) != 0)
+        || ::listen(socket_, 1024) != 0) {
+        ::close(socket_);
         throw std::runtime_error("a port cannot be opened");
+    }
     ::getsockname(socket_, reinterpret_cast<sockaddr *>(&address), &size);
     port_ = ntohs(address.sin_port);
     thread_ = std::thread([this] { accept(); });
@@ -248,8 +250,19 @@
 
 std::uint16_t freePort()
 {
-    const Server server(0, [](Connection &) { });
-    return server.port();
+    // Outgoing connections take ports from 32768 on, also between this choice and a node's listen.
+    constexpr unsigned kFirst = 10000;
+    constexpr unsigned kCount = 22000;
+    static unsigned next = static_cast<unsigned>(::getpid()) * 97;
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+        try {
+            const Server server(port, [](Connection &) { });
+            return port;
+        } catch (const std::runtime_error &) {
+            continue;
+        }
+    }
 }
 
 std::int64_t nowMs()
