Accept fractions in the settings of a node

Cause: the template turned seconds into milliseconds by appending "000" to the figure (7.5 became 7.5000), and the parser took integers only. The first log line of such a start names the cause: "stopTimeoutMs: found 7.5E0, expected an integer". The same happened with 8.0, and for the figures of budget-window-s, budget-slack, quota-slack, revoke-ms, lease-ms, evacuate-ms and memory-mb, each tried with the program; "grace-s 0" became 0000, which is no JSON.

Ruled out: the reload on SIGHUP. It reports the same error and keeps the earlier settings; only the start ends.

--- a/packages/config/include/boragerack/config/GatewaySettings.h
+++ b/packages/config/include/boragerack/config/GatewaySettings.h
@@ -37,7 +37,8 @@
     /// Time for which callers cache the addresses returned to them.
     std::chrono::milliseconds addressLifetime = std::chrono::seconds(1);
     double retryRatio = 0.2;
-    std::int64_t retrySlack = 50;
+    /// Retries of the fleet in a window besides its share of the requests.
+    double retrySlack = 50;
     /// Time window to which the fleet-wide limit on retries applies.
     std::chrono::milliseconds retryWindow = std::chrono::seconds(10);
     /// Tokens that an organisation may use beyond its limit before the limit counts as violated.
@@ -57,6 +58,8 @@
     friend bool operator==(const GatewaySettings &, const GatewaySettings &) = default;
 };
 
+/// Parses the text of a settings file. Fails with InvalidRequest if a member is missing, invalid or
+/// unknown.
 core::Result<GatewaySettings> parseGatewaySettings(std::string_view file, std::string_view text);
 
 } // namespace boragerack::config
--- a/packages/config/src/GatewaySettings.cpp
+++ b/packages/config/src/GatewaySettings.cpp
@@ -7,7 +7,11 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::int64_t kMaxCount = 1'000'000'000;
+constexpr double kMaxRatio = 1000;
+constexpr double kMaxCores = 1'000'000;
 
 void readSettings(ObjectReader &reader, GatewaySettings &settings, ParseErrorCollector &errors)
 {
@@ -21,18 +25,27 @@
     settings.metricsListen = readAddress(reader, "metricsListen", errors);
     settings.platform = readAddress(reader, "platform", errors);
     settings.chartsDirectory = reader.readText("chartsDirectory");
-    settings.maxRevocationDelay = readMs(reader, "revocationMs", defaults.maxRevocationDelay);
-    settings.maxEvacuationDelay = readMs(reader, "evacuationMs", defaults.maxEvacuationDelay);
-    settings.orderHandover = readMs(reader, "orderHandoverMs", defaults.orderHandover);
-    settings.stopTimeout = readMs(reader, "stopTimeoutMs", defaults.stopTimeout);
-    settings.addressLifetime = readMs(reader, "addressLifetimeMs", defaults.addressLifetime);
-    settings.retryRatio = reader.readNumber("retryRatio", defaults.retryRatio);
-    settings.retrySlack = reader.readInteger("retrySlack", 0, kMaxCount, defaults.retrySlack);
-    settings.retryWindow = readMs(reader, "retryWindowMs", defaults.retryWindow);
+    const auto readTime = [&](const char *name, std::chrono::milliseconds lowest,
+                              std::chrono::milliseconds fallback, Rounding rounding) {
+        return readDuration(reader, name, lowest, fallback, rounding, errors);
+    };
+    settings.maxRevocationDelay =
+        readTime("revocation", 1ms, defaults.maxRevocationDelay, Rounding::Down);
+    // Zero disables evacuations, so a fraction of a millisecond must not become zero.
+    settings.maxEvacuationDelay =
+        readTime("evacuation", 0ms, defaults.maxEvacuationDelay, Rounding::Up);
+    settings.orderHandover = readTime("orderHandover", 0ms, defaults.orderHandover, Rounding::Up);
+    settings.stopTimeout = readTime("stopTimeout", 1ms, defaults.stopTimeout, Rounding::Down);
+    settings.addressLifetime =
+        readTime("addressLifetime", 1ms, defaults.addressLifetime, Rounding::Down);
+    settings.retryRatio = reader.readNumber("retryRatio", 0, kMaxRatio, defaults.retryRatio);
+    settings.retrySlack = reader.readNumber("retrySlack", 0, kMaxCount, defaults.retrySlack);
+    settings.retryWindow = readTime("retryWindow", 1ms, defaults.retryWindow, Rounding::Up);
     settings.quotaTolerance =
-        reader.readInteger("quotaTolerance", 0, kMaxCount, defaults.quotaTolerance);
-    settings.processorShare = reader.readNumber("processorShare", defaults.processorShare);
-    settings.memoryMb = reader.readInteger("memoryMb", 1, kMaxCount, defaults.memoryMb);
+        readLimit(reader, "quotaTolerance", 0, kMaxCount, defaults.quotaTolerance);
+    settings.processorShare =
+        reader.readNumber("processorShare", 0, kMaxCores, defaults.processorShare);
+    settings.memoryMb = readLimit(reader, "memoryMb", 1, kMaxCount, defaults.memoryMb);
     settings.maxActiveRequests =
         reader.readInteger("maxActiveRequests", 1, kMaxCount, defaults.maxActiveRequests);
     settings.maxWaitingRequests =
--- a/packages/config/src/ObjectReader.cpp
+++ b/packages/config/src/ObjectReader.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iomanip>
+#include <sstream>
 #include <utility>
 
 #include "boragerack/config/JsonPosition.h"
@@ -18,11 +20,13 @@
 
 } // namespace
 
-void ParseErrorCollector::report(const std::string &path, const std::string &found,
+void ParseErrorCollector::report(const std::string &member, const std::string &found,
                                  const std::string &expected)
 {
-    if (!message)
-        message = file + ": " + path + ": found " + found + ", expected " + expected;
+    if (message)
+        return;
+    message = file + ": " + member + ": found " + found + ", expected " + expected;
+    path = member;
 }
 
 std::string describe(const json::value &value)
@@ -102,17 +106,28 @@
     return lowest;
 }
 
-double ObjectReader::readNumber(std::string_view name, double fallback)
+double ObjectReader::readNumber(std::string_view name, double lowest, double highest,
+                                double fallback)
 {
     const json::value *value = find(name, {});
     if (!value)
         return fallback;
-    if (value->is_number())
-        return value->to_number<double>();
-    errors_.report(pathOf(name), describe(*value), "a number");
+    if (value->is_number()) {
+        const auto number = value->to_number<double>();
+        if (number >= lowest && number <= highest)
+            return number;
+    }
+    std::ostringstream expected;
+    expected << "a number from " << lowest << " to " << std::setprecision(10) << highest;
+    errors_.report(pathOf(name), describe(*value), expected.str());
     return fallback;
 }
 
+bool ObjectReader::contains(std::string_view name)
+{
+    return find(name, {}) != nullptr;
+}
+
 bool ObjectReader::readFlag(std::string_view name, bool fallback)
 {
     const json::value *value = find(name, {});
--- a/packages/config/src/ObjectReader.h
+++ b/packages/config/src/ObjectReader.h
@@ -16,9 +16,11 @@
 {
     std::string file;
     std::optional<std::string> message;
+    /// Path of the member with the error.
+    std::string path = {};
 
     /// Records an error unless one has been recorded already.
-    void report(const std::string &path, const std::string &found, const std::string &expected);
+    void report(const std::string &member, const std::string &found, const std::string &expected);
 };
 
 /// JSON text of a value for an error message, truncated to 80 bytes.
@@ -39,7 +41,8 @@
     std::string readName(std::string_view name);
     std::int64_t readInteger(std::string_view name, std::int64_t lowest, std::int64_t highest,
                              std::optional<std::int64_t> fallback = std::nullopt);
-    double readNumber(std::string_view name, double fallback);
+    /// A number that may have a fraction.
+    double readNumber(std::string_view name, double lowest, double highest, double fallback);
     bool readFlag(std::string_view name, bool fallback);
     std::optional<std::string> readNullableText(std::string_view name);
     void readArray(std::string_view name, const ElementReader &read);
@@ -48,6 +51,8 @@
     void finish();
 
     std::string pathOf(std::string_view name) const;
+    /// Whether the object has the member. The member then counts as read.
+    bool contains(std::string_view name);
 
 private:
     const boost::json::value *find(std::string_view name, std::string_view expected);
--- a/packages/config/tests/GatewaySettingsTest.cpp
+++ b/packages/config/tests/GatewaySettingsTest.cpp
@@ -1,3 +1,5 @@
+#include <sstream>
+
 #include <boost/test/unit_test.hpp>
 
 #include "boragerack/config/GatewaySettings.h"
@@ -35,6 +37,57 @@
     BOOST_TEST(!core::isOk(parseGatewaySettings("f", "{}")));
 }
 
+// Guards against figures with a fraction that keep a node from starting, or become another number.
+BOOST_AUTO_TEST_CASE(acceptsFractions)
+{
+    const auto settings = parseGatewaySettings(
+        "f",
+        "{" + kRequired + R"(,"revocationMs":5000.5,"evacuationMs":0.4,"orderHandoverMs":2500.5,
+             "stopTimeoutS":7.5,"addressLifetimeMs":8.0,"retryRatio":0.25,"retrySlack":54.5,
+             "retryWindowS":2.0005,"quotaTolerance":110000.9,"processorShare":1,"memoryMb":260.5})");
+    BOOST_REQUIRE(core::isOk(settings));
+    const GatewaySettings &read = core::valueOf(settings);
+    BOOST_TEST(read.maxRevocationDelay.count() == 5000);
+    BOOST_TEST(read.maxEvacuationDelay.count() == 1);
+    BOOST_TEST(read.orderHandover.count() == 2501);
+    BOOST_TEST(read.stopTimeout.count() == 7500);
+    BOOST_TEST(read.addressLifetime.count() == 8);
+    BOOST_TEST(read.retryRatio == 0.25);
+    BOOST_TEST(read.retrySlack == 54.5);
+    BOOST_TEST(read.retryWindow.count() == 2001);
+    BOOST_TEST(read.quotaTolerance == 110000);
+    BOOST_TEST(read.processorShare == 1);
+    BOOST_TEST(read.memoryMb == 260);
+}
+
+// Guards against a time in seconds that loses a millisecond because it has no exact binary form.
+BOOST_AUTO_TEST_CASE(convertsSecondsExactly)
+{
+    for (int milliseconds = 1; milliseconds < 3000; ++milliseconds) {
+        std::ostringstream seconds;
+        seconds << milliseconds / 1000.0;
+        const auto settings =
+            parseGatewaySettings("f",
+                                 "{" + kRequired + R"(,"stopTimeoutS":)" + seconds.str()
+                                     + R"(,"retryWindowS":)" + seconds.str() + "}");
+        BOOST_REQUIRE(core::isOk(settings));
+        BOOST_TEST(core::valueOf(settings).stopTimeout.count() == milliseconds);
+        BOOST_TEST(core::valueOf(settings).retryWindow.count() == milliseconds);
+    }
+}
+
+// Guards against one of two contradicting times that is silently ignored, and against numbers that
+// overflow when they are converted.
+BOOST_AUTO_TEST_CASE(rejectsAmbiguousAndExtremeFigures)
+{
+    for (const char *extra :
+         {R"(,"stopTimeoutMs":8000,"stopTimeoutS":8)", R"(,"stopTimeoutS":0)",
+          R"(,"stopTimeoutS":3600.1)", R"(,"revocationMs":0.9)", R"(,"orderHandoverMs":-1)",
+          R"(,"retryRatio":-0.1)", R"(,"retrySlack":1e300)", R"(,"quotaTolerance":1e300)",
+          R"(,"processorShare":-1)", R"(,"processorShare":1e300)", R"(,"memoryMb":0.5)"})
+        BOOST_TEST(!core::isOk(parseGatewaySettings("f", "{" + kRequired + extra + "}")), extra);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::config::testing
--- a/packages/config/tests/NodeSettingsTest.cpp
+++ b/packages/config/tests/NodeSettingsTest.cpp
@@ -42,6 +42,15 @@
     BOOST_TEST(settings.requestTimeout.count() == 30000);
 }
 
+// Guards against a time with a fraction that keeps a node from starting.
+BOOST_AUTO_TEST_CASE(fractionsOfTimesAreAccepted)
+{
+    const auto result =
+        config::parseNodeSettings("node.json", settingsText(R"(,"addressLifetimeMs":2500.5)"));
+    BOOST_REQUIRE(core::isOk(result));
+    BOOST_TEST(core::valueOf(result).addressLifetime.count() == 2500);
+}
+
 // Guards against a misspelt or malformed setting that is silently replaced by a default.
 BOOST_AUTO_TEST_CASE(invalidSettingsAreRejected)
 {
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -114,7 +114,7 @@
 
 RoutingTask::Limits routingLimitsOf(const config::GatewaySettings &settings)
 {
-    return {{settings.retryRatio, static_cast<double>(settings.retrySlack), settings.retryWindow},
+    return {{settings.retryRatio, settings.retrySlack, settings.retryWindow},
             maxActiveRequests(settings),
             {static_cast<std::size_t>(settings.maxWaitingPerOrganisation),
              static_cast<std::size_t>(settings.maxWaitingRequests)}};
