Start a node although a setting with a default is invalid

Callers saw the same as with a fraction among the settings: a change that running processes reject and survive, such as a figure out of range or true in place of a number, ended each restarted process for good.

Cause: a start refused the whole file for one field. A running process keeps its settings then, but a process that starts has none, and no disk to read earlier ones from.

Ruled out: reading the file too early. The platform places it before each start, and the message names the field.

Change: a gateway that starts ignores invalid fields that have a default and unknown ones, uses the defaults and names the fields in event 1008. Required fields must still be valid. A reload stays strict, and reports the same error once in place of every 2 s. boragerackd for the product's own front end stays strict: only its operator writes that file.

--- a/packages/config/include/boragerack/config/GatewaySettings.h
+++ b/packages/config/include/boragerack/config/GatewaySettings.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "boragerack/config/NodeSettings.h"
 #include "boragerack/core/Identifier.h"
@@ -58,8 +59,24 @@
     friend bool operator==(const GatewaySettings &, const GatewaySettings &) = default;
 };
 
+/// Settings from a file with invalid members.
+struct RecoveredGatewaySettings
+{
+    GatewaySettings settings;
+    /// One message for each member that was ignored; its default is in effect.
+    std::vector<std::string> ignored;
+
+    friend bool operator==(const RecoveredGatewaySettings &,
+                           const RecoveredGatewaySettings &) = default;
+};
+
 /// Parses the text of a settings file. Fails with InvalidRequest if a member is missing, invalid or
 /// unknown.
 core::Result<GatewaySettings> parseGatewaySettings(std::string_view file, std::string_view text);
 
+/// Like `parseGatewaySettings`, but ignores invalid members that have a default, and unknown ones.
+/// A process that starts has no earlier settings to keep.
+core::Result<RecoveredGatewaySettings> recoverGatewaySettings(std::string_view file,
+                                                              std::string_view text);
+
 } // namespace boragerack::config
--- a/packages/config/src/GatewaySettings.cpp
+++ b/packages/config/src/GatewaySettings.cpp
@@ -5,6 +5,8 @@
 
 namespace boragerack::config {
 
+namespace json = boost::json;
+
 namespace {
 
 using namespace std::chrono_literals;
@@ -67,4 +69,32 @@
     return settings;
 }
 
+core::Result<RecoveredGatewaySettings> recoverGatewaySettings(std::string_view file,
+                                                              std::string_view text)
+{
+    json::error_code code;
+    json::value document = json::parse(text, code);
+    if (code || !document.is_object())
+        return core::errorOf(parseGatewaySettings(file, text));
+    RecoveredGatewaySettings recovered;
+    std::string removed;
+    while (true) {
+        ParseErrorCollector errors {std::string(file), {}};
+        recovered.settings = {};
+        ObjectReader reader(document, {}, errors);
+        readSettings(reader, recovered.settings, errors);
+        reader.finish();
+        if (!errors.message)
+            return recovered;
+        if (document.get_object().erase(errors.path) == 0) {
+            // The member is required. If it was removed, the first message says what was wrong.
+            return core::makeNotRunError(core::ErrorCode::InvalidRequest,
+                                         errors.path == removed ? recovered.ignored.back()
+                                                                : *errors.message);
+        }
+        removed = errors.path;
+        recovered.ignored.push_back(*errors.message);
+    }
+}
+
 } // namespace boragerack::config
--- a/packages/config/tests/GatewaySettingsTest.cpp
+++ b/packages/config/tests/GatewaySettingsTest.cpp
@@ -88,6 +88,44 @@
         BOOST_TEST(!core::isOk(parseGatewaySettings("f", "{" + kRequired + extra + "}")), extra);
 }
 
+// Guards against a change of the settings that running nodes survive and restarted ones do not.
+BOOST_AUTO_TEST_CASE(startIgnoresInvalidMembersWithDefaults)
+{
+    const auto recovered = recoverGatewaySettings(
+        "f", "{" + kRequired + R"(,"retryRate":1,"revocationMs":true,"stopTimeoutS":7200,
+             "retryRatio":0.3})");
+    BOOST_REQUIRE(core::isOk(recovered));
+    const RecoveredGatewaySettings &read = core::valueOf(recovered);
+    BOOST_TEST(read.settings.instance.value == "n-1");
+    BOOST_TEST((read.settings.maxRevocationDelay == std::chrono::seconds(5)));
+    BOOST_TEST((read.settings.stopTimeout == std::chrono::seconds(8)));
+    BOOST_TEST(read.settings.retryRatio == 0.3);
+    BOOST_REQUIRE(read.ignored.size() == 3);
+    BOOST_TEST(read.ignored[0]
+               == "f: revocationMs: found true, expected a number from 1 to 3600000");
+    BOOST_TEST(read.ignored[1]
+               == "f: stopTimeoutS: found 7200, expected a number from 0.001 to 3600");
+    BOOST_TEST(read.ignored[2] == "f: retryRate: found 1, expected no field of this name");
+}
+
+// Guards against a node that starts without knowing who it is or where it listens.
+BOOST_AUTO_TEST_CASE(startNeedsTheRequiredMembers)
+{
+    const std::string name = R"("callerListen":"10.0.0.1:1")";
+    for (const auto &[with, found] :
+         {std::pair<std::string, std::string>(R"("callerListen":5)", "found 5"),
+          {R"("callerListen":"here:1")", R"(found "here:1")"},
+          {R"("unknown":1)", "found nothing"}}) {
+        std::string text = "{" + kRequired + "}";
+        text.replace(text.find(name), name.size(), with);
+        const auto recovered = recoverGatewaySettings("f", text);
+        BOOST_REQUIRE(!core::isOk(recovered));
+        BOOST_TEST(core::errorOf(recovered).message.find("f: callerListen: " + found) == 0U);
+    }
+    for (const char *text : {"", "[]", "{", "{\"instance\":0007.5}"})
+        BOOST_TEST(!core::isOk(recoverGatewaySettings("f", text)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::config::testing
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <utility>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/fiber.hpp>
@@ -127,22 +128,33 @@
 /// Interval at which the settings file is checked for changes.
 constexpr std::chrono::milliseconds kSettingsPollInterval(2000);
 
-/// Applies changed settings. Invalid settings are logged and the current ones stay in effect.
-void reloadSettings(const std::string &path, config::GatewaySettings &current,
-                    gateway::Gateway &gateway)
+/// The settings in effect, and the error that was last reported for their file.
+struct LoadedSettings
+{
+    config::GatewaySettings current;
+    std::string error;
+};
+
+/// Applies changed settings. Invalid settings are logged once and the current ones stay in effect.
+void reloadSettings(const std::string &path, LoadedSettings &loaded, gateway::Gateway &gateway)
 {
     const auto settings = readSettings<config::GatewaySettings>(path, config::parseGatewaySettings);
-    if (!core::isOk(settings)) {
-        runtime::logEvent(runtime::LogEvent::SettingsInvalid, core::errorOf(settings).message);
-    } else if (core::valueOf(settings) != current) {
-        current = core::valueOf(settings);
-        gateway.updateSettings(current);
+    const std::string error = core::isOk(settings) ? "" : core::errorOf(settings).message;
+    if (const std::string reported = std::exchange(loaded.error, error);
+        !error.empty() && error != reported)
+        runtime::logEvent(runtime::LogEvent::SettingsInvalid, error);
+    if (core::isOk(settings) && core::valueOf(settings) != loaded.current) {
+        loaded.current = core::valueOf(settings);
+        gateway.updateSettings(loaded.current);
     }
 }
 
-int runGateway(const std::string &path, const config::GatewaySettings &settings)
+int runGateway(const std::string &path, const config::RecoveredGatewaySettings &recovered)
 {
-    config::GatewaySettings current = settings;
+    for (const std::string &message : recovered.ignored)
+        runtime::logEvent(runtime::LogEvent::SettingIgnored, message);
+    const config::GatewaySettings &settings = recovered.settings;
+    LoadedSettings loaded {settings, recovered.ignored.empty() ? "" : recovered.ignored.front()};
     runtime::FiberRuntime fiberRuntime;
     const auto buffers = std::make_shared<runtime::ByteBudget>(gateway::bufferLimitBytes(settings));
     runtime::HttpClient client(fiberRuntime.ioContext(), platformClientOptions());
@@ -166,12 +178,12 @@
         runtime::runTask("settings", [&] {
             while (true) {
                 boost::this_fiber::sleep_for(kSettingsPollInterval);
-                reloadSettings(path, current, gateway);
+                reloadSettings(path, loaded, gateway);
             }
         });
     }).detach();
     gateway.requestStop(waitForStopSignal(signals, core::SuspendAwareClock(), [&] {
-        runtime::runGuarded("settings", [&] { reloadSettings(path, current, gateway); });
+        runtime::runGuarded("settings", [&] { reloadSettings(path, loaded, gateway); });
     }));
     gateway.waitUntilStopped();
     runtime::logEvent(runtime::LogEvent::NodeStopped, settings.instance.value);
@@ -229,7 +241,7 @@
     runtime::initializeLog(argv[0],
                            isGateway ? runtime::LogStream::StandardOutput
                                      : runtime::LogStream::StandardError);
-    return isGateway
-        ? runWith<config::GatewaySettings>(path, config::parseGatewaySettings, runGateway)
-        : runWith<config::NodeSettings>(path, config::parseNodeSettings, runNode);
+    return isGateway ? runWith<config::RecoveredGatewaySettings>(
+               path, config::recoverGatewaySettings, runGateway)
+                     : runWith<config::NodeSettings>(path, config::parseNodeSettings, runNode);
 }
--- a/packages/gateway/tests/GatewayStartTest.cpp
+++ b/packages/gateway/tests/GatewayStartTest.cpp
@@ -95,6 +95,19 @@
     BOOST_TEST(log.find("stop_timeout_ms=7500") != std::string::npos, log);
 }
 
+// Guards against a restart that ends for good because of a setting that the process could do
+// without.
+BOOST_AUTO_TEST_CASE(startsWithInvalidFiguresAndReportsThem)
+{
+    GatewayProcess process(settingsWith(R"(,"orderHandoverMs":"3 s","quotaTolerance":-1)"));
+    const std::string log = process.logUntil(kReady);
+    BOOST_TEST(log.find(kReady) != std::string::npos, log);
+    for (const char *name : {"orderHandoverMs", "quotaTolerance"})
+        BOOST_TEST(log.find(std::string("settings.json: ") + name + ": found") != std::string::npos,
+                   log);
+    BOOST_TEST(log.find("[BR1008]") != std::string::npos, log);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace boragerack::gateway::testing
--- a/packages/runtime/include/boragerack/runtime/LogEvent.h
+++ b/packages/runtime/include/boragerack/runtime/LogEvent.h
@@ -11,6 +11,7 @@
     StartFailed = 1005,
     NodeIsolated = 1006,
     NodeServing = 1007,
+    SettingIgnored = 1008,
     ConfigurationAccepted = 1101,
     ConfigurationInEffect = 1102,
     ConfigurationRejected = 1103,
--- a/packages/runtime/src/EventLog.cpp
+++ b/packages/runtime/src/EventLog.cpp
@@ -40,6 +40,8 @@
         return {Severity::Error, "node is isolated and refuses requests"};
     case LogEvent::NodeServing:
         return {Severity::Info, "node serves requests"};
+    case LogEvent::SettingIgnored:
+        return {Severity::Error, "setting is ignored, its default is in effect"};
     case LogEvent::ConfigurationAccepted:
         return {Severity::Info, "configuration accepted"};
     case LogEvent::ConfigurationInEffect:
