Count the tokens that a node gets, takes and gives back

Change: boragerack_tokens_total counts the tokens of limited organisations by kind (granted, taken, returned).

--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -115,7 +115,7 @@
     retryBudgetFor(pendingRequest.requirements.service).countRequest(clock_.now());
     if (pendingRequest.tokens > 0) {
         tokenLimiter_.countDemand(pendingRequest.organisation, pendingRequest.tokens, clock_.now());
-        if (!tokenLimiter_.take(pendingRequest.organisation, pendingRequest.tokens)) {
+        if (!takeTokens(pendingRequest)) {
             tokenQueue_.push_back(pendingRequest.request);
             updateWaitingTokens();
             hasUrgentReport_ = true;
@@ -183,6 +183,7 @@
 void RoutingTask::on(TokensReturned &message)
 {
     tokenLimiter_.giveBack(message.organisation, message.tokens);
+    countTokens("returned", message.organisation, message.tokens);
 }
 
 void RoutingTask::on(SendPermissionRequest &message)
@@ -301,8 +302,10 @@
         follower_.examine(answer, message.update, message.reportedAt);
     const bool areTargetsAdopted = relay(message, answer, std::move(content.targets));
     tokenLimiter_.stopAccruing();
-    for (const decisions::TokenAmount &grant : answer.granted)
+    for (const decisions::TokenAmount &grant : answer.granted) {
         tokenLimiter_.credit(grant);
+        countTokens("granted", grant.organisation, grant.tokens);
+    }
     serveTokenQueue(true);
     // An answer that names a relay has no state, so the rates are reported again to the relay.
     if (answer.change)
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <string_view>
 #include <vector>
 
 #include <boost/fiber/fiber.hpp>
@@ -102,6 +103,8 @@
     void refuseEvacuated();
     /// Refuses the requests that cannot begin before their deadlines.
     void refuseUnservable();
+    /// False if the balance of the organisation is too low.
+    bool takeTokens(const RouteRequest &pendingRequest);
     void serveTokenQueue(bool refuseReported);
     void updateWaitingTokens();
     void adopt(const ReportAnswered &message, const decisions::CoordinationAnswer &answer);
@@ -123,6 +126,9 @@
     bool commitRetry(std::uint64_t request);
     void releaseRetry(std::uint64_t request);
     void countRetry(const core::ServiceId &service, bool isAllowed);
+    /// Counts tokens of an organisation with a limit.
+    void countTokens(std::string_view kind, const core::OrganisationId &organisation,
+                     std::int64_t tokens);
     void countLongPrompt(const decisions::routing::Granted &granted);
     void updateLongPromptTargets();
     void tick();
--- a/packages/gateway/src/RoutingTaskMetrics.cpp
+++ b/packages/gateway/src/RoutingTaskMetrics.cpp
@@ -35,6 +35,15 @@
         runtime::makeLabels({{"service", service.value}, {"allowed", isAllowed ? "yes" : "no"}}));
 }
 
+void RoutingTask::countTokens(std::string_view kind, const core::OrganisationId &organisation,
+                              std::int64_t tokens)
+{
+    if (tokens > 0 && tokenLimiter_.isLimited(organisation))
+        metrics_.add("boragerack_tokens_total",
+                     runtime::makeLabels({{"organisation", organisation.value}, {"kind", kind}}),
+                     static_cast<std::uint64_t>(tokens));
+}
+
 void RoutingTask::countLongPrompt(const decisions::routing::Granted &granted)
 {
     if (granted.longPrompt)
--- a/packages/gateway/src/RoutingTaskQueues.cpp
+++ b/packages/gateway/src/RoutingTaskQueues.cpp
@@ -122,6 +122,14 @@
     hasUrgentReport_ = router_.takeNewlyWaiting() || hasUrgentReport_;
 }
 
+bool RoutingTask::takeTokens(const RouteRequest &pendingRequest)
+{
+    if (!tokenLimiter_.take(pendingRequest.organisation, pendingRequest.tokens))
+        return false;
+    countTokens("taken", pendingRequest.organisation, pendingRequest.tokens);
+    return true;
+}
+
 void RoutingTask::serveTokenQueue(bool refuseReported)
 {
     const std::size_t reported = std::exchange(reportedTokenQueueSize_, 0);
@@ -132,7 +140,7 @@
         if (position == pending_.end())
             continue;
         RouteRequest &pendingRequest = position->second;
-        if (tokenLimiter_.take(pendingRequest.organisation, pendingRequest.tokens)) {
+        if (takeTokens(pendingRequest)) {
             enqueue(pendingRequest);
         } else if (refuseReported && i < reported) {
             // The report included this request, and the coordinator granted no tokens for it.
