Return only tokens that a request took

Cause: RequestExecution returned the tokens of each request whose verdict was "not run". A request that still waits for tokens, or is refused before it asks for them, has that verdict and has taken none. The organisation may also have had no limit when the request arrived.

Ruled out, by the counts of boragerack_tokens_total and the record of the case: requests that run and are reported as not run (1 of 670 that were left), and grants beyond the limit (3,929,987 tokens in 17 s). 4,589,000 tokens were taken and 4,596 requests of 1,000 ran, so the 661,000 that were returned had not been taken.

Change: NodeTokenLimiter records what each request spent. The end of a request returns what the record says, once, up to the burst. RequestExecution tells only that its request has ended and whether it may have run; after an exception the tokens stay spent. RoutingTaskTest fills the mailbox with RequestFinished in place of TokensReturned, which is gone.

--- a/packages/decisions/include/boragerack/decisions/serving/NodeTokenLimiter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/NodeTokenLimiter.h
@@ -24,10 +24,13 @@
     /// Records the arrival of a request that needs the tokens.
     void countDemand(const core::OrganisationId &organisation, std::int64_t tokens,
                      core::TimePoint now);
-    /// Spends the tokens of a request; false if the balance is too low.
-    bool take(const core::OrganisationId &organisation, std::int64_t tokens);
-    /// Returns the tokens of a request that was not executed.
-    void giveBack(const core::OrganisationId &organisation, std::int64_t tokens);
+    /// Spends the tokens of a request; false if the balance is too low. A request spends tokens
+    /// once, and none if its organisation is not limited.
+    bool take(std::uint64_t request, const core::OrganisationId &organisation, std::int64_t tokens);
+    /// Ends a request. If it has not run, what it spent is credited again, up to the burst of its
+    /// organisation; the result is the credited amount. It is zero for a request that spent
+    /// nothing or has ended before.
+    TokenAmount end(std::uint64_t request, bool hasRun);
     /// Adds tokens granted by the coordinator.
     void credit(const TokenAmount &grant);
 
@@ -59,6 +62,8 @@
     };
 
     std::map<core::OrganisationId, Account> accounts_;
+    /// Tokens that the requests in progress spent. Only these can be credited again.
+    std::map<std::uint64_t, TokenAmount> spent_;
     std::optional<core::TimePoint> accruedAt_;
 };
 
--- a/packages/decisions/src/serving/NodeTokenLimiter.cpp
+++ b/packages/decisions/src/serving/NodeTokenLimiter.cpp
@@ -41,6 +41,8 @@
         account.limit = limit;
         account.balance = std::min(account.balance, limit.burstTokens);
     }
+    std::erase_if(spent_,
+                  [this](const auto &item) { return !isLimited(item.second.organisation); });
 }
 
 bool NodeTokenLimiter::isLimited(const core::OrganisationId &organisation) const
@@ -56,21 +58,33 @@
         accounts_[organisation].countDemand(tokens, now);
 }
 
-bool NodeTokenLimiter::take(const core::OrganisationId &organisation, std::int64_t tokens)
+bool NodeTokenLimiter::take(std::uint64_t request, const core::OrganisationId &organisation,
+                            std::int64_t tokens)
 {
-    if (!isLimited(organisation))
+    if (!isLimited(organisation) || spent_.contains(request))
         return true;
     Account &account = accounts_[organisation];
     if (account.balance < tokens)
         return false;
     account.balance -= tokens;
+    spent_.emplace(request, TokenAmount {organisation, tokens});
     return true;
 }
 
-void NodeTokenLimiter::giveBack(const core::OrganisationId &organisation, std::int64_t tokens)
+TokenAmount NodeTokenLimiter::end(std::uint64_t request, bool hasRun)
 {
-    if (isLimited(organisation))
-        accounts_[organisation].balance += tokens;
+    const auto ended = spent_.extract(request);
+    if (!ended)
+        return {};
+    const TokenAmount &spent = ended.mapped();
+    if (hasRun)
+        return {spent.organisation, 0};
+    Account &account = accounts_[spent.organisation];
+    const std::int64_t room =
+        std::max<std::int64_t>(0, account.limit.burstTokens - account.balance);
+    const TokenAmount credited {spent.organisation, std::min(spent.tokens, room)};
+    account.balance += credited.tokens;
+    return credited;
 }
 
 void NodeTokenLimiter::credit(const TokenAmount &grant)
--- a/packages/decisions/tests/serving/TokenLimitTest.cpp
+++ b/packages/decisions/tests/serving/TokenLimitTest.cpp
@@ -29,6 +29,7 @@
     FleetTokenLimiter fleetLimiter(kTolerance);
     fleetLimiter.setLimits(limits, now);
     std::int64_t spent = 0;
+    std::uint64_t number = 0;
     const core::TimePoint end = now + time;
     int changes = coordinatorChanges;
     for (; now < end; now += 10ms) {
@@ -40,7 +41,7 @@
         for (NodeTokenLimiter &nodeLimiter : nodeLimiters) {
             const auto tokens = static_cast<std::int64_t>(200 + random.next() % 2000);
             nodeLimiter.countDemand(kOrganisation, tokens, now);
-            if (nodeLimiter.take(kOrganisation, tokens))
+            if (nodeLimiter.take(++number, kOrganisation, tokens))
                 spent += tokens;
             for (const TokenRequest &request : nodeLimiter.wanted(now))
                 nodeLimiter.credit(fleetLimiter.grant(request, now));
@@ -69,11 +70,12 @@
     fleetLimiter.setLimits(limits, now);
     fleetLimiter.setRateFraction(static_cast<double>(kNodes - kPartitionedNodes) / kNodes, now);
     std::int64_t spent = 0;
+    std::uint64_t number = 0;
     for (const core::TimePoint end = now + std::chrono::seconds(kSeconds); now < end; now += 10ms) {
         for (std::uint32_t i = 0; i < kNodes; ++i) {
             NodeTokenLimiter &nodeLimiter = nodeLimiters[i];
             nodeLimiter.countDemand(kOrganisation, 1000, now);
-            if (nodeLimiter.take(kOrganisation, 1000))
+            if (nodeLimiter.take(++number, kOrganisation, 1000))
                 spent += 1000;
             if (i < kPartitionedNodes) {
                 nodeLimiter.accrue(now, kNodes);
@@ -114,10 +116,59 @@
     nodeLimiter.setLimits({{kOrganisation, kLimit}});
     const core::TimePoint now(1h);
     nodeLimiter.accrue(now, 6);
-    BOOST_TEST(!nodeLimiter.take(kOrganisation, 1000));
+    BOOST_TEST(!nodeLimiter.take(1, kOrganisation, 1000));
     nodeLimiter.accrue(now + 1s, 6);
-    BOOST_TEST(nodeLimiter.take(kOrganisation, kLimit.tokensPerSecond / 6));
-    BOOST_TEST(!nodeLimiter.take(kOrganisation, 1000));
+    BOOST_TEST(nodeLimiter.take(2, kOrganisation, kLimit.tokensPerSecond / 6));
+    BOOST_TEST(!nodeLimiter.take(3, kOrganisation, 1000));
+}
+
+// Guards against tokens that are returned twice, or for a request that has run.
+BOOST_AUTO_TEST_CASE(spentTokensAreReturnedOnceIfTheRequestDidNotRun)
+{
+    NodeTokenLimiter nodeLimiter;
+    nodeLimiter.setLimits({{kOrganisation, kLimit}});
+    nodeLimiter.credit({kOrganisation, 3000});
+    for (const std::uint64_t request : {1, 2, 3})
+        BOOST_TEST(nodeLimiter.take(request, kOrganisation, 1000));
+    BOOST_TEST(nodeLimiter.end(1, true).tokens == 0);
+    BOOST_TEST(nodeLimiter.end(1, false).tokens == 0);
+    BOOST_TEST(nodeLimiter.end(2, false).tokens == 1000);
+    BOOST_TEST(nodeLimiter.end(2, false).tokens == 0);
+    BOOST_TEST(nodeLimiter.take(4, kOrganisation, 1000));
+    BOOST_TEST(!nodeLimiter.take(5, kOrganisation, 1));
+}
+
+// Guards against tokens that are returned although the request took none: it waited for them, its
+// organisation had no limit then, or it is not known.
+BOOST_AUTO_TEST_CASE(tokensThatWereNotSpentAreNotReturned)
+{
+    const core::OrganisationId unlimited {"unlimited"};
+    const core::OrganisationId removed {"removed"};
+    NodeTokenLimiter nodeLimiter;
+    nodeLimiter.setLimits({{kOrganisation, kLimit}, {unlimited, {0, 0}}, {removed, kLimit}});
+    nodeLimiter.credit({removed, 1000});
+    BOOST_TEST(!nodeLimiter.take(1, kOrganisation, 1000));
+    BOOST_TEST(nodeLimiter.take(2, unlimited, 1000));
+    BOOST_TEST(nodeLimiter.take(3, removed, 1000));
+    nodeLimiter.setLimits({{kOrganisation, kLimit}, {unlimited, kLimit}});
+    nodeLimiter.setLimits({{kOrganisation, kLimit}, {unlimited, kLimit}, {removed, kLimit}});
+    for (const std::uint64_t request : {1, 2, 3, 4})
+        BOOST_TEST(nodeLimiter.end(request, false).tokens == 0);
+    for (const core::OrganisationId &organisation : {kOrganisation, unlimited, removed})
+        BOOST_TEST(!nodeLimiter.take(5, organisation, 1));
+}
+
+// Guards against returned tokens that raise a balance above the burst, which a node could then
+// spend beside the burst of the coordinator's bucket.
+BOOST_AUTO_TEST_CASE(returnedTokensStayWithinTheBurst)
+{
+    NodeTokenLimiter nodeLimiter;
+    nodeLimiter.setLimits({{kOrganisation, kLimit}});
+    nodeLimiter.credit({kOrganisation, 1000});
+    BOOST_TEST(nodeLimiter.take(1, kOrganisation, 1000));
+    nodeLimiter.credit({kOrganisation, kLimit.burstTokens - 400});
+    BOOST_TEST(nodeLimiter.end(1, false).tokens == 400);
+    BOOST_TEST(!nodeLimiter.take(2, kOrganisation, kLimit.burstTokens + 1));
 }
 
 // Guards against limiting organisations that have no limit.
@@ -125,8 +176,8 @@
 {
     NodeTokenLimiter nodeLimiter;
     nodeLimiter.setLimits({{kOrganisation, {0, 0}}});
-    BOOST_TEST(nodeLimiter.take(kOrganisation, 1'000'000));
-    BOOST_TEST(nodeLimiter.take({"unknown"}, 1'000'000));
+    BOOST_TEST(nodeLimiter.take(1, kOrganisation, 1'000'000));
+    BOOST_TEST(nodeLimiter.take(2, {"unknown"}, 1'000'000));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/gateway/src/RequestExecution.cpp
+++ b/packages/gateway/src/RequestExecution.cpp
@@ -100,7 +100,10 @@
 
 RequestExecution::~RequestExecution()
 {
-    runtime::runGuarded("request end", [this] { endRoute(decisions::AttemptOutcome::Abandoned); });
+    runtime::runGuarded("request end", [this] {
+        endRoute(decisions::AttemptOutcome::Abandoned);
+        finishRequest(core::Verdict::MayHaveRun);
+    });
 }
 
 RequestOutcome RequestExecution::run()
@@ -112,9 +115,7 @@
         checkLimits();
     }
     endRoute(decisions::AttemptOutcome::Abandoned);
-    if (outcome_.verdict == core::Verdict::NotRun && admitted_.tokens > 0
-        && !dependencies_.routing.send(TokensReturned {admitted_.organisation, admitted_.tokens}))
-        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=tokens_returned");
+    finishRequest(outcome_.verdict);
     return outcome_;
 }
 
@@ -288,9 +289,6 @@
         fire(attempt::Dispatch {grant_->target});
     } else {
         const core::Error &error = core::errorOf(*answer);
-        // No tokens were taken from the limit, so none are returned.
-        if (error.code == core::ErrorCode::RateLimited)
-            admitted_.tokens = 0;
         fire(attempt::DispatchFailed {error.code, error.retryAfter});
     }
 }
@@ -406,4 +404,14 @@
         runtime::logEvent(runtime::LogEvent::MessageDropped, "message=route_ended");
 }
 
+void RequestExecution::finishRequest(core::Verdict verdict)
+{
+    // Requests without tokens are not charged.
+    if (std::exchange(isFinished_, true) || admitted_.tokens == 0)
+        return;
+    const bool hasRun = verdict != core::Verdict::NotRun;
+    if (!dependencies_.routing.send(RequestFinished {admitted_.number, hasRun}))
+        runtime::logEvent(runtime::LogEvent::MessageDropped, "message=request_finished");
+}
+
 } // namespace boragerack::gateway
--- a/packages/gateway/src/RequestExecution.h
+++ b/packages/gateway/src/RequestExecution.h
@@ -79,7 +79,7 @@
                      runtime::HttpResponder &responder);
     RequestExecution(const RequestExecution &) = delete;
     RequestExecution &operator=(const RequestExecution &) = delete;
-    /// Releases the target if run() ended with an exception.
+    /// Releases the target if run() ended with an exception. The tokens stay spent then.
     ~RequestExecution();
 
     RequestOutcome run();
@@ -123,6 +123,7 @@
     void forwardCompleteBody();
     void endRoute(decisions::AttemptOutcome outcome, bool isMissing = false,
                   bool isHarmless = false);
+    void finishRequest(core::Verdict verdict);
     void onCallerGone();
     core::TimePoint toSteady(core::TimePoint time) const;
     decisions::AttemptId attemptId() const { return attempt_.current(); }
@@ -134,6 +135,7 @@
     RouteReply reply_;
     std::optional<RouteGrant> grant_;
     bool isRouteOpen_ = false;
+    bool isFinished_ = false;
     core::TimePoint sentAt_ = {};
     /// From the send to the first event of the answer.
     std::optional<core::Duration> firstPiece_;
--- a/packages/gateway/src/RoutingMessages.h
+++ b/packages/gateway/src/RoutingMessages.h
@@ -69,11 +69,12 @@
     decisions::TargetAdvice advice;
 };
 
-/// Tokens of a request that did not run.
-struct TokensReturned
+/// The request has ended and selects no further target.
+struct RequestFinished
 {
-    core::OrganisationId organisation;
-    std::int64_t tokens = 0;
+    std::uint64_t request = 0;
+    /// The request ran, or may have run, so its tokens stay spent.
+    bool hasRun = false;
 };
 
 /// Asks, immediately before the request is written, whether it may still be sent to the target that
@@ -127,7 +128,7 @@
 };
 
 using RoutingMessage =
-    std::variant<RouteRequest, RouteRequestEnded, TargetAdviceReceived, TokensReturned,
+    std::variant<RouteRequest, RouteRequestEnded, TargetAdviceReceived, RequestFinished,
                  SendPermissionRequest, RequestCrashReported, TargetListChanged,
                  ConfigurationChanged, ReportAnswered, StopAnnounced, StopRouting>;
 
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -180,10 +180,10 @@
                              "target=" + message.process.target.value + describe(message.advice));
 }
 
-void RoutingTask::on(TokensReturned &message)
+void RoutingTask::on(RequestFinished &message)
 {
-    tokenLimiter_.giveBack(message.organisation, message.tokens);
-    countTokens("returned", message.organisation, message.tokens);
+    const decisions::TokenAmount returned = tokenLimiter_.end(message.request, message.hasRun);
+    countTokens("returned", returned.organisation, returned.tokens);
 }
 
 void RoutingTask::on(SendPermissionRequest &message)
--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -81,7 +81,7 @@
     void on(RouteRequest &message);
     void on(RouteRequestEnded &message);
     void on(TargetAdviceReceived &message);
-    void on(TokensReturned &message);
+    void on(RequestFinished &message);
     void on(SendPermissionRequest &message);
     void on(RequestCrashReported &message);
     void on(TargetListChanged &message);
--- a/packages/gateway/src/RoutingTaskQueues.cpp
+++ b/packages/gateway/src/RoutingTaskQueues.cpp
@@ -124,7 +124,8 @@
 
 bool RoutingTask::takeTokens(const RouteRequest &pendingRequest)
 {
-    if (!tokenLimiter_.take(pendingRequest.organisation, pendingRequest.tokens))
+    if (!tokenLimiter_.take(pendingRequest.request, pendingRequest.organisation,
+                            pendingRequest.tokens))
         return false;
     countTokens("taken", pendingRequest.organisation, pendingRequest.tokens);
     return true;
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -300,7 +300,7 @@
     constexpr std::uint64_t kRequests = 40;
     for (std::uint64_t number = 1; number <= kRequests; ++number) {
         BOOST_TEST(chooseTarget(number) == "a");
-        while (task.trySend(TokensReturned {})) { }
+        while (task.trySend(RequestFinished {})) { }
         BOOST_TEST(task.send(RouteRequestEnded {.request = number}));
     }
 }
