Keep the count of a target's requests while it is not listed

A target that was missing from the list and then listed again with the same process, while requests ran on it, counted as overloaded from then on: the node predicted an extremely long wait, avoided it and could refuse requests.

Cause: TargetWorkModel::retain removed the count of a target, but not its requests in progress. Their ends were subtracted from the count that the next request started.

Ruled out: the other counts of RequestRouter, which are not removed with the entry of a target.

Change: a target is kept while it has requests in progress.

--- a/packages/decisions/include/boragerack/decisions/serving/TargetWorkModel.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetWorkModel.h
@@ -38,11 +38,14 @@
     /// This node's requests on the target.
     std::uint32_t ownRequests(const TargetProcess &process) const;
 
-    /// Forgets the targets for which the predicate is false.
+    /// Forgets the targets for which the predicate is false and that have no request in progress.
+    /// A target may be listed again before its requests end.
     template<typename Predicate>
     void retain(Predicate isKept)
     {
-        std::erase_if(targets_, [&](const auto &item) { return !isKept(item.first); });
+        std::erase_if(targets_, [&](const auto &item) {
+            return item.second.requests == 0 && !isKept(item.first);
+        });
     }
 
 private:
