Limit the tokens that a node returns to its balance to its reserve

In a test an organisation spent 458,000 tokens in 8 s, where rate, burst and tolerance allow 410,000: its requests had held their tokens for up to 5 s while they waited for targets, and ended without having run.

Cause: the coordinator's bucket accrues while requests hold their tokens. The tokens then returned to the balances of the nodes, beside the full bucket.

Change: returned tokens raise a balance to the node's reserve at most, or to the tokens of one request. The rest is lost.

Measured: decisionsTest tokensReturnedLateDoNotAddToTheBurst fails before (458,000 of 410,000) and passes now.

--- a/packages/decisions/include/boragerack/decisions/serving/NodeTokenLimiter.h
+++ b/packages/decisions/include/boragerack/decisions/serving/NodeTokenLimiter.h
@@ -27,10 +27,11 @@
     /// Spends the tokens of a request; false if the balance is too low. A request spends tokens
     /// once, and none if its organisation is not limited.
     bool take(std::uint64_t request, const core::OrganisationId &organisation, std::int64_t tokens);
-    /// Ends a request. If it has not run, what it spent is credited again, up to the burst of its
-    /// organisation; the result is the credited amount. It is zero for a request that spent
-    /// nothing or has ended before.
-    TokenAmount end(std::uint64_t request, bool hasRun);
+    /// Ends a request. If it has not run, what it spent is credited again as far as the balance
+    /// stays within the reserve or the tokens of the request. The coordinator's bucket accrues
+    /// while requests hold their tokens, so more would add to its burst. The result is the credited
+    /// amount; it is zero for a request that spent nothing or has ended before.
+    TokenAmount end(std::uint64_t request, bool hasRun, core::TimePoint now);
     /// Adds tokens granted by the coordinator.
     void credit(const TokenAmount &grant);
 
@@ -59,6 +60,8 @@
 
         void countDemand(std::int64_t tokens, core::TimePoint now);
         double demandNow(core::TimePoint now) const;
+        /// Tokens to hold for the requests that are expected.
+        std::int64_t reserveNow(core::TimePoint now) const;
     };
 
     std::map<core::OrganisationId, Account> accounts_;
--- a/packages/decisions/src/serving/NodeTokenLimiter.cpp
+++ b/packages/decisions/src/serving/NodeTokenLimiter.cpp
@@ -33,6 +33,12 @@
     return demand * std::exp(-std::max(0.0, age) / kDemandSeconds);
 }
 
+std::int64_t NodeTokenLimiter::Account::reserveNow(core::TimePoint now) const
+{
+    const auto expected = static_cast<std::int64_t>(demandNow(now) * kReserveSeconds);
+    return std::min(std::max(expected, largestRequest), limit.burstTokens / kReserveBurstDivisor);
+}
+
 void NodeTokenLimiter::setLimits(const Limits &limits)
 {
     std::erase_if(accounts_, [&](const auto &item) { return !limits.contains(item.first); });
@@ -71,7 +77,7 @@
     return true;
 }
 
-TokenAmount NodeTokenLimiter::end(std::uint64_t request, bool hasRun)
+TokenAmount NodeTokenLimiter::end(std::uint64_t request, bool hasRun, core::TimePoint now)
 {
     const auto ended = spent_.extract(request);
     if (!ended)
@@ -80,9 +86,9 @@
     if (hasRun)
         return {spent.organisation, 0};
     Account &account = accounts_[spent.organisation];
-    const std::int64_t room =
-        std::max<std::int64_t>(0, account.limit.burstTokens - account.balance);
-    const TokenAmount credited {spent.organisation, std::min(spent.tokens, room)};
+    const std::int64_t room = std::max(account.reserveNow(now), spent.tokens) - account.balance;
+    const TokenAmount credited {spent.organisation,
+                                std::clamp<std::int64_t>(room, 0, spent.tokens)};
     account.balance += credited.tokens;
     return credited;
 }
@@ -112,9 +118,7 @@
     for (const auto &[organisation, account] : accounts_) {
         if (account.limit.tokensPerSecond <= 0)
             continue;
-        const auto demand = static_cast<std::int64_t>(account.demandNow(now) * kReserveSeconds);
-        const std::int64_t reserve = std::min(std::max(demand, account.largestRequest),
-                                              account.limit.burstTokens / kReserveBurstDivisor);
+        const std::int64_t reserve = account.reserveNow(now);
         TokenRequest request {
             organisation, std::max<std::int64_t>(0, account.waiting - account.balance),
             std::max<std::int64_t>(
--- a/packages/decisions/tests/serving/TokenLimitTest.cpp
+++ b/packages/decisions/tests/serving/TokenLimitTest.cpp
@@ -15,6 +15,7 @@
 const core::OrganisationId kOrganisation {"yard"};
 constexpr RateLimit kLimit {30'000, 60'000};
 constexpr std::int64_t kTolerance = 110'000;
+constexpr core::TimePoint kNow(1h);
 
 /// Simulates nodes with a coordinator that is replaced up to `coordinatorChanges` times, and
 /// returns the tokens that all nodes spent within the time.
@@ -130,10 +131,10 @@
     nodeLimiter.credit({kOrganisation, 3000});
     for (const std::uint64_t request : {1, 2, 3})
         BOOST_TEST(nodeLimiter.take(request, kOrganisation, 1000));
-    BOOST_TEST(nodeLimiter.end(1, true).tokens == 0);
-    BOOST_TEST(nodeLimiter.end(1, false).tokens == 0);
-    BOOST_TEST(nodeLimiter.end(2, false).tokens == 1000);
-    BOOST_TEST(nodeLimiter.end(2, false).tokens == 0);
+    BOOST_TEST(nodeLimiter.end(1, true, kNow).tokens == 0);
+    BOOST_TEST(nodeLimiter.end(1, false, kNow).tokens == 0);
+    BOOST_TEST(nodeLimiter.end(2, false, kNow).tokens == 1000);
+    BOOST_TEST(nodeLimiter.end(2, false, kNow).tokens == 0);
     BOOST_TEST(nodeLimiter.take(4, kOrganisation, 1000));
     BOOST_TEST(!nodeLimiter.take(5, kOrganisation, 1));
 }
@@ -153,22 +154,74 @@
     nodeLimiter.setLimits({{kOrganisation, kLimit}, {unlimited, kLimit}});
     nodeLimiter.setLimits({{kOrganisation, kLimit}, {unlimited, kLimit}, {removed, kLimit}});
     for (const std::uint64_t request : {1, 2, 3, 4})
-        BOOST_TEST(nodeLimiter.end(request, false).tokens == 0);
+        BOOST_TEST(nodeLimiter.end(request, false, kNow).tokens == 0);
     for (const core::OrganisationId &organisation : {kOrganisation, unlimited, removed})
         BOOST_TEST(!nodeLimiter.take(5, organisation, 1));
 }
 
-// Guards against returned tokens that raise a balance above the burst, which a node could then
-// spend beside the burst of the coordinator's bucket.
-BOOST_AUTO_TEST_CASE(returnedTokensStayWithinTheBurst)
+// Guards against requests that hold tokens for seconds without running: returned at once, these
+// tokens add to a burst that the bucket has accrued again meanwhile.
+BOOST_AUTO_TEST_CASE(tokensReturnedLateDoNotAddToTheBurst)
 {
+    constexpr std::size_t kNodes = 6;
+    constexpr int kSeconds = 8;
+    const NodeTokenLimiter::Limits limits {{kOrganisation, kLimit}};
+    std::vector<NodeTokenLimiter> nodeLimiters(kNodes);
+    for (NodeTokenLimiter &nodeLimiter : nodeLimiters)
+        nodeLimiter.setLimits(limits);
+    core::TimePoint now(1h);
+    FleetTokenLimiter fleetLimiter(kTolerance);
+    fleetLimiter.setLimits(limits, now);
+    std::uint64_t number = 0;
+    const auto request = [&](std::size_t node, std::int64_t tokens) {
+        NodeTokenLimiter &nodeLimiter = nodeLimiters[node];
+        nodeLimiter.countDemand(kOrganisation, tokens, now);
+        const bool isTaken = nodeLimiter.take(++number, kOrganisation, tokens);
+        for (const TokenRequest &wanted : nodeLimiter.wanted(now))
+            nodeLimiter.credit(fleetLimiter.grant(wanted, now));
+        return isTaken;
+    };
+    // The bucket fills up.
+    for (const core::TimePoint end = now + 10s; now < end; now += 10ms)
+        static_cast<void>(fleetLimiter.grant({kOrganisation, 0, 0}, now));
+    // Nine tenths of the rate are taken by requests that wait for a target.
+    std::vector<std::pair<std::size_t, std::uint64_t>> held;
+    for (const core::TimePoint end = now + 5s; now < end; now += 20ms) {
+        const std::size_t node = number % kNodes;
+        if (request(node, 540))
+            held.emplace_back(node, number);
+    }
+    for (const auto &[node, ended] : held)
+        nodeLimiters[node].end(ended, false, now);
+    std::int64_t spent = 0;
+    for (const core::TimePoint end = now + std::chrono::seconds(kSeconds); now < end; now += 10ms) {
+        for (std::size_t node = 0; node < kNodes; ++node)
+            spent += request(node, 1000) ? 1000 : 0;
+    }
+    BOOST_TEST(spent <= kLimit.tokensPerSecond * kSeconds + kLimit.burstTokens + kTolerance);
+}
+
+// Guards against tokens of many requests that a node accumulates when they end without running.
+BOOST_AUTO_TEST_CASE(returnedTokensStayWithinTheReserve)
+{
+    constexpr std::int64_t kReserve = kLimit.burstTokens / 8;
+    constexpr std::int64_t kTokens = 1000;
     NodeTokenLimiter nodeLimiter;
     nodeLimiter.setLimits({{kOrganisation, kLimit}});
-    nodeLimiter.credit({kOrganisation, 1000});
-    BOOST_TEST(nodeLimiter.take(1, kOrganisation, 1000));
-    nodeLimiter.credit({kOrganisation, kLimit.burstTokens - 400});
-    BOOST_TEST(nodeLimiter.end(1, false).tokens == 400);
-    BOOST_TEST(!nodeLimiter.take(2, kOrganisation, kLimit.burstTokens + 1));
+    nodeLimiter.credit({kOrganisation, kLimit.burstTokens});
+    std::int64_t returned = 0;
+    for (std::uint64_t request = 1; request <= 60; ++request) {
+        nodeLimiter.countDemand(kOrganisation, kTokens, kNow);
+        BOOST_TEST(nodeLimiter.take(request, kOrganisation, kTokens));
+    }
+    for (std::uint64_t request = 1; request <= 60; ++request)
+        returned += nodeLimiter.end(request, false, kNow).tokens;
+    BOOST_TEST(returned == kReserve);
+    // One request is returned whole, however long it has held its tokens.
+    BOOST_TEST(nodeLimiter.take(61, kOrganisation, kReserve));
+    nodeLimiter.credit({kOrganisation, 2 * kReserve});
+    BOOST_TEST(nodeLimiter.take(62, kOrganisation, 2 * kReserve));
+    BOOST_TEST(nodeLimiter.end(62, false, kNow + 1h).tokens == 2 * kReserve);
 }
 
 // Guards against limiting organisations that have no limit.
--- a/packages/gateway/src/RoutingTask.cpp
+++ b/packages/gateway/src/RoutingTask.cpp
@@ -182,7 +182,8 @@
 
 void RoutingTask::on(RequestFinished &message)
 {
-    const decisions::TokenAmount returned = tokenLimiter_.end(message.request, message.hasRun);
+    const decisions::TokenAmount returned =
+        tokenLimiter_.end(message.request, message.hasRun, clock_.now());
     countTokens("returned", returned.organisation, returned.tokens);
 }
 
