--- a/packages/decisions/tests/BudgetBorrowerTest.cpp
+++ b/packages/decisions/tests/BudgetBorrowerTest.cpp
@@ -173,6 +173,28 @@
                    .has_value());
 }
 
+// Guards against tokens that are returned twice, or for a request that reserved none.
+BOOST_AUTO_TEST_CASE(onlyReservedTokensAreReturnedOnce)
+{
+    BudgetBorrower borrower = makeBorrower();
+    const auto sent =
+        findAction<SendBudgetRequest>(borrower.handle(makeReserve(1, 500, kStart + 10s), kStart));
+    BOOST_REQUIRE(sent.has_value());
+    borrower.handle(makeGrant(sent->request, 501), kStart + 2ms);
+    // This request waits for tokens until it gives up.
+    borrower.handle(makeReserve(2, 500, kStart + 10s), kStart + 3ms);
+    borrower.handle(ReservationSettled {2, 0}, kStart + 4ms);
+    borrower.handle(ReserveCancelled {2}, kStart + 5ms);
+    for (int i = 0; i < 3; ++i)
+        borrower.handle(ReservationSettled {1, 0}, kStart + 6ms);
+    BOOST_TEST(
+        findAction<TokensReserved>(borrower.handle(makeReserve(3, 500, kStart + 10s), kStart + 7ms))
+            .has_value());
+    BOOST_TEST(
+        !findAction<TokensReserved>(borrower.handle(makeReserve(4, 2, kStart + 10s), kStart + 8ms))
+             .has_value());
+}
+
 // Guards against queueing a request that needs more tokens than the burst and can never be served.
 BOOST_AUTO_TEST_CASE(requestAboveBurstIsRefusedImmediately)
 {
--- a/packages/decisions/tests/serving/RequestRouterTest.cpp
+++ b/packages/decisions/tests/serving/RequestRouterTest.cpp
@@ -115,6 +115,24 @@
     BOOST_TEST(ask(5) == "a");
 }
 
+// Guards against a permit that is given back after it was used, or more than once, so that a target
+// gets more requests than its rate allows.
+BOOST_AUTO_TEST_CASE(unusedPermitIsGivenBackOnce)
+{
+    setTargets({entryOf("a", true)});
+    advise("a", {.requestsPerSecond = 1});
+    router.handle(routing::PermitsGranted {{{{"a"}, 1}}}, kNow);
+    const routing::Ended ended {1, {"a"}, kService, kModel, AttemptOutcome::Abandoned};
+    BOOST_TEST(ask(1) == "a");
+    for (int i = 0; i < 3; ++i)
+        router.handle(ended, kNow);
+    BOOST_TEST(ask(2) == "a");
+    BOOST_TEST(ask(3) == "");
+    BOOST_TEST(router.claimSend(2, {"a"}, kNow));
+    router.handle(routing::Ended {2, {"a"}, kService, kModel, AttemptOutcome::Succeeded}, kNow);
+    BOOST_TEST(ask(4) == "");
+}
+
 // Guards against requests that are sent to targets without the model, or to leaving ones.
 BOOST_AUTO_TEST_CASE(onlyReadyTargetsAreUsed)
 {
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -36,6 +36,7 @@
             [this](const decisions::CoordinationReport &report) {
                 lastKnown = report.known;
                 lastCrashes = report.crashes;
+                lastUses = report.uses.value_or(std::vector<decisions::ArtifactInFlight>());
                 ++reports;
                 return isReportAccepted;
             },
@@ -140,6 +141,7 @@
 
     decisions::FleetVersions lastKnown;
     std::vector<decisions::quarantine::CrashReport> lastCrashes;
+    std::vector<decisions::ArtifactInFlight> lastUses;
     int reports = 0;
     bool isReportAccepted = true;
     bool isRelayAccepted = true;
@@ -148,8 +150,12 @@
     core::MonotonicClock clock;
     core::SeededRandomSource random {1};
     runtime::Metrics metrics;
-    RoutingTask task {
-        {}, {.retries = {}, .activeRequests = 10, .waiting = {}}, clock, random, metrics};
+    static constexpr std::size_t kActiveRequests = 10;
+    RoutingTask task {{},
+                      {.retries = {}, .activeRequests = kActiveRequests, .waiting = {}},
+                      clock,
+                      random,
+                      metrics};
 };
 
 } // namespace
@@ -305,6 +311,66 @@
     }
 }
 
+// Guards against places and loads that are given back twice, or by requests that have none.
+BOOST_AUTO_TEST_CASE(endsOfRequestsGiveBackWhatTheyTookOnce)
+{
+    const decisions::Artifact model {{"m"}, {}, {}};
+    decisions::TargetEntry engine = entryOf("a");
+    engine.replicas = {{model.model, 1, {}}};
+    setTargets({engine});
+    for (std::uint64_t number = 1; number <= kActiveRequests; ++number)
+        BOOST_TEST(chooseTarget(number, model) == "a");
+    // One request ends several times, and requests end that were never made.
+    for (const std::uint64_t number : {1, 1, 1, 1, 101, 102, 103})
+        BOOST_REQUIRE(task.trySend(RouteRequestEnded {.request = number}));
+    const int before = reports;
+    answerWith({});
+    waitForReportAfter(before);
+    BOOST_REQUIRE(lastUses.size() == 1U);
+    BOOST_TEST(lastUses.front().inFlight == kActiveRequests - 1);
+    BOOST_TEST(chooseTarget(20, model) == "a");
+    RouteRequest waiting;
+    waiting.request = 21;
+    waiting.requirements = {.service = kService, .artifact = model};
+    waiting.deadline = clock.now() + 1s;
+    BOOST_REQUIRE(task.trySend(waiting));
+    BOOST_TEST(!waiting.reply.waitUntil(clock.now() + 100ms).has_value());
+}
+
+// Guards against retries that are given back twice, or by requests that have reserved none.
+BOOST_AUTO_TEST_CASE(endsOfRequestsGiveBackReservedRetriesOnce)
+{
+    // The requests earn one retry.
+    for (std::uint64_t number = 1; number <= 7; ++number) {
+        RouteRequest first;
+        first.request = number;
+        first.requirements.service = kService;
+        first.deadline = clock.now() + 10s;
+        BOOST_REQUIRE(task.trySend(first));
+        BOOST_REQUIRE(task.trySend(RouteRequestEnded {.request = number}));
+    }
+    // Without targets, a retry that was reserved waits and one that was not is refused at once.
+    const auto isReserved = [this](std::uint64_t number) {
+        RouteRequest retry;
+        retry.request = number;
+        retry.requirements.service = kService;
+        retry.isFirst = false;
+        retry.isRetry = true;
+        retry.deadline = clock.now() + 10s;
+        BOOST_REQUIRE(task.trySend(retry));
+        return !retry.reply.waitUntil(clock.now() + 100ms).has_value();
+    };
+    BOOST_TEST(isReserved(11));
+    BOOST_TEST(!isReserved(12));
+    BOOST_REQUIRE(task.trySend(RouteRequestEnded {.request = 12}));
+    BOOST_REQUIRE(task.trySend(RouteRequestEnded {.request = 13}));
+    BOOST_TEST(!isReserved(14));
+    for (int i = 0; i < 3; ++i)
+        BOOST_REQUIRE(task.trySend(RouteRequestEnded {.request = 11}));
+    BOOST_TEST(isReserved(15));
+    BOOST_TEST(!isReserved(16));
+}
+
 // Guards against crashes that no coordinator counts, because their report was not answered.
 BOOST_AUTO_TEST_CASE(crashIsReportedUntilACoordinatorAnswers)
 {
