--- a/packages/decisions/src/serving/NodeTokenLimiter.cpp
+++ b/packages/decisions/src/serving/NodeTokenLimiter.cpp
@@ -87,8 +87,7 @@
         return {spent.organisation, 0};
     Account &account = accounts_[spent.organisation];
     const std::int64_t room = std::max(account.reserveNow(now), spent.tokens) - account.balance;
-    const TokenAmount credited {spent.organisation,
-                                std::clamp<std::int64_t>(room, 0, spent.tokens)};
+    TokenAmount credited {spent.organisation, std::clamp<std::int64_t>(room, 0, spent.tokens)};
     account.balance += credited.tokens;
     return credited;
 }
