Refuse a backlog without recursion

Cause: a request that is refused as soon as the queue serves it frees its place, and the queue served the next one in a nested call. The recursion was as deep as the queue, on the stack of one fiber.

Ruled out: an endless refusal.

Change: RoutingTask::queue handles events one after the other from a list. The flags against nested handling end with their scope, also after an exception.

--- a/packages/gateway/src/RoutingTask.h
+++ b/packages/gateway/src/RoutingTask.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -92,6 +93,7 @@
 
     void route(const decisions::routing::Event &event);
     void enqueue(const RouteRequest &pendingRequest);
+    /// Handles the event at once, or after the one that is being handled.
     void queue(const decisions::QueueEvent &event);
     void perform(const decisions::ServeRequest &action);
     void perform(const decisions::RefuseRequest &action);
@@ -145,6 +147,8 @@
     decisions::RequestRouter router_;
     decisions::NodeTokenLimiter tokenLimiter_;
     decisions::RequestQueue fairQueue_;
+    std::deque<decisions::QueueEvent> queueEvents_;
+    bool isHandlingQueue_ = false;
     /// Largest number of nodes that a coordinator or its lease has reported; zero before.
     /// Unreachable nodes continue to use tokens, so limits are divided by this number even if fewer
     /// are live.
--- a/packages/gateway/src/RoutingTaskQueues.cpp
+++ b/packages/gateway/src/RoutingTaskQueues.cpp
@@ -10,6 +10,27 @@
 
 namespace boragerack::gateway {
 
+namespace {
+
+/// Sets a flag for as long as it exists, also if an exception ends the scope.
+class FlagScope
+{
+public:
+    explicit FlagScope(bool &flag)
+        : flag_(flag)
+    {
+        flag_ = true;
+    }
+    FlagScope(const FlagScope &) = delete;
+    FlagScope &operator=(const FlagScope &) = delete;
+    ~FlagScope() { flag_ = false; }
+
+private:
+    bool &flag_;
+};
+
+} // namespace
+
 void RoutingTask::enqueue(const RouteRequest &pendingRequest)
 {
     // A request that has waited in the queue for its whole target latency is refused, so that its
@@ -24,8 +45,18 @@
 
 void RoutingTask::queue(const decisions::QueueEvent &event)
 {
-    for (const decisions::QueueAction &action : fairQueue_.handle(event, clock_.now()))
-        std::visit([this](const auto &concrete) { perform(concrete); }, action);
+    queueEvents_.push_back(event);
+    // A request that is refused as soon as it is served frees the place of the next one. Nested
+    // calls would need as much stack as the queue is long.
+    if (isHandlingQueue_)
+        return;
+    const FlagScope handling(isHandlingQueue_);
+    while (!queueEvents_.empty()) {
+        const decisions::QueueEvent next = std::move(queueEvents_.front());
+        queueEvents_.pop_front();
+        for (const decisions::QueueAction &action : fairQueue_.handle(next, clock_.now()))
+            std::visit([this](const auto &concrete) { perform(concrete); }, action);
+    }
 }
 
 void RoutingTask::perform(const decisions::ServeRequest &action)
@@ -92,8 +123,9 @@
 {
     // A refusal frees a place in the queue of requests, and the next request may be refused as
     // well.
-    if (std::exchange(isRefusing_, true))
+    if (isRefusing_)
         return;
+    const FlagScope refusing(isRefusing_);
     for (auto refusals = router_.takeRefusals(); !refusals.empty();
          refusals = router_.takeRefusals()) {
         for (const decisions::routing::Refused &refused : refusals) {
@@ -111,7 +143,6 @@
             releaseQueueSlot(refused.request);
         }
     }
-    isRefusing_ = false;
 }
 
 void RoutingTask::requestTarget(const RouteRequest &pendingRequest)
--- a/packages/gateway/tests/RoutingTaskTest.cpp
+++ b/packages/gateway/tests/RoutingTaskTest.cpp
@@ -151,8 +151,11 @@
     core::SeededRandomSource random {1};
     runtime::Metrics metrics;
     static constexpr std::size_t kActiveRequests = 10;
+    static constexpr std::size_t kWaitingRequests = 100'000;
     RoutingTask task {{},
-                      {.retries = {}, .activeRequests = kActiveRequests, .waiting = {}},
+                      {.retries = {},
+                       .activeRequests = kActiveRequests,
+                       .waiting = {kWaitingRequests, kWaitingRequests}},
                       clock,
                       random,
                       metrics};
@@ -311,6 +314,34 @@
     }
 }
 
+// Guards against a recursion as deep as the queue, which overflows the stack of the fiber: each
+// refused request frees the place of the next one (review/11, LOST).
+BOOST_AUTO_TEST_CASE(longBacklogIsRefusedWithoutRecursion)
+{
+    setTargets({entryOf("a")});
+    for (std::uint64_t number = 1; number <= kActiveRequests; ++number)
+        BOOST_TEST(chooseTarget(number) == "a");
+    std::vector<RouteReply> replies;
+    for (std::uint64_t i = 0; i < kWaitingRequests; ++i) {
+        RouteRequest message;
+        message.request = 100 + i;
+        message.requirements.service = kService;
+        message.deadline = clock.now() + 60s;
+        replies.push_back(message.reply);
+        const bool isSent = task.send(std::move(message));
+        BOOST_REQUIRE(isSent);
+    }
+    BOOST_REQUIRE(task.send(TargetAdviceReceived {{{"a"}, 1}, {.pause = 300s}}));
+    BOOST_REQUIRE(task.send(RouteRequestEnded {.request = 1}));
+    for (const RouteReply &reply : replies) {
+        const auto refused = reply.waitUntil(clock.now() + 10s);
+        BOOST_REQUIRE((refused && !core::isOk(*refused)));
+        BOOST_REQUIRE((core::errorOf(*refused).code == core::ErrorCode::NoReadyReplica));
+    }
+    setTargets({entryOf("a"), entryOf("b")});
+    BOOST_TEST(chooseTarget(2 * kWaitingRequests) == "b");
+}
+
 // Guards against places and loads that are given back twice, or by requests that have none.
 BOOST_AUTO_TEST_CASE(endsOfRequestsGiveBackWhatTheyTookOnce)
 {
