Read the settings of a gateway in one place

parseGatewaySettings and recoverGatewaySettings parsed and read the document each in its own way, and readDuration repeated what readMs does. The strict parser now fails with the first field that the other one ignores, both use the parts of readDocument, and one function reads a time in either unit.

Behaviour is unchanged and no check changed.

--- a/packages/config/src/GatewaySettings.cpp
+++ b/packages/config/src/GatewaySettings.cpp
@@ -60,38 +60,40 @@
 
 core::Result<GatewaySettings> parseGatewaySettings(std::string_view file, std::string_view text)
 {
-    ParseErrorCollector errors {std::string(file), {}};
-    GatewaySettings settings;
-    readDocument(text, errors,
-                 [&](ObjectReader &reader) { readSettings(reader, settings, errors); });
-    if (errors.message)
-        return core::makeNotRunError(core::ErrorCode::InvalidRequest, *errors.message);
+    const auto recovered = recoverGatewaySettings(file, text);
+    if (!core::isOk(recovered))
+        return core::errorOf(recovered);
+    const auto &[settings, ignored] = core::valueOf(recovered);
+    if (!ignored.empty())
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest, ignored.front());
     return settings;
 }
 
 core::Result<RecoveredGatewaySettings> recoverGatewaySettings(std::string_view file,
                                                               std::string_view text)
 {
-    json::error_code code;
-    json::value document = json::parse(text, code);
-    if (code || !document.is_object())
-        return core::errorOf(parseGatewaySettings(file, text));
+    const auto fail = [](const std::string &message) {
+        return core::makeNotRunError(core::ErrorCode::InvalidRequest, message);
+    };
+    ParseErrorCollector syntax {std::string(file), {}};
+    auto document = parseDocument(text, syntax);
+    if (!document)
+        return fail(*syntax.message);
     RecoveredGatewaySettings recovered;
     std::string removed;
     while (true) {
         ParseErrorCollector errors {std::string(file), {}};
         recovered.settings = {};
-        ObjectReader reader(document, {}, errors);
-        readSettings(reader, recovered.settings, errors);
-        reader.finish();
+        readObject(*document, errors,
+                   [&](ObjectReader &reader) { readSettings(reader, recovered.settings, errors); });
         if (!errors.message)
             return recovered;
-        if (document.get_object().erase(errors.path) == 0) {
-            // The member is required. If it was removed, the first message says what was wrong.
-            return core::makeNotRunError(core::ErrorCode::InvalidRequest,
-                                         errors.path == removed ? recovered.ignored.back()
-                                                                : *errors.message);
-        }
+        // A required member that was removed is missing now; the first message says what was wrong.
+        if (errors.path == removed)
+            return fail(recovered.ignored.back());
+        if (json::object *members = document->if_object();
+            !members || members->erase(errors.path) == 0)
+            return fail(*errors.message);
         removed = errors.path;
         recovered.ignored.push_back(*errors.message);
     }
--- a/packages/config/src/ObjectReader.cpp
+++ b/packages/config/src/ObjectReader.cpp
@@ -177,19 +177,29 @@
     }
 }
 
-void readDocument(std::string_view text, ParseErrorCollector &errors,
-                  const std::function<void(ObjectReader &)> &read)
+std::optional<json::value> parseDocument(std::string_view text, ParseErrorCollector &errors)
 {
     json::error_code code;
-    const json::value document = json::parse(text, code);
-    if (code) {
-        errors.report("document", "invalid JSON (" + describeJsonError(text) + ")",
-                      "a JSON object");
-        return;
-    }
-    ObjectReader reader(document, {}, errors);
+    json::value document = json::parse(text, code);
+    if (!code)
+        return document;
+    errors.report("document", "invalid JSON (" + describeJsonError(text) + ")", "a JSON object");
+    return std::nullopt;
+}
+
+void readObject(const json::value &object, ParseErrorCollector &errors,
+                const std::function<void(ObjectReader &)> &read)
+{
+    ObjectReader reader(object, {}, errors);
     read(reader);
     reader.finish();
 }
 
+void readDocument(std::string_view text, ParseErrorCollector &errors,
+                  const std::function<void(ObjectReader &)> &read)
+{
+    if (const auto document = parseDocument(text, errors))
+        readObject(*document, errors, read);
+}
+
 } // namespace boragerack::config
--- a/packages/config/src/ObjectReader.h
+++ b/packages/config/src/ObjectReader.h
@@ -66,7 +66,14 @@
 /// Whether the text is a name that `readName` accepts.
 bool isName(std::string_view text);
 
-/// Parses the text, passes its top-level object to `read` and then reports members not read.
+/// Parses the text; empty, with an error reported, if it is not JSON.
+std::optional<boost::json::value> parseDocument(std::string_view text, ParseErrorCollector &errors);
+
+/// Passes the object to `read` and then reports members not read.
+void readObject(const boost::json::value &object, ParseErrorCollector &errors,
+                const std::function<void(ObjectReader &)> &read);
+
+/// Parses the text and reads its top-level object.
 void readDocument(std::string_view text, ParseErrorCollector &errors,
                   const std::function<void(ObjectReader &)> &read);
 
--- a/packages/config/src/SettingsFields.cpp
+++ b/packages/config/src/SettingsFields.cpp
@@ -18,6 +18,16 @@
         : std::chrono::ceil<std::chrono::milliseconds>(time - Milliseconds(kRepresentationErrorMs));
 }
 
+template<class Unit>
+std::chrono::milliseconds readTime(ObjectReader &reader, std::string_view name,
+                                   std::chrono::milliseconds lowest,
+                                   std::chrono::milliseconds fallback, Rounding rounding)
+{
+    return roundTo(Unit(reader.readNumber(name, Unit(lowest).count(), Unit(kMaxDuration).count(),
+                                          Unit(fallback).count())),
+                   rounding);
+}
+
 } // namespace
 
 SocketAddress readAddressText(const std::string &text, const std::string &path,
@@ -38,9 +48,8 @@
 std::chrono::milliseconds readMs(ObjectReader &reader, std::string_view name,
                                  std::chrono::milliseconds fallback)
 {
-    return roundTo(Milliseconds(reader.readNumber(name, 1, Milliseconds(kMaxDuration).count(),
-                                                  Milliseconds(fallback).count())),
-                   Rounding::Down);
+    return readTime<Milliseconds>(reader, name, std::chrono::milliseconds(1), fallback,
+                                  Rounding::Down);
 }
 
 std::chrono::milliseconds readDuration(ObjectReader &reader, const std::string &name,
@@ -51,16 +60,10 @@
     const std::string inMs = name + "Ms";
     const std::string inSeconds = name + "S";
     if (!reader.contains(inSeconds))
-        return roundTo(Milliseconds(reader.readNumber(inMs, Milliseconds(lowest).count(),
-                                                      Milliseconds(kMaxDuration).count(),
-                                                      Milliseconds(fallback).count())),
-                       rounding);
+        return readTime<Milliseconds>(reader, inMs, lowest, fallback, rounding);
     if (reader.contains(inMs))
         errors.report(reader.pathOf(inSeconds), "a second value", "either this or " + inMs);
-    return roundTo(
-        Seconds(reader.readNumber(inSeconds, Seconds(lowest).count(), Seconds(kMaxDuration).count(),
-                                  Seconds(fallback).count())),
-        rounding);
+    return readTime<Seconds>(reader, inSeconds, lowest, fallback, rounding);
 }
 
 std::int64_t readLimit(ObjectReader &reader, std::string_view name, std::int64_t lowest,
--- a/packages/config/src/SettingsFields.h
+++ b/packages/config/src/SettingsFields.h
@@ -19,7 +19,7 @@
                               ParseErrorCollector &errors);
 SocketAddress readAddress(ObjectReader &reader, std::string_view name, ParseErrorCollector &errors);
 
-/// What becomes of the fraction of a millisecond.
+/// Direction in which a fraction of a millisecond is rounded.
 enum class Rounding {
     Down, ///< For the longest time that is allowed.
     Up, ///< For the shortest time that is required.
--- a/packages/config/tests/GatewaySettingsTest.cpp
+++ b/packages/config/tests/GatewaySettingsTest.cpp
@@ -108,7 +108,7 @@
     BOOST_TEST(read.ignored[2] == "f: retryRate: found 1, expected no field of this name");
 }
 
-// Guards against a node that starts without knowing who it is or where it listens.
+// Guards against a node that starts without its name or its addresses.
 BOOST_AUTO_TEST_CASE(startNeedsTheRequiredMembers)
 {
     const std::string name = R"("callerListen":"10.0.0.1:1")";
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -241,7 +241,8 @@
     runtime::initializeLog(argv[0],
                            isGateway ? runtime::LogStream::StandardOutput
                                      : runtime::LogStream::StandardError);
-    return isGateway ? runWith<config::RecoveredGatewaySettings>(
-               path, config::recoverGatewaySettings, runGateway)
-                     : runWith<config::NodeSettings>(path, config::parseNodeSettings, runNode);
+    if (isGateway)
+        return runWith<config::RecoveredGatewaySettings>(path, config::recoverGatewaySettings,
+                                                         runGateway);
+    return runWith<config::NodeSettings>(path, config::parseNodeSettings, runNode);
 }
--- a/packages/decisions/include/boragerack/decisions/serving/TargetWorkModel.h
+++ b/packages/decisions/include/boragerack/decisions/serving/TargetWorkModel.h
@@ -38,7 +38,7 @@
     /// This node's requests on the target.
     std::uint32_t ownRequests(const TargetProcess &process) const;
 
-    /// Forgets the targets for which the predicate is false and that have no request in progress.
+    /// Removes the targets for which the predicate is false and that have no request in progress.
     /// A target may be listed again before its requests end.
     template<typename Predicate>
     void retain(Predicate isKept)
